--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Sample fleets and the demonstration."""
--- /dev/null
+++ b/roadpass/_generated/check_attempt.py
@@ -0,0 +1,152 @@
+VERSION = "2.22.3"
+from decimal import Decimal
+import re
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+REGEX_PATTERNS = {
+    '^[A-Z]+$': re.compile('^[A-Z]+\\Z'),
+    '^/': re.compile('^/')
+}
+
+NoneType = type(None)
+
+def validate(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'$schema': 'http://json-schema.org/draft-07/schema#', 'title': 'attempt', 'type': 'object', 'required': ['t', 'id', 'target', 'route', 'method', 'path', 'headers', 'body', 'remaining_ms', 'traffic_class', 'caller', 'repeatable', 'retry', 'revision', 'slow_ms'], 'properties': {'t': {'const': 'attempt'}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}, 'target': {'type': 'string'}, 'route': {'type': 'string'}, 'method': {'type': 'string', 'pattern': '^[A-Z]+$'}, 'path': {'type': 'string', 'pattern': '^/'}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'body': {}, 'remaining_ms': {'type': 'number'}, 'traffic_class': {'type': 'string'}, 'caller': {'type': 'string'}, 'repeatable': {'type': 'boolean'}, 'retry': {'type': 'boolean'}, 'revision': {'type': 'integer'}, 'slow_ms': {'type': 'number'}, 'key': {'type': 'string', 'maxLength': 256}, 'repeat': {'type': 'boolean'}}, 'definitions': {'bytes': {}, 'attempt_id': {'type': 'string', 'minLength': 3, 'maxLength': 200}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'hello': {'title': 'hello', 'type': 'object', 'required': ['t', 'vm', 'incarnation'], 'properties': {'t': {'const': 'hello'}, 'vm': {'type': 'string'}, 'incarnation': {'type': 'integer'}}}, 'attempt': {'title': 'attempt', 'type': 'object', 'required': ['t', 'id', 'target', 'route', 'method', 'path', 'headers', 'body', 'remaining_ms', 'traffic_class', 'caller', 'repeatable', 'retry', 'revision', 'slow_ms'], 'properties': {'t': {'const': 'attempt'}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}, 'target': {'type': 'string'}, 'route': {'type': 'string'}, 'method': {'type': 'string', 'pattern': '^[A-Z]+$'}, 'path': {'type': 'string', 'pattern': '^/'}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'body': {}, 'remaining_ms': {'type': 'number'}, 'traffic_class': {'type': 'string'}, 'caller': {'type': 'string'}, 'repeatable': {'type': 'boolean'}, 'retry': {'type': 'boolean'}, 'revision': {'type': 'integer'}, 'slow_ms': {'type': 'number'}, 'key': {'type': 'string', 'maxLength': 256}, 'repeat': {'type': 'boolean'}}}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}, 'answered': {'title': 'answered', 'type': 'object', 'required': ['t', 'status', 'headers', 'body', 'service_ms', 'load'], 'properties': {'t': {'const': 'answered'}, 'status': {'type': 'integer', 'minimum': 100, 'maximum': 999}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'body': {}, 'service_ms': {'type': 'number'}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}}}, 'not_run': {'title': 'not_run', 'type': 'object', 'required': ['t', 'reason', 'retry_after_ms'], 'properties': {'t': {'const': 'not_run'}, 'reason': {'type': 'string'}, 'retry_after_ms': {'type': 'integer', 'minimum': 0}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}}}, 'unknown': {'title': 'unknown', 'type': 'object', 'required': ['t', 'reason'], 'properties': {'t': {'const': 'unknown'}, 'reason': {'type': 'string'}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}}}, 'fence': {'title': 'fence', 'type': 'object', 'required': ['t', 'id'], 'properties': {'t': {'const': 'fence'}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}}}, 'fenced': {'title': 'fenced', 'type': 'object', 'required': ['t', 'verdict', 'incarnation'], 'properties': {'t': {'const': 'fenced'}, 'verdict': {'enum': ['never_starts', 'started', 'cannot_vouch']}, 'incarnation': {'type': 'integer'}}}, 'fence_key': {'title': 'fence_key', 'type': 'object', 'required': ['t', 'key', 'id'], 'properties': {'t': {'const': 'fence_key'}, 'key': {'type': 'string', 'maxLength': 256}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}}}, 'pull': {'title': 'pull', 'type': 'object', 'required': ['t', 'have'], 'properties': {'t': {'const': 'pull'}, 'have': {'type': 'object', 'additionalProperties': {'type': 'string'}}}}, 'revision': {'title': 'revision', 'type': 'object', 'required': ['t', 'manifest', 'documents'], 'properties': {'t': {'const': 'revision'}, 'manifest': {}, 'documents': {'type': 'array', 'items': {'type': 'object', 'required': ['hash', 'form', 'data'], 'properties': {'hash': {'type': 'string'}, 'form': {'enum': ['whole', 'patch']}, 'base': {'type': 'string'}, 'data': {}}}}}}, 'datagram': {'title': 'datagram', 'type': 'object', 'required': ['t', 'sender', 'n', 'news', 'revision', 'digest'], 'properties': {'t': {'enum': ['ping', 'ack', 'ping_req', 'announce', 'sync']}, 'sender': {'type': 'string'}, 'n': {'type': 'integer', 'description': 'Sequence number of the probe.'}, 'on': {'type': 'string', 'description': 'For ping_req: the VM to probe; for ack: the VM that is vouched for.'}, 'revision': {'type': 'integer'}, 'digest': {'type': 'string'}, 'platform_age_s': {'type': 'number', 'description': 'Seconds since the sender knows the platform to have answered.'}, 'hints': {'type': 'array', 'items': {'title': 'hint', 'type': 'array', 'minItems': 4, 'maxItems': 4, 'description': 'target, failure score, slow score, age in seconds', 'items': [{'type': 'string'}, {'type': 'number'}, {'type': 'number'}, {'type': 'number'}]}}, 'news': {'type': 'array', 'items': {'title': 'rumor', 'type': 'array', 'minItems': 8, 'maxItems': 8, 'description': 'vm, incarnation, state, address, stream port, gossip port, hall, region', 'items': [{'type': 'string'}, {'type': 'integer'}, {'type': 'integer', 'minimum': 0, 'maximum': 3}, {'type': 'string'}, {'type': 'integer'}, {'type': 'integer'}, {'type': 'string'}, {'type': 'string'}]}}}}, 'hint': {'title': 'hint', 'type': 'array', 'minItems': 4, 'maxItems': 4, 'description': 'target, failure score, slow score, age in seconds', 'items': [{'type': 'string'}, {'type': 'number'}, {'type': 'number'}, {'type': 'number'}]}, 'rumor': {'title': 'rumor', 'type': 'array', 'minItems': 8, 'maxItems': 8, 'description': 'vm, incarnation, state, address, stream port, gossip port, hall, region', 'items': [{'type': 'string'}, {'type': 'integer'}, {'type': 'integer', 'minimum': 0, 'maximum': 3}, {'type': 'string'}, {'type': 'integer'}, {'type': 'integer'}, {'type': 'string'}, {'type': 'string'}]}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['t', 'id', 'target', 'route', 'method', 'path', 'headers', 'body', 'remaining_ms', 'traffic_class', 'caller', 'repeatable', 'retry', 'revision', 'slow_ms']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'$schema': 'http://json-schema.org/draft-07/schema#', 'title': 'attempt', 'type': 'object', 'required': ['t', 'id', 'target', 'route', 'method', 'path', 'headers', 'body', 'remaining_ms', 'traffic_class', 'caller', 'repeatable', 'retry', 'revision', 'slow_ms'], 'properties': {'t': {'const': 'attempt'}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}, 'target': {'type': 'string'}, 'route': {'type': 'string'}, 'method': {'type': 'string', 'pattern': '^[A-Z]+$'}, 'path': {'type': 'string', 'pattern': '^/'}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'body': {}, 'remaining_ms': {'type': 'number'}, 'traffic_class': {'type': 'string'}, 'caller': {'type': 'string'}, 'repeatable': {'type': 'boolean'}, 'retry': {'type': 'boolean'}, 'revision': {'type': 'integer'}, 'slow_ms': {'type': 'number'}, 'key': {'type': 'string', 'maxLength': 256}, 'repeat': {'type': 'boolean'}}, 'definitions': {'bytes': {}, 'attempt_id': {'type': 'string', 'minLength': 3, 'maxLength': 200}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'hello': {'title': 'hello', 'type': 'object', 'required': ['t', 'vm', 'incarnation'], 'properties': {'t': {'const': 'hello'}, 'vm': {'type': 'string'}, 'incarnation': {'type': 'integer'}}}, 'attempt': {'title': 'attempt', 'type': 'object', 'required': ['t', 'id', 'target', 'route', 'method', 'path', 'headers', 'body', 'remaining_ms', 'traffic_class', 'caller', 'repeatable', 'retry', 'revision', 'slow_ms'], 'properties': {'t': {'const': 'attempt'}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}, 'target': {'type': 'string'}, 'route': {'type': 'string'}, 'method': {'type': 'string', 'pattern': '^[A-Z]+$'}, 'path': {'type': 'string', 'pattern': '^/'}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'body': {}, 'remaining_ms': {'type': 'number'}, 'traffic_class': {'type': 'string'}, 'caller': {'type': 'string'}, 'repeatable': {'type': 'boolean'}, 'retry': {'type': 'boolean'}, 'revision': {'type': 'integer'}, 'slow_ms': {'type': 'number'}, 'key': {'type': 'string', 'maxLength': 256}, 'repeat': {'type': 'boolean'}}}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}, 'answered': {'title': 'answered', 'type': 'object', 'required': ['t', 'status', 'headers', 'body', 'service_ms', 'load'], 'properties': {'t': {'const': 'answered'}, 'status': {'type': 'integer', 'minimum': 100, 'maximum': 999}, 'headers': {'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, 'body': {}, 'service_ms': {'type': 'number'}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}}}, 'not_run': {'title': 'not_run', 'type': 'object', 'required': ['t', 'reason', 'retry_after_ms'], 'properties': {'t': {'const': 'not_run'}, 'reason': {'type': 'string'}, 'retry_after_ms': {'type': 'integer', 'minimum': 0}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}}}, 'unknown': {'title': 'unknown', 'type': 'object', 'required': ['t', 'reason'], 'properties': {'t': {'const': 'unknown'}, 'reason': {'type': 'string'}, 'load': {'title': 'load', 'type': 'object', 'required': ['in_flight', 'queued', 'limit', 'failure_score', 'slow_score', 'revision'], 'properties': {'in_flight': {'type': 'integer'}, 'queued': {'type': 'integer'}, 'limit': {'type': 'integer'}, 'failure_score': {'type': 'number'}, 'slow_score': {'type': 'number'}, 'revision': {'type': 'integer'}}}}}, 'fence': {'title': 'fence', 'type': 'object', 'required': ['t', 'id'], 'properties': {'t': {'const': 'fence'}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}}}, 'fenced': {'title': 'fenced', 'type': 'object', 'required': ['t', 'verdict', 'incarnation'], 'properties': {'t': {'const': 'fenced'}, 'verdict': {'enum': ['never_starts', 'started', 'cannot_vouch']}, 'incarnation': {'type': 'integer'}}}, 'fence_key': {'title': 'fence_key', 'type': 'object', 'required': ['t', 'key', 'id'], 'properties': {'t': {'const': 'fence_key'}, 'key': {'type': 'string', 'maxLength': 256}, 'id': {'type': 'string', 'minLength': 3, 'maxLength': 200}}}, 'pull': {'title': 'pull', 'type': 'object', 'required': ['t', 'have'], 'properties': {'t': {'const': 'pull'}, 'have': {'type': 'object', 'additionalProperties': {'type': 'string'}}}}, 'revision': {'title': 'revision', 'type': 'object', 'required': ['t', 'manifest', 'documents'], 'properties': {'t': {'const': 'revision'}, 'manifest': {}, 'documents': {'type': 'array', 'items': {'type': 'object', 'required': ['hash', 'form', 'data'], 'properties': {'hash': {'type': 'string'}, 'form': {'enum': ['whole', 'patch']}, 'base': {'type': 'string'}, 'data': {}}}}}}, 'datagram': {'title': 'datagram', 'type': 'object', 'required': ['t', 'sender', 'n', 'news', 'revision', 'digest'], 'properties': {'t': {'enum': ['ping', 'ack', 'ping_req', 'announce', 'sync']}, 'sender': {'type': 'string'}, 'n': {'type': 'integer', 'description': 'Sequence number of the probe.'}, 'on': {'type': 'string', 'description': 'For ping_req: the VM to probe; for ack: the VM that is vouched for.'}, 'revision': {'type': 'integer'}, 'digest': {'type': 'string'}, 'platform_age_s': {'type': 'number', 'description': 'Seconds since the sender knows the platform to have answered.'}, 'hints': {'type': 'array', 'items': {'title': 'hint', 'type': 'array', 'minItems': 4, 'maxItems': 4, 'description': 'target, failure score, slow score, age in seconds', 'items': [{'type': 'string'}, {'type': 'number'}, {'type': 'number'}, {'type': 'number'}]}}, 'news': {'type': 'array', 'items': {'title': 'rumor', 'type': 'array', 'minItems': 8, 'maxItems': 8, 'description': 'vm, incarnation, state, address, stream port, gossip port, hall, region', 'items': [{'type': 'string'}, {'type': 'integer'}, {'type': 'integer', 'minimum': 0, 'maximum': 3}, {'type': 'string'}, {'type': 'integer'}, {'type': 'integer'}, {'type': 'string'}, {'type': 'string'}]}}}}, 'hint': {'title': 'hint', 'type': 'array', 'minItems': 4, 'maxItems': 4, 'description': 'target, failure score, slow score, age in seconds', 'items': [{'type': 'string'}, {'type': 'number'}, {'type': 'number'}, {'type': 'number'}]}, 'rumor': {'title': 'rumor', 'type': 'array', 'minItems': 8, 'maxItems': 8, 'description': 'vm, incarnation, state, address, stream port, gossip port, hall, region', 'items': [{'type': 'string'}, {'type': 'integer'}, {'type': 'integer', 'minimum': 0, 'maximum': 3}, {'type': 'string'}, {'type': 'integer'}, {'type': 'integer'}, {'type': 'string'}, {'type': 'string'}]}}}, rule='required')
+        data_keys = set(data.keys())
+        if "t" in data_keys:
+            data_keys.remove("t")
+            data__t = data["t"]
+            if not (isinstance(data__t, str) and data__t == 'attempt'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".t must be same as const definition: attempt", value=data__t, name="" + (name_prefix or "data") + ".t", definition={'const': 'attempt'}, rule='const')
+        if "id" in data_keys:
+            data_keys.remove("id")
+            data__id = data["id"]
+            validate___definitions_attempt_id(data__id, custom_formats, (name_prefix or "data") + ".id")
+        if "target" in data_keys:
+            data_keys.remove("target")
+            data__target = data["target"]
+            if not isinstance(data__target, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".target must be string", value=data__target, name="" + (name_prefix or "data") + ".target", definition={'type': 'string'}, rule='type')
+        if "route" in data_keys:
+            data_keys.remove("route")
+            data__route = data["route"]
+            if not isinstance(data__route, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".route must be string", value=data__route, name="" + (name_prefix or "data") + ".route", definition={'type': 'string'}, rule='type')
+        if "method" in data_keys:
+            data_keys.remove("method")
+            data__method = data["method"]
+            if not isinstance(data__method, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".method must be string", value=data__method, name="" + (name_prefix or "data") + ".method", definition={'type': 'string', 'pattern': '^[A-Z]+$'}, rule='type')
+            if isinstance(data__method, str):
+                if not REGEX_PATTERNS['^[A-Z]+$'].search(data__method):
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".method must match pattern ^[A-Z]+$", value=data__method, name="" + (name_prefix or "data") + ".method", definition={'type': 'string', 'pattern': '^[A-Z]+$'}, rule='pattern')
+        if "path" in data_keys:
+            data_keys.remove("path")
+            data__path = data["path"]
+            if not isinstance(data__path, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".path must be string", value=data__path, name="" + (name_prefix or "data") + ".path", definition={'type': 'string', 'pattern': '^/'}, rule='type')
+            if isinstance(data__path, str):
+                if not REGEX_PATTERNS['^/'].search(data__path):
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".path must match pattern ^/", value=data__path, name="" + (name_prefix or "data") + ".path", definition={'type': 'string', 'pattern': '^/'}, rule='pattern')
+        if "headers" in data_keys:
+            data_keys.remove("headers")
+            data__headers = data["headers"]
+            validate___definitions_headers(data__headers, custom_formats, (name_prefix or "data") + ".headers")
+        if "body" in data_keys:
+            data_keys.remove("body")
+            data__body = data["body"]
+            validate___definitions_bytes(data__body, custom_formats, (name_prefix or "data") + ".body")
+        if "remaining_ms" in data_keys:
+            data_keys.remove("remaining_ms")
+            data__remainingms = data["remaining_ms"]
+            if not isinstance(data__remainingms, (int, float, Decimal)) or isinstance(data__remainingms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".remaining_ms must be number", value=data__remainingms, name="" + (name_prefix or "data") + ".remaining_ms", definition={'type': 'number'}, rule='type')
+        if "traffic_class" in data_keys:
+            data_keys.remove("traffic_class")
+            data__trafficclass = data["traffic_class"]
+            if not isinstance(data__trafficclass, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".traffic_class must be string", value=data__trafficclass, name="" + (name_prefix or "data") + ".traffic_class", definition={'type': 'string'}, rule='type')
+        if "caller" in data_keys:
+            data_keys.remove("caller")
+            data__caller = data["caller"]
+            if not isinstance(data__caller, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".caller must be string", value=data__caller, name="" + (name_prefix or "data") + ".caller", definition={'type': 'string'}, rule='type')
+        if "repeatable" in data_keys:
+            data_keys.remove("repeatable")
+            data__repeatable = data["repeatable"]
+            if not isinstance(data__repeatable, (bool)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".repeatable must be boolean", value=data__repeatable, name="" + (name_prefix or "data") + ".repeatable", definition={'type': 'boolean'}, rule='type')
+        if "retry" in data_keys:
+            data_keys.remove("retry")
+            data__retry = data["retry"]
+            if not isinstance(data__retry, (bool)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".retry must be boolean", value=data__retry, name="" + (name_prefix or "data") + ".retry", definition={'type': 'boolean'}, rule='type')
+        if "revision" in data_keys:
+            data_keys.remove("revision")
+            data__revision = data["revision"]
+            if not isinstance(data__revision, (int)) and not (isinstance(data__revision, float) and data__revision.is_integer()) or isinstance(data__revision, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".revision must be integer", value=data__revision, name="" + (name_prefix or "data") + ".revision", definition={'type': 'integer'}, rule='type')
+        if "slow_ms" in data_keys:
+            data_keys.remove("slow_ms")
+            data__slowms = data["slow_ms"]
+            if not isinstance(data__slowms, (int, float, Decimal)) or isinstance(data__slowms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".slow_ms must be number", value=data__slowms, name="" + (name_prefix or "data") + ".slow_ms", definition={'type': 'number'}, rule='type')
+        if "key" in data_keys:
+            data_keys.remove("key")
+            data__key = data["key"]
+            if not isinstance(data__key, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be string", value=data__key, name="" + (name_prefix or "data") + ".key", definition={'type': 'string', 'maxLength': 256}, rule='type')
+            if isinstance(data__key, str):
+                data__key_len = len(data__key)
+                if data__key_len > 256:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".key must be shorter than or equal to 256 characters", value=data__key, name="" + (name_prefix or "data") + ".key", definition={'type': 'string', 'maxLength': 256}, rule='maxLength')
+        if "repeat" in data_keys:
+            data_keys.remove("repeat")
+            data__repeat = data["repeat"]
+            if not isinstance(data__repeat, (bool)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".repeat must be boolean", value=data__repeat, name="" + (name_prefix or "data") + ".repeat", definition={'type': 'boolean'}, rule='type')
+    return data
+
+def validate___definitions_bytes(data, custom_formats={}, name_prefix=None):
+    return data
+
+def validate___definitions_headers(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (list, tuple)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be array", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, rule='type')
+    data_is_list = isinstance(data, (list, tuple))
+    if data_is_list:
+        data_len = len(data)
+        if data_len > 200:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain less than or equal to 200 items", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'array', 'maxItems': 200, 'items': {'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}}, rule='maxItems')
+        for data_x, data_item in enumerate(data):
+            if not isinstance(data_item, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + "[{data_x}]".format(**locals()) + " must be array", value=data_item, name="" + (name_prefix or "data") + "[{data_x}]".format(**locals()) + "", definition={'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}, rule='type')
+            data_item_is_list = isinstance(data_item, (list, tuple))
+            if data_item_is_list:
+                data_item_len = len(data_item)
+                if data_item_len < 2:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + "[{data_x}]".format(**locals()) + " must contain at least 2 items", value=data_item, name="" + (name_prefix or "data") + "[{data_x}]".format(**locals()) + "", definition={'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}, rule='minItems')
+                if data_item_len > 2:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + "[{data_x}]".format(**locals()) + " must contain less than or equal to 2 items", value=data_item, name="" + (name_prefix or "data") + "[{data_x}]".format(**locals()) + "", definition={'type': 'array', 'minItems': 2, 'maxItems': 2, 'items': {'type': 'string'}}, rule='maxItems')
+                for data_item_x, data_item_item in enumerate(data_item):
+                    if not isinstance(data_item_item, (str)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + "[{data_x}][{data_item_x}]".format(**locals()) + " must be string", value=data_item_item, name="" + (name_prefix or "data") + "[{data_x}][{data_item_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+    return data
+
+def validate___definitions_attempt_id(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (str)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be string", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'minLength': 3, 'maxLength': 200}, rule='type')
+    if isinstance(data, str):
+        data_len = len(data)
+        if data_len < 3:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must be longer than or equal to 3 characters", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'minLength': 3, 'maxLength': 200}, rule='minLength')
+        if data_len > 200:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must be shorter than or equal to 200 characters", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'string', 'minLength': 3, 'maxLength': 200}, rule='maxLength')
+    return data
--- /dev/null
+++ b/roadpass/_generated/message_types.py
@@ -0,0 +1,401 @@
+from typing import Any, Literal, Required, TypedDict, Union
+
+
+class Answered(TypedDict, total=False):
+    r""" answered. """
+
+    t: Required[Literal['answered']]
+    r""" Required property """
+
+    status: Required[int]
+    r"""
+    minimum: 100
+    maximum: 999
+
+    Required property
+    """
+
+    headers: Required["_Headers"]
+    r"""
+    maxItems: 200
+
+    Required property
+    """
+
+    body: Required[str | int | float | dict[str, Any] | list[Any] | bool | None]
+    r""" Required property """
+
+    service_ms: Required[int | float]
+    r""" Required property """
+
+    load: Required["Load"]
+    r"""
+    load.
+
+    Required property
+    """
+
+
+
+class Attempt(TypedDict, total=False):
+    r""" attempt. """
+
+    t: Required[Literal['attempt']]
+    r""" Required property """
+
+    id: Required["_AttemptId"]
+    r"""
+    minLength: 3
+    maxLength: 200
+
+    Required property
+    """
+
+    target: Required[str]
+    r""" Required property """
+
+    route: Required[str]
+    r""" Required property """
+
+    method: Required[str]
+    r"""
+    pattern: ^[A-Z]+$
+
+    Required property
+    """
+
+    path: Required[str]
+    r"""
+    pattern: ^/
+
+    Required property
+    """
+
+    headers: Required["_Headers"]
+    r"""
+    maxItems: 200
+
+    Required property
+    """
+
+    body: Required[str | int | float | dict[str, Any] | list[Any] | bool | None]
+    r""" Required property """
+
+    remaining_ms: Required[int | float]
+    r""" Required property """
+
+    traffic_class: Required[str]
+    r""" Required property """
+
+    caller: Required[str]
+    r""" Required property """
+
+    repeatable: Required[bool]
+    r""" Required property """
+
+    retry: Required[bool]
+    r""" Required property """
+
+    revision: Required[int]
+    r""" Required property """
+
+    slow_ms: Required[int | float]
+    r""" Required property """
+
+    key: str
+    r""" maxLength: 256 """
+
+    repeat: bool
+
+
+class Datagram(TypedDict, total=False):
+    r""" datagram. """
+
+    t: Required["_DatagramT"]
+    r""" Required property """
+
+    sender: Required[str]
+    r""" Required property """
+
+    n: Required[int]
+    r"""
+    Sequence number of the probe.
+
+    Required property
+    """
+
+    on: str
+    r""" For ping_req: the VM to probe; for ack: the VM that is vouched for. """
+
+    revision: Required[int]
+    r""" Required property """
+
+    digest: Required[str]
+    r""" Required property """
+
+    platform_age_s: int | float
+    r""" Seconds since the sender knows the platform to have answered. """
+
+    hints: list["Hint"]
+    news: Required[list["Rumor"]]
+    r""" Required property """
+
+
+
+class Fence(TypedDict, total=False):
+    r""" fence. """
+
+    t: Required[Literal['fence']]
+    r""" Required property """
+
+    id: Required["_AttemptId"]
+    r"""
+    minLength: 3
+    maxLength: 200
+
+    Required property
+    """
+
+
+
+class FenceKey(TypedDict, total=False):
+    r""" fence_key. """
+
+    t: Required[Literal['fence_key']]
+    r""" Required property """
+
+    key: Required[str]
+    r"""
+    maxLength: 256
+
+    Required property
+    """
+
+    id: Required["_AttemptId"]
+    r"""
+    minLength: 3
+    maxLength: 200
+
+    Required property
+    """
+
+
+
+class Fenced(TypedDict, total=False):
+    r""" fenced. """
+
+    t: Required[Literal['fenced']]
+    r""" Required property """
+
+    verdict: Required["_FencedVerdict"]
+    r""" Required property """
+
+    incarnation: Required[int]
+    r""" Required property """
+
+
+
+class Hello(TypedDict, total=False):
+    r""" hello. """
+
+    t: Required[Literal['hello']]
+    r""" Required property """
+
+    vm: Required[str]
+    r""" Required property """
+
+    incarnation: Required[int]
+    r""" Required property """
+
+
+
+Hint = tuple[str, int | float, int | float, int | float]
+r"""
+hint.
+
+target, failure score, slow score, age in seconds
+
+minItems: 4
+maxItems: 4
+"""
+
+
+
+class Load(TypedDict, total=False):
+    r""" load. """
+
+    in_flight: Required[int]
+    r""" Required property """
+
+    queued: Required[int]
+    r""" Required property """
+
+    limit: Required[int]
+    r""" Required property """
+
+    failure_score: Required[int | float]
+    r""" Required property """
+
+    slow_score: Required[int | float]
+    r""" Required property """
+
+    revision: Required[int]
+    r""" Required property """
+
+
+
+Message = Union["Hello", "Attempt", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Pull", "Revision", "Datagram"]
+r"""
+message.
+
+Frames of peer streams and datagrams of membership; `t` names the type.
+
+Aggregation type: oneOf
+"""
+
+
+
+class NotRun(TypedDict, total=False):
+    r""" not_run. """
+
+    t: Required[Literal['not_run']]
+    r""" Required property """
+
+    reason: Required[str]
+    r""" Required property """
+
+    retry_after_ms: Required[int]
+    r"""
+    minimum: 0
+
+    Required property
+    """
+
+    load: "Load"
+    r""" load. """
+
+
+
+class Pull(TypedDict, total=False):
+    r""" pull. """
+
+    t: Required[Literal['pull']]
+    r""" Required property """
+
+    have: Required[dict[str, str]]
+    r""" Required property """
+
+
+
+class Revision(TypedDict, total=False):
+    r""" revision. """
+
+    t: Required[Literal['revision']]
+    r""" Required property """
+
+    manifest: Required[str | int | float | dict[str, Any] | list[Any] | bool | None]
+    r""" Required property """
+
+    documents: Required[list["_RevisionDocumentsItem"]]
+    r""" Required property """
+
+
+
+Rumor = tuple[str, int, "_Rumor2", str, int, int, str, str]
+r"""
+rumor.
+
+vm, incarnation, state, address, stream port, gossip port, hall, region
+
+minItems: 8
+maxItems: 8
+"""
+
+
+
+class Unknown(TypedDict, total=False):
+    r""" unknown. """
+
+    t: Required[Literal['unknown']]
+    r""" Required property """
+
+    reason: Required[str]
+    r""" Required property """
+
+    load: "Load"
+    r""" load. """
+
+
+
+_AttemptId = str
+r"""
+minLength: 3
+maxLength: 200
+"""
+
+
+
+_DatagramT = Literal['ping'] | Literal['ack'] | Literal['ping_req'] | Literal['announce'] | Literal['sync']
+_DATAGRAMT_PING: Literal['ping'] = "ping"
+r"""The values for the '_DatagramT' enum"""
+_DATAGRAMT_ACK: Literal['ack'] = "ack"
+r"""The values for the '_DatagramT' enum"""
+_DATAGRAMT_PING_REQ: Literal['ping_req'] = "ping_req"
+r"""The values for the '_DatagramT' enum"""
+_DATAGRAMT_ANNOUNCE: Literal['announce'] = "announce"
+r"""The values for the '_DatagramT' enum"""
+_DATAGRAMT_SYNC: Literal['sync'] = "sync"
+r"""The values for the '_DatagramT' enum"""
+
+
+
+_FencedVerdict = Literal['never_starts'] | Literal['started'] | Literal['cannot_vouch']
+_FENCEDVERDICT_NEVER_STARTS: Literal['never_starts'] = "never_starts"
+r"""The values for the '_FencedVerdict' enum"""
+_FENCEDVERDICT_STARTED: Literal['started'] = "started"
+r"""The values for the '_FencedVerdict' enum"""
+_FENCEDVERDICT_CANNOT_VOUCH: Literal['cannot_vouch'] = "cannot_vouch"
+r"""The values for the '_FencedVerdict' enum"""
+
+
+
+_Headers = list["_HeadersItem"]
+r""" maxItems: 200 """
+
+
+
+_HeadersItem = list[str]
+r"""
+minItems: 2
+maxItems: 2
+"""
+
+
+
+class _RevisionDocumentsItem(TypedDict, total=False):
+    hash: Required[str]
+    r""" Required property """
+
+    form: Required["_RevisionDocumentsItemForm"]
+    r""" Required property """
+
+    base: str
+    data: Required[str | int | float | dict[str, Any] | list[Any] | bool | None]
+    r""" Required property """
+
+
+
+_RevisionDocumentsItemForm = Literal['whole'] | Literal['patch']
+_REVISIONDOCUMENTSITEMFORM_WHOLE: Literal['whole'] = "whole"
+r"""The values for the '_RevisionDocumentsItemForm' enum"""
+_REVISIONDOCUMENTSITEMFORM_PATCH: Literal['patch'] = "patch"
+r"""The values for the '_RevisionDocumentsItemForm' enum"""
+
+
+
+_Rumor2 = int
+r"""
+minimum: 0
+maximum: 3
+"""
+
--- /dev/null
+++ b/roadpass/_generated/settings_types.py
@@ -0,0 +1,244 @@
+from typing import Any, Literal, Required, TypedDict
+
+
+class Settings(TypedDict, total=False):
+    r"""
+    settings.
+
+    Settings of one roadpassd process.
+    """
+
+    vm: Required[str]
+    r"""
+    Name of this VM, as in the platform's VM list.
+
+    minLength: 1
+
+    Required property
+    """
+
+    hall: Required[str]
+    r"""
+    Data hall of this VM.
+
+    minLength: 1
+
+    Required property
+    """
+
+    region: Required[str]
+    r"""
+    minLength: 1
+
+    Required property
+    """
+
+    address: Required[str]
+    r"""
+    IP number that peers and callers use.
+
+    pattern: ^[0-9a-fA-F.:]+$
+
+    Required property
+    """
+
+    advertise: str
+    r"""
+    IP number that peers use instead, where it is mapped.
+
+    pattern: ^[0-9a-fA-F.:]+$
+    """
+
+    ports: Required["_SettingsPorts"]
+    r""" Required property """
+
+    platform: Required["_SettingsPlatform"]
+    r""" Required property """
+
+    seeds: list["_SettingsSeedsItem"]
+    r"""
+    Gossip addresses of peers to ask first, for when the platform is down.
+
+    default:
+      []
+    maxItems: 64
+    """
+
+    threads: int
+    r"""
+    Worker threads of the ingress.
+
+    minimum: 4
+    maximum: 512
+    default: 48
+    """
+
+    stop_limit_s: int | float
+    r"""
+    minimum: 1
+    maximum: 600
+    default: 30
+    """
+
+    caller_header: str
+    r"""
+    Request header that names the caller.
+
+    default: Roadpass-Caller
+    """
+
+    keys: list["_SettingsKeysItem"]
+    r"""
+    Keys for peer traffic: the first signs, both are accepted.
+
+    maxItems: 2
+    default:
+      []
+    """
+
+    log: "_SettingsLog"
+
+
+_SETTINGS_CALLER_HEADER_DEFAULT = 'Roadpass-Caller'
+r""" Default value of the field path 'settings caller_header' """
+
+
+
+_SETTINGS_KEYS_DEFAULT: list[Any] = []
+r""" Default value of the field path 'settings keys' """
+
+
+
+_SETTINGS_LOG_FORMAT_DEFAULT = 'text'
+r""" Default value of the field path 'settings log format' """
+
+
+
+_SETTINGS_LOG_LEVEL_DEFAULT = 'info'
+r""" Default value of the field path 'settings log level' """
+
+
+
+_SETTINGS_PLATFORM_READERS_PER_HALL_DEFAULT = 2
+r""" Default value of the field path 'settings platform readers_per_hall' """
+
+
+
+_SETTINGS_PLATFORM_WATCH_S_DEFAULT = 10
+r""" Default value of the field path 'settings platform watch_s' """
+
+
+
+_SETTINGS_SEEDS_DEFAULT: list[Any] = []
+r""" Default value of the field path 'settings seeds' """
+
+
+
+_SETTINGS_STOP_LIMIT_S_DEFAULT = 30
+r""" Default value of the field path 'settings stop_limit_s' """
+
+
+
+_SETTINGS_THREADS_DEFAULT = 48
+r""" Default value of the field path 'settings threads' """
+
+
+
+_SettingsKeysItem = str
+r""" minLength: 16 """
+
+
+
+class _SettingsLog(TypedDict, total=False):
+    level: "_SettingsLogLevel"
+    r""" default: info """
+
+    format: "_SettingsLogFormat"
+    r""" default: text """
+
+
+
+_SettingsLogFormat = Literal['text'] | Literal['json']
+r""" default: text """
+_SETTINGSLOGFORMAT_TEXT: Literal['text'] = "text"
+r"""The values for the 'default: text' enum"""
+_SETTINGSLOGFORMAT_JSON: Literal['json'] = "json"
+r"""The values for the 'default: text' enum"""
+
+
+
+_SettingsLogLevel = Literal['debug'] | Literal['info'] | Literal['warning'] | Literal['error']
+r""" default: info """
+_SETTINGSLOGLEVEL_DEBUG: Literal['debug'] = "debug"
+r"""The values for the 'default: info' enum"""
+_SETTINGSLOGLEVEL_INFO: Literal['info'] = "info"
+r"""The values for the 'default: info' enum"""
+_SETTINGSLOGLEVEL_WARNING: Literal['warning'] = "warning"
+r"""The values for the 'default: info' enum"""
+_SETTINGSLOGLEVEL_ERROR: Literal['error'] = "error"
+r"""The values for the 'default: info' enum"""
+
+
+
+class _SettingsPlatform(TypedDict, total=False):
+    url: Required[str]
+    r"""
+    pattern: ^http://[0-9a-fA-F.:\[\]]+$
+
+    Required property
+    """
+
+    readers_per_hall: int
+    r"""
+    minimum: 1
+    maximum: 5
+    default: 2
+    """
+
+    watch_s: int | float
+    r"""
+    minimum: 0.2
+    maximum: 60
+    default: 10
+    """
+
+
+
+class _SettingsPorts(TypedDict, total=False):
+    callers: Required[int]
+    r"""
+    minimum: 1
+    maximum: 65535
+
+    Required property
+    """
+
+    stream: Required[int]
+    r"""
+    minimum: 1
+    maximum: 65535
+
+    Required property
+    """
+
+    gossip: Required[int]
+    r"""
+    minimum: 1
+    maximum: 65535
+
+    Required property
+    """
+
+    admin: Required[int]
+    r"""
+    minimum: 1
+    maximum: 65535
+
+    Required property
+    """
+
+
+
+_SettingsSeedsItem = str
+r""" pattern: ^[0-9.]+:[0-9]{1,5}$ """
+
--- /dev/null
+++ b/roadpass/admission.py
@@ -0,0 +1,228 @@
+"""Admission at the sidecar: slots, short queues by class, reserved shares, fairness, deadlines."""
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from roadpass.fleet import TrafficClass
+from roadpass.outcome import Reason
+
+MIN_RETRY_AFTER_MS = 100
+RETRY_QUEUE_SHARE = 0.25
+"""Retries wait only while the queue is under this share of its limit: they are shed first."""
+
+
+class Ticket:
+    """A request that waits for a slot; `signal` belongs to whoever waits."""
+
+    __slots__ = ("caller", "expires_at", "granted", "signal", "traffic_class")
+
+    def __init__(self, traffic_class: str, caller: str, expires_at: float) -> None:
+        self.traffic_class = traffic_class
+        self.caller = caller
+        self.expires_at = expires_at
+        self.granted = False
+        self.signal: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may run at once; its slot must be released."""
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The request waits until its ticket is granted or abandoned.
+
+    Attributes:
+        ticket: To wait on.
+        displaced: A ticket that lost its place to this one and never will be granted.
+    """
+
+    ticket: Ticket
+    displaced: Ticket | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was not taken."""
+
+    reason: Reason
+    retry_after_ms: int
+
+
+Decision: TypeAlias = Admitted | Queued | Refused
+
+
+class _ClassState:
+    """Use and queue of one class; callers take turns."""
+
+    def __init__(self, reserved: float) -> None:
+        self.reserved = reserved
+        self.in_use = 0
+        self.waiting = 0
+        self.by_caller: OrderedDict[str, deque[Ticket]] = OrderedDict()
+
+    def push(self, ticket: Ticket) -> None:
+        self.by_caller.setdefault(ticket.caller, deque()).append(ticket)
+        self.waiting += 1
+
+    def pop(self) -> Ticket | None:
+        if not self.by_caller:
+            return None
+        caller, queue = next(iter(self.by_caller.items()))
+        ticket = queue.popleft()
+        self.waiting -= 1
+        if queue:
+            self.by_caller.move_to_end(caller)
+        else:
+            del self.by_caller[caller]
+        return ticket
+
+    def remove(self, ticket: Ticket) -> bool:
+        queue = self.by_caller.get(ticket.caller)
+        if queue is None or ticket not in queue:
+            return False
+        queue.remove(ticket)
+        self.waiting -= 1
+        if not queue:
+            del self.by_caller[ticket.caller]
+        return True
+
+
+class Admission:
+    """Decides, for one target, which request runs now, waits, or is refused at once.
+
+    Args:
+        classes: The service's classes, the most important first.
+        slots: Requests the target runs at once.
+        queue_limit: Requests that may wait.
+    """
+
+    def __init__(self, classes: Sequence[TrafficClass], *, slots: int, queue_limit: int) -> None:
+        self._slots = slots
+        self._queue_limit = queue_limit
+        self._classes = {entry.name: _ClassState(entry.reserved) for entry in classes}
+        self._last_class = classes[-1].name
+        self._in_use = 0
+        self._service_ms = 0.0
+
+    @property
+    def in_use(self) -> int:
+        """Requests that hold a slot."""
+        return self._in_use
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return sum(state.waiting for state in self._classes.values())
+
+    def set_limit(self, slots: int, service_ms: float) -> None:
+        """Take over the adaptive limit and the measured service time."""
+        self._slots = slots
+        self._service_ms = service_ms
+
+    def offer(
+        self, now: float, traffic_class: str, caller: str, remaining_s: float, *, retry: bool
+    ) -> Decision:
+        """Decide on a new request.
+
+        Args:
+            now: Seconds.
+            traffic_class: Name of its class; an unknown one counts as the least important.
+            caller: Who asks, for turns among callers.
+            remaining_s: Time until its deadline.
+            retry: Whether it is a retry, which is shed first.
+        """
+        name = traffic_class if traffic_class in self._classes else self._last_class
+        state = self._classes[name]
+        if remaining_s * 1000.0 <= 0.0:
+            return Refused(Reason.EXPIRED, MIN_RETRY_AFTER_MS)
+        if state.waiting == 0 and self._may_run(name):
+            self._take(state)
+            return Admitted()
+        wait_ms = self._expected_wait_ms(name)
+        if wait_ms + self._service_ms > remaining_s * 1000.0:
+            return self._refuse(Reason.TOO_LATE, wait_ms)
+        displaced = None
+        if not self._has_room(state, caller, retry):
+            displaced = None if retry else self._displace(state)
+            if displaced is None:
+                return self._refuse(Reason.QUEUE_FULL, wait_ms)
+        ticket = Ticket(name, caller, now + remaining_s)
+        state.push(ticket)
+        return Queued(ticket, displaced)
+
+    def release(self, now: float, traffic_class: str) -> list[Ticket]:
+        """Give a slot back.
+
+        Returns:
+            The tickets that are granted by it. Expired ones are dropped: who waits on them
+            sees its own deadline pass.
+        """
+        name = traffic_class if traffic_class in self._classes else self._last_class
+        self._classes[name].in_use -= 1
+        self._in_use -= 1
+        return self._grant(now)
+
+    def abandon(self, now: float, ticket: Ticket) -> list[Ticket]:
+        """Give up a ticket, whether it was granted in the meantime or not."""
+        if ticket.granted:
+            return self.release(now, ticket.traffic_class)
+        self._classes[ticket.traffic_class].remove(ticket)
+        return []
+
+    def _grant(self, now: float) -> list[Ticket]:
+        granted = []
+        for name, state in self._classes.items():
+            while state.waiting and self._may_run(name):
+                ticket = state.pop()
+                if ticket is None or ticket.expires_at <= now:
+                    continue
+                self._take(state)
+                ticket.granted = True
+                granted.append(ticket)
+        return granted
+
+    def _take(self, state: _ClassState) -> None:
+        state.in_use += 1
+        self._in_use += 1
+
+    def _may_run(self, name: str) -> bool:
+        kept_free = 0.0
+        for other, state in self._classes.items():
+            if other != name:
+                kept_free += max(0.0, state.reserved * self._slots - state.in_use)
+        return self._in_use + 1 + int(kept_free) <= self._slots
+
+    def _has_room(self, state: _ClassState, caller: str, retry: bool) -> bool:
+        waiting = self.waiting
+        if retry:
+            return waiting < self._queue_limit * RETRY_QUEUE_SHARE
+        if waiting >= self._queue_limit:
+            return False
+        own = len(state.by_caller.get(caller, ()))
+        fair = max(1, self._queue_limit // (len(state.by_caller) + 1))
+        return own < fair or waiting < self._queue_limit // 2
+
+    def _displace(self, state: _ClassState) -> Ticket | None:
+        """Drop the newest ticket of a less important class to make room."""
+        names = list(self._classes.values())
+        for other in reversed(names[names.index(state) + 1 :]):
+            if other.waiting:
+                ticket = next(reversed(other.by_caller.values()))[-1]
+                other.remove(ticket)
+                return ticket
+        return None
+
+    def _expected_wait_ms(self, name: str) -> float:
+        """Estimate the wait from what runs before this request and the service time."""
+        names = list(self._classes)
+        ahead = sum(self._classes[n].waiting for n in names[: names.index(name) + 1])
+        rounds = (ahead + 1) / max(1, self._slots)
+        return rounds * self._service_ms
+
+    def _refuse(self, reason: Reason, wait_ms: float) -> Refused:
+        backlog_ms = self.waiting * self._service_ms / max(1, self._slots)
+        return Refused(reason, max(MIN_RETRY_AFTER_MS, int(max(wait_ms, backlog_ms))))
--- /dev/null
+++ b/roadpass/balance.py
@@ -0,0 +1,143 @@
+"""Balancing: power of two choices by load and latency, nearest data hall first, with spill."""
+
+import random
+from bisect import bisect
+from collections.abc import Callable, Collection, Sequence
+from itertools import accumulate
+from typing import NamedTuple, TypeAlias
+
+SPILL_UTILIZATION = 1.0
+DRAWS = 4
+TIER_PENALTY_MS = (0.0, 3.0, 20.0)
+"""Round trip to the same data hall, to others of the region, and to other regions."""
+
+
+class Load(NamedTuple):
+    """What is believed of a target's load.
+
+    Args:
+        utilization: Requests in flight and queued, over its limit.
+        latency_ms: Typical service time.
+    """
+
+    utilization: float
+    latency_ms: float
+
+
+LoadOf: TypeAlias = Callable[[str], Load]
+
+
+class Candidate(NamedTuple):
+    """A target that may be picked.
+
+    Args:
+        name: Its name.
+        tier: 0 same data hall, 1 same region, 2 elsewhere.
+        weight: Share of traffic relative to a target in full service.
+        trial: Whether only repeatable requests may go there.
+    """
+
+    name: str
+    tier: int
+    weight: float
+    trial: bool = False
+
+
+class _Tier:
+    """The candidates of one distance with their cumulative weights."""
+
+    def __init__(self, distance: int, members: Sequence[Candidate]) -> None:
+        self.distance = distance
+        self.names = [member.name for member in members]
+        self._cumulative = list(accumulate(member.weight for member in members))
+
+    def draw(self, rng: random.Random, excluded: Collection[str]) -> str | None:
+        total = self._cumulative[-1]
+        for _ in range(DRAWS):
+            index = bisect(self._cumulative, rng.random() * total)
+            name = self.names[min(index, len(self.names) - 1)]
+            if name not in excluded:
+                return name
+        left = [name for name in self.names if name not in excluded]
+        return rng.choice(left) if left else None
+
+
+class Picker:
+    """Picks targets for one route from one view; immutable, shared by all workers.
+
+    Args:
+        groups: Groups of candidates in the order of the selectors; a later group is used only
+            when the earlier ones have nobody left or are full.
+    """
+
+    def __init__(self, groups: Sequence[Sequence[Candidate]]) -> None:
+        self._all = _tiers(groups, trials=True)
+        self._settled = _tiers(groups, trials=False)
+
+    @property
+    def names(self) -> list[str]:
+        """Names of all candidates, trials included."""
+        return [name for tier in self._all for name in tier.names]
+
+    def pick(
+        self,
+        load_of: LoadOf,
+        rng: random.Random,
+        *,
+        repeatable: bool,
+        excluded: Collection[str] = (),
+    ) -> str | None:
+        """Pick a target.
+
+        Args:
+            load_of: Current belief of a target's load.
+            rng: Source of randomness.
+            repeatable: Whether the request may go to a target on trial.
+            excluded: Targets that were tried already.
+
+        Returns:
+            Its name, or `None` if nobody is left.
+        """
+        best_name: str | None = None
+        best_cost = 0.0
+        for tier in self._all if repeatable else self._settled:
+            name = self._better_of_two(tier, load_of, rng, excluded)
+            if name is None:
+                continue
+            load = load_of(name)
+            if load.utilization < SPILL_UTILIZATION:
+                return name
+            cost = _cost(load) + TIER_PENALTY_MS[tier.distance]
+            if best_name is None or cost < best_cost:
+                best_name, best_cost = name, cost
+        return best_name
+
+    @staticmethod
+    def _better_of_two(
+        tier: _Tier, load_of: LoadOf, rng: random.Random, excluded: Collection[str]
+    ) -> str | None:
+        first = tier.draw(rng, excluded)
+        if first is None or len(tier.names) == 1:
+            return first
+        second = tier.draw(rng, excluded)
+        if second is None or second == first:
+            return first
+        return first if _cost(load_of(first)) <= _cost(load_of(second)) else second
+
+
+def _cost(load: Load) -> float:
+    return (load.latency_ms + 1.0) * (1.0 + load.utilization)
+
+
+def _tiers(groups: Sequence[Sequence[Candidate]], *, trials: bool) -> list[_Tier]:
+    tiers = []
+    for group in groups:
+        for distance in range(len(TIER_PENALTY_MS)):
+            members = [
+                member
+                for member in group
+                if member.tier == distance and member.weight > 0.0 and (trials or not member.trial)
+            ]
+            if members:
+                tiers.append(_Tier(distance, members))
+    return tiers
--- /dev/null
+++ b/roadpass/configuration.py
@@ -0,0 +1,115 @@
+"""The configuration actor: takes over newer revisions and puts them in force on this node."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from roadpass._actor import Actor
+from roadpass.audit import AuditTrail, Kind
+from roadpass.errors import DocumentError
+from roadpass.fleet import Fleet
+from roadpass.revision import Held, Manifest, Order, Version, compare
+
+MAX_REFUSED = 64
+
+_log = logging.getLogger("roadpass.configuration")
+
+
+class Offer(NamedTuple):
+    """A revision that a source has; documents are those that were missing here."""
+
+    manifest: Manifest
+    documents: tuple[bytes, ...]
+    source: str
+
+
+class Store:
+    """What this node holds of the configuration; written by the actor, read by any thread."""
+
+    def __init__(self) -> None:
+        self.held = Held.nothing()
+        self.refused: dict[Version, str] = {}
+
+    def is_refused(self, version: Version) -> bool:
+        """Tell whether a version was found to be bad before."""
+        return version in self.refused
+
+
+class Configuration(Actor):
+    """Owns what is held of the configuration.
+
+    Args:
+        store: What is held.
+        audit: The audit trail.
+        on_fleet: Puts a new fleet in force; called in order of revisions.
+    """
+
+    def __init__(self, store: Store, audit: AuditTrail, on_fleet: Callable[[Fleet], None]) -> None:
+        super().__init__()
+        self._store = store
+        self._audit = audit
+        self._on_fleet = on_fleet
+
+    def handle(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case Offer():
+                self._on_offer(message)
+            case _:
+                _log.error("unknown message %r", message)
+
+    def _on_offer(self, offer: Offer) -> None:
+        version = offer.manifest.version
+        match compare(self._store.held.version, version):
+            case Order.SAME:
+                return
+            case Order.OLDER:
+                self._refuse(version, offer.source, "is older than the one in force")
+                return
+            case Order.CONFLICT_LOSES:
+                self._conflict(version, "kept the one in force")
+                return
+            case Order.CONFLICT_WINS:
+                self._conflict(version, "the other content goes into force")
+            case Order.NEWER:
+                pass
+        if version in self._store.refused:
+            return
+        try:
+            held, fleet = self._store.held.advance(offer.manifest, offer.documents)
+        except DocumentError as error:
+            self._refuse(version, offer.source, str(error))
+            return
+        self._store.held = held
+        self._on_fleet(fleet)
+        self._audit.record(
+            Kind.REVISION_ACCEPTED,
+            _name(version),
+            f"from {offer.source}, digest {version.digest[:12]}",
+        )
+
+    def _refuse(self, version: Version, source: str, why: str) -> None:
+        if version in self._store.refused:
+            return
+        while len(self._store.refused) >= MAX_REFUSED:
+            del self._store.refused[next(iter(self._store.refused))]
+        self._store.refused[version] = why
+        self._audit.record(Kind.REVISION_REFUSED, _name(version), f"from {source}: {why}")
+
+    def _conflict(self, version: Version, what: str) -> None:
+        if version in self._store.refused:
+            return
+        self._refused_as_loser(version)
+        evidence = (
+            f"two contents under one number: {self._store.held.version.digest[:12]} in force, "
+            f"{version.digest[:12]} offered; {what}"
+        )
+        self._audit.record(Kind.REVISION_CONFLICT, _name(version), evidence)
+
+    def _refused_as_loser(self, version: Version) -> None:
+        if version < self._store.held.version:
+            self._store.refused[version] = "lost against another content of the same number"
+
+
+def _name(version: Version) -> str:
+    return f"revision {version.revision}"
--- /dev/null
+++ b/roadpass/detect.py
@@ -0,0 +1,207 @@
+"""Detection of failing targets from the outcomes of real work, by sequential tests.
+
+For each target, cumulative-sum tests (Page, 1954) of a log-likelihood ratio: how much better
+"sick" explains the latest run of outcomes than "healthy". A test fires at a threshold `h`; in
+health that takes at least e^h samples on average (Lorden, 1971), which ties `h` to the wanted
+rate of false ejections.
+"""
+
+import math
+from typing import NamedTuple
+
+FAILURE_BASE = 0.005
+FAILURE_BASE_MAX = 0.2
+PARTIAL_FAILURE = 0.25
+FULL_FAILURE = 0.9
+SLOW_BASE = 0.05
+SLOW_SICK = 0.5
+NOMINAL_SAMPLES_A_SECOND = 50.0
+SECONDS_A_WEEK = 7 * 24 * 3600
+TESTS = 3
+"""Tests run side by side: partial failure, full failure, slowness."""
+QUANTILE = 0.95
+QUANTILE_STEP = 0.05
+RATE_SMOOTHING = 0.002
+SCORE_CAP = 1.5
+"""Evidence is kept up to this share of the threshold, so that recovery shows soon."""
+
+
+class Sample(NamedTuple):
+    """The outcome of one request at one target; times in milliseconds."""
+
+    failed: bool
+    service_ms: float
+
+
+class Scores(NamedTuple):
+    """Evidence against a target as a share of the threshold: 1.0 and above fires."""
+
+    failure: float
+    slow: float
+
+    @property
+    def worst(self) -> float:
+        """The larger of the two."""
+        return max(self.failure, self.slow)
+
+
+def threshold(
+    false_ejections_per_week: float,
+    samples_per_second: float = NOMINAL_SAMPLES_A_SECOND,
+) -> float:
+    """Return the threshold `h` in nats that keeps to a wanted rate of false ejections.
+
+    Args:
+        false_ejections_per_week: Wanted at most, for one target.
+        samples_per_second: Requests that the target serves.
+    """
+    samples = samples_per_second * SECONDS_A_WEEK
+    return math.log(TESTS * samples / false_ejections_per_week)
+
+
+def wald_samples(h: float, base: float, sick: float) -> float:
+    """Return Wald's bound: the mean samples no test with threshold `h` can stay under.
+
+    Args:
+        h: Threshold in nats.
+        base: Probability of a bad outcome in health.
+        sick: The true probability of a bad outcome.
+    """
+    divergence = sick * math.log(sick / base)
+    if sick < 1.0:
+        divergence += (1.0 - sick) * math.log((1.0 - sick) / (1.0 - base))
+    return h / divergence
+
+
+class Quantile:
+    """A running estimate of a quantile of positive values, by multiplicative steps."""
+
+    def __init__(self, quantile: float = QUANTILE, *, step: float = QUANTILE_STEP) -> None:
+        self._up = 1.0 + step * quantile
+        self._down = 1.0 - step * (1.0 - quantile)
+        self._value = 0.0
+
+    @property
+    def value(self) -> float:
+        """The estimate, 0 before the first value."""
+        return self._value
+
+    def add(self, value: float) -> None:
+        """Take in one value."""
+        if self._value == 0.0:
+            self._value = 2.0 * value
+        self._value *= self._up if value > self._value else self._down
+
+
+class _Cusum:
+    """One cumulative sum test of a Bernoulli outcome."""
+
+    __slots__ = ("_bad", "_base", "_cap", "_good", "_sick", "score")
+
+    def __init__(self, base: float, sick: float, cap: float) -> None:
+        self._sick = sick
+        self._cap = cap
+        self.score = 0.0
+        self._set(base)
+
+    def rebase(self, base: float) -> None:
+        if abs(base - self._base) > 0.1 * self._base:
+            self._set(base)
+
+    def add(self, bad: bool) -> None:
+        score = self.score + (self._bad if bad else self._good)
+        self.score = min(self._cap, max(0.0, score))
+
+    def _set(self, base: float) -> None:
+        sick = max(self._sick, min(0.95, 2.0 * base))
+        self._base = base
+        self._bad = math.log(sick / base)
+        self._good = math.log((1.0 - sick) / (1.0 - base))
+
+
+class Detector:
+    """Collects the evidence against one target.
+
+    Args:
+        h: Threshold in nats, see `threshold`.
+    """
+
+    def __init__(self, h: float) -> None:
+        self._h = h
+        cap = SCORE_CAP * h
+        self._partial = _Cusum(FAILURE_BASE, PARTIAL_FAILURE, cap)
+        self._full = _Cusum(FAILURE_BASE, FULL_FAILURE, cap)
+        self._slow = _Cusum(SLOW_BASE, SLOW_SICK, cap)
+        self._failure_rate = 0.0
+        self._latency = Quantile()
+        self._samples = 0
+        self._good_run = 0
+
+    @property
+    def scores(self) -> Scores:
+        """Evidence so far as shares of the threshold."""
+        failure = max(self._partial.score, self._full.score)
+        return Scores(failure / self._h, self._slow.score / self._h)
+
+    @property
+    def samples(self) -> int:
+        """Samples since the last reset."""
+        return self._samples
+
+    @property
+    def good_run(self) -> int:
+        """Samples in a row that were neither failed nor slow."""
+        return self._good_run
+
+    @property
+    def failure_rate(self) -> float:
+        """Slowly smoothed share of failures."""
+        return self._failure_rate
+
+    @property
+    def latency_ms(self) -> float:
+        """Running 95th percentile of the service time of successes, 0 if unknown."""
+        return self._latency.value
+
+    def observe(
+        self,
+        sample: Sample,
+        *,
+        slow_ms: float = 0.0,
+        base_failure: float = FAILURE_BASE,
+        counted_slow: bool = False,
+    ) -> None:
+        """Take in one finished request.
+
+        Args:
+            sample: Its outcome.
+            slow_ms: Service time that counts as slow for this service, 0 if unknown.
+            base_failure: Failure rate of the service's other targets.
+            counted_slow: Whether `observe_pending` already counted it as slow.
+        """
+        base = min(FAILURE_BASE_MAX, max(FAILURE_BASE, base_failure))
+        self._partial.rebase(base)
+        self._full.rebase(base)
+        self._samples += 1
+        self._partial.add(sample.failed)
+        self._full.add(sample.failed)
+        self._failure_rate += RATE_SMOOTHING * (float(sample.failed) - self._failure_rate)
+        slow = 0.0 < slow_ms < sample.service_ms
+        self._good_run = 0 if sample.failed or slow else self._good_run + 1
+        if sample.failed:
+            return
+        self._latency.add(sample.service_ms)
+        if slow_ms > 0.0 and not counted_slow:
+            self._slow.add(slow)
+
+    def observe_pending(self) -> None:
+        """Take in that a request has been pending for far longer than slow ones take."""
+        self._slow.add(True)
+        self._good_run = 0
+
+    def reset(self) -> None:
+        """Forget the evidence, keep what was learnt of latency and failure rate."""
+        for test in (self._partial, self._full, self._slow):
+            test.score = 0.0
+        self._samples = 0
+        self._good_run = 0
--- /dev/null
+++ b/roadpass/eject.py
@@ -0,0 +1,232 @@
+"""Ejection and return of the targets of one service, never below its floor."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NamedTuple
+
+EJECTION_S = 5.0
+EJECTION_MAX_S = 300.0
+DECAY_S = 600.0
+"""A target that stays in service this long has one earlier ejection forgotten."""
+TRIAL_WEIGHT = 0.02
+TRIAL_SUCCESSES = 8
+RAMP_START = 0.1
+
+
+class State(StrEnum):
+    """Where a target stands with one ingress."""
+
+    IN_SERVICE = "in-service"
+    RAMPING = "ramping"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+    LEAVING = "leaving"
+
+
+SERVING = (State.IN_SERVICE, State.RAMPING)
+
+
+class Fact(NamedTuple):
+    """What is known of a target now.
+
+    Args:
+        slots: Its slots.
+        leaving: Whether it, or its VM, is leaving or dead.
+        score: Evidence against it; 1.0 and above asks for ejection.
+        good_run: Good outcomes in a row since its last reset.
+        bad: Whether its latest outcome on trial was bad.
+        gone: Whether its node is believed dead: it is ejected, as far as the floor allows,
+            until the node is back.
+        evidence: Words for the audit trail.
+    """
+
+    slots: int
+    leaving: bool = False
+    score: float = 0.0
+    good_run: int = 0
+    bad: bool = False
+    gone: bool = False
+    evidence: str = ""
+
+
+class Change(NamedTuple):
+    """A change of a target's state, for the audit trail."""
+
+    target: str
+    old: State | None
+    new: State
+    evidence: str
+
+
+class FloorBound(NamedTuple):
+    """A target that the evidence would eject and the floor keeps."""
+
+    target: str
+    evidence: str
+
+
+class Step(NamedTuple):
+    """What one step of the ejector did."""
+
+    changes: tuple[Change, ...]
+    bound: tuple[FloorBound, ...]
+
+
+@dataclass(slots=True)
+class _Record:
+    state: State
+    since: float
+    ejections: int = 0
+    until: float = 0.0
+    bound: bool = False
+    gone: bool = False
+
+
+class Ejector:
+    """Keeps the state of each target of a service on one node's view.
+
+    Args:
+        floor_slots: Slots that stay in service whatever the evidence.
+        slow_start_s: Length of the ramp of a new or returning target.
+    """
+
+    def __init__(self, *, floor_slots: int, slow_start_s: float) -> None:
+        self._floor = floor_slots
+        self._slow_start_s = slow_start_s
+        self._records: dict[str, _Record] = {}
+
+    def configure(self, *, floor_slots: int, slow_start_s: float) -> None:
+        """Take over changed settings; the next step acts on them."""
+        self._floor = floor_slots
+        self._slow_start_s = slow_start_s
+
+    def state(self, target: str) -> State | None:
+        """Return the state of a target, `None` if it is not known."""
+        record = self._records.get(target)
+        return record.state if record else None
+
+    def weight(self, target: str, now: float) -> float:
+        """Return the share of traffic, 0 to 1, relative to a target in full service."""
+        record = self._records.get(target)
+        if record is None:
+            return 0.0
+        match record.state:
+            case State.IN_SERVICE:
+                return 1.0
+            case State.RAMPING:
+                passed = (now - record.since) / max(0.001, self._slow_start_s)
+                return min(1.0, RAMP_START + (1.0 - RAMP_START) * passed)
+            case State.TRIAL:
+                return TRIAL_WEIGHT
+            case _:
+                return 0.0
+
+    def serving_slots(self, facts: Mapping[str, Fact]) -> int:
+        """Return the slots of targets that are neither ejected, on trial nor leaving."""
+        return sum(
+            fact.slots
+            for name, fact in facts.items()
+            if name in self._records and self._records[name].state in SERVING
+        )
+
+    def step(self, now: float, facts: Mapping[str, Fact]) -> Step:
+        """Bring all states up to date.
+
+        Args:
+            now: Seconds.
+            facts: Every target of the service; others are forgotten.
+        """
+        changes: list[Change] = []
+        self._forget_missing(facts)
+        for name, fact in facts.items():
+            self._advance(now, name, fact, changes)
+        bound = self._eject(now, facts, changes)
+        self._restore_floor(now, facts, changes)
+        return Step(tuple(changes), tuple(bound))
+
+    def _forget_missing(self, facts: Mapping[str, Fact]) -> None:
+        for name in [name for name in self._records if name not in facts]:
+            del self._records[name]
+
+    def _advance(self, now: float, name: str, fact: Fact, changes: list[Change]) -> None:
+        record = self._records.get(name)
+        if record is None:
+            state = State.LEAVING if fact.leaving else State.RAMPING
+            self._records[name] = _Record(state, now)
+            changes.append(Change(name, None, state, "new"))
+            return
+        if fact.leaving:
+            if record.state is not State.LEAVING:
+                self._move(now, name, State.LEAVING, "leaving", changes)
+            return
+        was_gone, record.gone = record.gone, fact.gone
+        match record.state:
+            case State.EJECTED if fact.gone:
+                record.until = now
+            case State.EJECTED | State.TRIAL if was_gone:
+                record.ejections = 0
+                self._move(now, name, State.RAMPING, "its node is back", changes)
+            case State.LEAVING:
+                self._move(now, name, State.RAMPING, "no longer leaving", changes)
+            case State.RAMPING if now - record.since >= self._slow_start_s:
+                self._move(now, name, State.IN_SERVICE, "ramp done", changes)
+            case State.IN_SERVICE if record.ejections and now - record.since >= DECAY_S:
+                record.ejections -= 1
+                record.since = now
+            case State.EJECTED if now >= record.until:
+                self._move(now, name, State.TRIAL, "ejection time over", changes)
+            case State.TRIAL if fact.bad or fact.score >= 1.0:
+                self._start_ejection(now, name, f"trial failed: {fact.evidence}", changes)
+            case State.TRIAL if fact.good_run >= TRIAL_SUCCESSES:
+                self._move(now, name, State.RAMPING, f"{fact.good_run} good in trial", changes)
+            case _:
+                pass
+
+    def _eject(
+        self, now: float, facts: Mapping[str, Fact], changes: list[Change]
+    ) -> list[FloorBound]:
+        bound = []
+        sick = [n for n, f in facts.items() if self._serves(n) and f.score >= 1.0]
+        serving = self.serving_slots(facts)
+        for name in sorted(sick, key=lambda n: (-facts[n].score, n)):
+            fact = facts[name]
+            if serving - fact.slots >= self._floor:
+                serving -= fact.slots
+                self._start_ejection(now, name, fact.evidence, changes)
+            elif not self._records[name].bound:
+                self._records[name].bound = True
+                bound.append(FloorBound(name, fact.evidence))
+        for name, fact in facts.items():
+            if fact.score < 1.0:
+                self._records[name].bound = False
+        return bound
+
+    def _restore_floor(self, now: float, facts: Mapping[str, Fact], changes: list[Change]) -> None:
+        """Take ejected targets back, the least bad first, while the floor is not met."""
+        out = [n for n in facts if self._records[n].state in (State.EJECTED, State.TRIAL)]
+        serving = self.serving_slots(facts)
+        for name in sorted(out, key=lambda n: (facts[n].score, self._records[n].until, n)):
+            if serving >= self._floor:
+                return
+            serving += facts[name].slots
+            self._move(now, name, State.RAMPING, "floor", changes)
+
+    def _serves(self, name: str) -> bool:
+        return self._records[name].state in SERVING
+
+    def _start_ejection(self, now: float, name: str, evidence: str, changes: list[Change]) -> None:
+        record = self._records[name]
+        length = min(EJECTION_MAX_S, EJECTION_S * 2.0**record.ejections)
+        record.ejections += 1
+        record.until = now + length
+        self._move(now, name, State.EJECTED, f"{evidence}; for {length:g} s", changes)
+
+    def _move(
+        self, now: float, name: str, state: State, evidence: str, changes: list[Change]
+    ) -> None:
+        record = self._records[name]
+        changes.append(Change(name, record.state, state, evidence))
+        record.state = state
+        record.since = now
+        record.bound = False
--- /dev/null
+++ b/roadpass/fence.py
@@ -0,0 +1,117 @@
+"""The at-most-once table of a sidecar: which attempts may still start, and which never will.
+
+An attempt starts only through `claim`, and a fence is accepted only for what was never claimed.
+Both are decided here, in one place beside the target, so a promise of "not run" needs no
+agreement between nodes.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from roadpass.outcome import Reason
+
+DEFAULT_WINDOW_S = 180.0
+"""How long an entry is kept: three times the longest deadline that a request can have."""
+
+
+class Verdict(StrEnum):
+    """What a sidecar says of an attempt or key that it was asked to fence."""
+
+    NEVER_STARTS = "never_starts"
+    STARTED = "started"
+    CANNOT_VOUCH = "cannot_vouch"
+
+
+@dataclass(slots=True)
+class _Entry:
+    started: bool
+    kept_until: float
+    token: str = ""
+
+
+class FenceTable:
+    """Decides starts and fences by attempt id and by the caller's idempotency key.
+
+    Args:
+        started_at: When this process began to take attempts, seconds on the caller's clock.
+        window_s: How long entries are kept.
+    """
+
+    def __init__(self, *, started_at: float, window_s: float = DEFAULT_WINDOW_S) -> None:
+        self._started_at = started_at
+        self._window_s = window_s
+        self._attempts: dict[str, _Entry] = {}
+        self._keys: dict[str, _Entry] = {}
+
+    @property
+    def size(self) -> int:
+        """Number of entries held."""
+        return len(self._attempts) + len(self._keys)
+
+    def claim(
+        self, now: float, attempt_id: str, key: str = "", *, repeat: bool = False
+    ) -> Reason | None:
+        """Take the right to start an attempt; at most one claim of an id or key succeeds.
+
+        Args:
+            now: Seconds.
+            attempt_id: Id of the attempt.
+            key: The caller's idempotency key in its service, empty for none.
+            repeat: Whether the caller declared this a repeat, fenced before under its own id.
+
+        Returns:
+            `None` if the attempt may start, otherwise the reason why it must not.
+        """
+        entry = self._attempts.get(attempt_id)
+        if entry is not None:
+            return Reason.DUPLICATE if entry.started else Reason.FENCED
+        refusal = self._key_refusal(attempt_id, key, repeat)
+        if refusal is not None:
+            return refusal
+        kept_until = now + self._window_s
+        self._attempts[attempt_id] = _Entry(True, kept_until)
+        if key:
+            self._keys[key] = _Entry(True, kept_until, attempt_id)
+        return None
+
+    def fence(self, now: float, attempt_id: str) -> Verdict:
+        """Promise that an attempt never starts here, if it has not started."""
+        entry = self._attempts.get(attempt_id)
+        if entry is not None and entry.started:
+            return Verdict.STARTED
+        self._attempts[attempt_id] = _Entry(False, now + self._window_s)
+        return Verdict.NEVER_STARTS
+
+    def fence_key(self, now: float, key: str, token: str) -> Verdict:
+        """Promise that no attempt of a key starts here but the one whose id is `token`.
+
+        A later fence replaces the token, so of two repeats at once at most one can start.
+        """
+        entry = self._keys.get(key)
+        if entry is not None and entry.started:
+            return Verdict.STARTED
+        if now - self._started_at < self._window_s:
+            return Verdict.CANNOT_VOUCH
+        self._keys[key] = _Entry(False, now + self._window_s, token)
+        return Verdict.NEVER_STARTS
+
+    def expire(self, now: float) -> int:
+        """Drop entries that are older than the window.
+
+        Returns:
+            How many were dropped.
+        """
+        before = self.size
+        self._attempts = {k: e for k, e in self._attempts.items() if e.kept_until > now}
+        self._keys = {k: e for k, e in self._keys.items() if e.kept_until > now}
+        return before - self.size
+
+    def _key_refusal(self, attempt_id: str, key: str, repeat: bool) -> Reason | None:
+        entry = self._keys.get(key) if key else None
+        if entry is None:
+            return Reason.FENCED if repeat else None
+        if entry.started:
+            return Reason.KEY_USED
+        if repeat and entry.token == attempt_id:
+            return None
+        return Reason.FENCED
--- /dev/null
+++ b/roadpass/fleet.py
@@ -0,0 +1,278 @@
+"""The fleet as one configuration revision describes it."""
+
+import threading
+from collections.abc import Iterable, Mapping, Sequence
+from datetime import UTC, datetime
+from typing import Any, NamedTuple
+
+from fastjsonschema import JsonSchemaException
+
+from roadpass import jsonc
+from roadpass._generated.check_document import validate
+from roadpass.errors import DocumentError
+from roadpass.label import Labels
+from roadpass.route import Route, RouteTable
+from roadpass.selector import Labelled, Selector, known_zone, select
+
+DEFAULT_CLASS = "default"
+SECONDS_A_MINUTE = 60
+
+
+class TrafficClass(NamedTuple):
+    """A class of traffic; `reserved` is its share of each target's slots."""
+
+    name: str
+    reserved: float
+
+
+class Service(NamedTuple):
+    """What the operators set for a service."""
+
+    name: str
+    floor_slots: int
+    false_ejections_per_target_week: float
+    timeout_ms: int
+    attempt_timeout_ms: int
+    queue_limit: int
+    waiting_limit: int
+    retry_ratio: float
+    slow_start_s: float
+    shed_status: int | None
+    classes: tuple[TrafficClass, ...]
+
+    @classmethod
+    def from_config(cls, name: str, value: Any) -> "Service":
+        """Build a service from its checked written form."""
+        classes = value.get("classes", [{"name": DEFAULT_CLASS}])
+        return cls(
+            name=name,
+            floor_slots=value["floor_slots"],
+            false_ejections_per_target_week=value.get("false_ejections_per_target_week", 0.1),
+            timeout_ms=value.get("timeout_ms", 2000),
+            attempt_timeout_ms=value.get("attempt_timeout_ms", 1000),
+            queue_limit=value.get("queue_limit", 20),
+            waiting_limit=value.get("waiting_limit", 24),
+            retry_ratio=value.get("retry_ratio", 0.1),
+            slow_start_s=value.get("slow_start_s", 5.0),
+            shed_status=value.get("shed_status"),
+            classes=tuple(TrafficClass(c["name"], c.get("reserved", 0.0)) for c in classes),
+        )
+
+    def class_of(self, route: Route) -> str:
+        """Return the class of a route's traffic; without one it is the least important."""
+        return route.traffic_class or self.classes[-1].name
+
+
+class Target(NamedTuple):
+    """One target; `address` is `ip:port`."""
+
+    name: str
+    service: str
+    vm: str
+    address: str
+    slots: int
+    connections: int
+    hall: str | None
+    labels: Labels
+    leaving: bool
+
+    @classmethod
+    def from_config(cls, name: str, value: Any) -> "Target":
+        """Build a target from its checked written form."""
+        return cls(
+            name=name,
+            service=value["service"],
+            vm=value["vm"],
+            address=value["address"],
+            slots=value["slots"],
+            connections=value.get("connections", 200),
+            hall=value.get("hall"),
+            labels=value.get("labels", {}),
+            leaving=value.get("leaving", False),
+        )
+
+
+class Fleet:
+    """Services, targets, routes and selectors of one revision; immutable once built.
+
+    Args:
+        revision: Number of the revision, 0 for none.
+        digest: Hash of the revision's manifest.
+    """
+
+    def __init__(
+        self,
+        services: Mapping[str, Service],
+        targets: Mapping[str, Target],
+        routes: Mapping[str, Route],
+        selectors: Sequence[Selector],
+        *,
+        revision: int = 0,
+        digest: str = "",
+    ) -> None:
+        self.revision = revision
+        self.digest = digest
+        self.services = services
+        self.targets = targets
+        self.routes = routes
+        self.selectors = selectors
+        self._table = RouteTable(routes.values())
+        self._by_service: dict[str, list[Target]] = {name: [] for name in services}
+        for target in targets.values():
+            self._by_service[target.service].append(target)
+        self._groups: dict[tuple[str, int], tuple[tuple[str, ...], ...]] = {}
+        self._lock = threading.Lock()
+
+    @classmethod
+    def empty(cls) -> "Fleet":
+        """Return the fleet of a node that knows no revision yet."""
+        return cls({}, {}, {}, ())
+
+    @classmethod
+    def from_documents(
+        cls, texts: Iterable[tuple[str, str]], *, revision: int = 0, digest: str = ""
+    ) -> "Fleet":
+        """Build a fleet from the documents of a revision.
+
+        Args:
+            texts: Name and text (JSON with comments) of each document.
+
+        Raises:
+            DocumentError: With every problem found.
+        """
+        merged: dict[str, Any] = {"services": {}, "targets": {}, "routes": {}, "selectors": []}
+        problems: list[str] = []
+        for name, text in texts:
+            value, errors = jsonc.parse(text)
+            errors = errors or _schema_problems(value)
+            problems += [f"{name}: {error}" for error in errors]
+            if not errors:
+                problems += _merge(merged, name, value)
+        if problems:
+            raise DocumentError(f"revision {revision}", problems)
+        fleet_problems = _cross_check(merged)
+        if fleet_problems:
+            raise DocumentError(f"revision {revision}", fleet_problems)
+        return cls(
+            {name: Service.from_config(name, v) for name, v in merged["services"].items()},
+            {name: Target.from_config(name, v) for name, v in merged["targets"].items()},
+            {name: Route.from_config(name, v) for name, v in merged["routes"].items()},
+            tuple(Selector.from_config(value) for value in merged["selectors"]),
+            revision=revision,
+            digest=digest,
+        )
+
+    def find_route(self, host: str, path: str, method: str) -> Route | None:
+        """Return the route of a request, or `None`."""
+        return self._table.find(host, path, method)
+
+    def targets_of(self, service: str) -> Sequence[Target]:
+        """Return the targets of a service."""
+        return self._by_service.get(service, ())
+
+    def targets_on(self, vm: str) -> list[Target]:
+        """Return the targets that live on a VM."""
+        return [target for target in self.targets.values() if target.vm == vm]
+
+    def groups(self, route: Route, now: float) -> tuple[tuple[str, ...], ...]:
+        """Return the groups of targets that may serve a route at a time.
+
+        Args:
+            now: Seconds since the epoch; the result holds for the whole minute.
+        """
+        minute = int(now // SECONDS_A_MINUTE)
+        found = self._groups.get((route.name, minute))
+        if found is not None:
+            return found
+        instant = datetime.fromtimestamp(minute * SECONDS_A_MINUTE, UTC)
+        labelled = (Labelled(t.name, _effective_labels(t)) for t in self.targets_of(route.service))
+        groups = select(self.selectors, route.service, route.labels, labelled, instant)
+        with self._lock:
+            self._forget_other_minutes(minute)
+            self._groups[(route.name, minute)] = groups
+        return groups
+
+    def may_serve(self, route_name: str, target_name: str, now: float) -> bool:
+        """Tell whether a target may serve a route at a time."""
+        route = self.routes.get(route_name)
+        if route is None:
+            return False
+        return any(target_name in group for group in self.groups(route, now))
+
+    def _forget_other_minutes(self, minute: int) -> None:
+        if any(key[1] != minute for key in self._groups):
+            self._groups = {key: v for key, v in self._groups.items() if key[1] == minute}
+
+
+def _effective_labels(target: Target) -> Labels:
+    if target.hall is None:
+        return target.labels
+    return {"hall": target.hall, **target.labels}
+
+
+def _schema_problems(value: Any) -> list[str]:
+    try:
+        validate(value)
+    except JsonSchemaException as error:
+        return jsonc.explain("document", value) or [str(error)]
+    return []
+
+
+def _merge(merged: dict[str, Any], name: str, value: Any) -> list[str]:
+    problems = []
+    for part in ("services", "targets", "routes"):
+        for key, entry in value.get(part, {}).items():
+            if key in merged[part]:
+                problems.append(f"{name}: $.{part}.{key}: is defined in another document too")
+            merged[part][key] = entry
+    merged["selectors"] += value.get("selectors", [])
+    return problems
+
+
+def _cross_check(merged: dict[str, Any]) -> list[str]:
+    problems = []
+    services = merged["services"]
+    for part in ("targets", "routes"):
+        for key, entry in merged[part].items():
+            if entry["service"] not in services:
+                problems.append(f"$.{part}.{key}.service: no service '{entry['service']}'")
+    for key, entry in merged["routes"].items():
+        problems += _check_class(key, entry, services.get(entry["service"]))
+    for key, service in services.items():
+        problems += _check_service(key, service, merged["targets"])
+    for index, rule in enumerate(merged["selectors"]):
+        problems += _check_selector(index, rule, services)
+    return problems
+
+
+def _check_class(key: str, route: Any, service: Any) -> list[str]:
+    if service is None or "class" not in route:
+        return []
+    known = [entry["name"] for entry in service.get("classes", [{"name": DEFAULT_CLASS}])]
+    if route["class"] in known:
+        return []
+    return [f"$.routes.{key}.class: no class '{route['class']}' (known: {', '.join(known)})"]
+
+
+def _check_service(key: str, service: Any, targets: Mapping[str, Any]) -> list[str]:
+    problems = []
+    slots = sum(t["slots"] for t in targets.values() if t["service"] == key)
+    if service["floor_slots"] > slots:
+        problems.append(
+            f"$.services.{key}.floor_slots: {service['floor_slots']} is more than "
+            f"the {slots} slots of its targets"
+        )
+    reserved = sum(entry.get("reserved", 0.0) for entry in service.get("classes", ()))
+    if reserved > 1.0:
+        problems.append(f"$.services.{key}.classes: reserved shares add up to more than 1")
+    return problems
+
+
+def _check_selector(index: int, rule: Any, services: Mapping[str, Any]) -> list[str]:
+    problems = []
+    if rule.get("service") not in (None, *services):
+        problems.append(f"$.selectors[{index}].service: no service '{rule['service']}'")
+    for window in rule.get("when", ()):
+        if not known_zone(window["zone"]):
+            problems.append(f"$.selectors[{index}].when: no time zone '{window['zone']}'")
+    return problems
--- /dev/null
+++ b/roadpass/gossip.py
@@ -0,0 +1,338 @@
+"""The gossip actor: owns the UDP socket and the membership view."""
+
+import hmac
+import logging
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgpack
+import pykka
+
+from roadpass._actor import Actor
+from roadpass._ticker import Ticker
+from roadpass.audit import AuditTrail, Kind
+from roadpass.detect import Scores
+from roadpass.errors import FrameError
+from roadpass.hint import HintTable
+from roadpass.member import Member, Members, MemberState, Send
+from roadpass.message import Message, check_gossip
+from roadpass.metric import Metrics
+from roadpass.revision import NO_VERSION, Version
+from roadpass.settings import Settings
+from roadpass.stream import MAC_BYTES
+from roadpass.view import Node
+
+TICK_S = 0.1
+PAUSE_S = 1.0
+"""A tick this late means that the process was paused."""
+MAX_DATAGRAM = 1200
+RECEIVE_BYTES = 2048
+ANNOUNCE_FANOUT = 4
+ANNOUNCE_REPEATS = 2
+SYNC_PEERS = 3
+UNKNOWN_AGE_S = 1e6
+
+_log = logging.getLogger("roadpass.gossip")
+
+
+class Begin(NamedTuple):
+    """All parts of the node are there: datagrams may come."""
+
+
+class Tick(NamedTuple):
+    """Time passes."""
+
+
+class Datagram(NamedTuple):
+    """A datagram came in."""
+
+    content: bytes
+    source: tuple[str, int]
+
+
+class Seed(NamedTuple):
+    """The platform's VM list came in."""
+
+    members: tuple[Member, ...]
+    leaving: frozenset[str]
+
+
+class InForce(NamedTuple):
+    """A version is in force here; peers are to hear of it at once."""
+
+    version: Version
+
+
+class PlatformSeen(NamedTuple):
+    """The platform answered this node just now."""
+
+
+class Leave(NamedTuple):
+    """This node is leaving."""
+
+
+class Say(NamedTuple):
+    """A sidecar's word on one of its targets."""
+
+    target: str
+    scores: Scores
+
+
+class Events(NamedTuple):
+    """What the gossip actor calls when something changes; none of them may block.
+
+    Args:
+        on_node: A node changed.
+        on_version: A peer has a version that differs from the own one; with its stream address.
+        on_hint: A word on a target came in.
+        on_leave: This node was told that it is leaving.
+    """
+
+    on_node: Callable[[Node], None]
+    on_version: Callable[[Version, tuple[str, int]], None]
+    on_hint: Callable[[str, Scores], None]
+    on_leave: Callable[[], None]
+
+
+class Gossip(Actor):
+    """Keeps the membership view and spreads what is new.
+
+    Args:
+        settings: Of this node.
+        own: This node's record.
+        events: What to call on changes.
+        audit: The audit trail.
+        metrics: Counts datagrams and bytes.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        own: Member,
+        events: Events,
+        audit: AuditTrail,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._members = Members(own, rng)
+        self._events = events
+        self._audit = audit
+        self._metrics = metrics
+        self._hints = HintTable()
+        self._version = NO_VERSION
+        self._announcements = 0
+        self._platform_seen_at = float("-inf")
+        self._last_tick = time.monotonic()
+        self._told_leaving = False
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._ticker = Ticker("gossip-tick", TICK_S, lambda: self.actor_ref.tell(Tick()))
+
+    @property
+    def platform_age_s(self) -> float:
+        """Seconds since the platform is known to have answered anybody."""
+        return min(UNKNOWN_AGE_S, time.monotonic() - self._platform_seen_at)
+
+    def on_start(self) -> None:
+        """Bind the socket."""
+        address = (self._settings.address, self._settings.ports.gossip)
+        self._socket.bind(address)
+        _log.info("gossiping on %s:%d", *address)
+
+    def _begin(self) -> None:
+        threading.Thread(target=self._read, name="gossip-read", daemon=True).start()
+        for seed in self._settings.seeds:
+            self._send(Send(seed, "sync", 0))
+        self._ticker.start()
+
+    def on_stop(self) -> None:
+        """Stop to tick and close the socket."""
+        self._ticker.stop()
+        self._socket.close()
+
+    def handle(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case Begin():
+                self._begin()
+            case Tick():
+                self._on_tick()
+            case Datagram(content=content):
+                self._on_datagram(content)
+            case Seed(members=members, leaving=leaving):
+                self._on_seed(members, leaving)
+            case InForce(version=version):
+                self._version = version
+                self._announcements = ANNOUNCE_REPEATS
+                self._announce()
+            case PlatformSeen():
+                self._platform_seen_at = time.monotonic()
+            case Leave():
+                self._members.leave()
+                self._announcements = ANNOUNCE_REPEATS
+                self._announce()
+            case Say(target=target, scores=scores):
+                self._hints.say(time.monotonic(), target, scores)
+            case _:
+                _log.error("unknown message %r", message)
+        self._publish()
+
+    def _on_tick(self) -> None:
+        now = time.monotonic()
+        if now - self._last_tick > PAUSE_S:
+            self._audit.record(
+                Kind.PAUSE, self._settings.vm, f"did not run for {now - self._last_tick:.1f} s"
+            )
+            self._members.resume(now)
+            for member in self._members.sample(SYNC_PEERS):
+                self._send(Send((member.address, member.gossip_port), "sync", 0))
+        self._last_tick = now
+        if self._announcements > 0:
+            self._announce()
+        if self._members.size == 1:
+            for seed in self._settings.seeds:
+                self._send(Send(seed, "sync", 0))
+        for send in self._members.tick(now):
+            self._send(send)
+
+    def _on_datagram(self, content: bytes) -> None:
+        try:
+            message = self._open(content)
+            self._take(message)
+        except (FrameError, ValueError, TypeError, OverflowError) as error:
+            self._metrics.count("gossip_dropped")
+            _log.debug("datagram dropped: %s", error)
+
+    def _take(self, message: Message) -> None:
+        now = time.monotonic()
+        answers = self._members.receive(
+            now,
+            message["t"],
+            message["sender"],
+            message["n"],
+            message.get("on", ""),
+            message["news"],
+        )
+        age_s = message.get("platform_age_s", UNKNOWN_AGE_S)
+        self._platform_seen_at = max(self._platform_seen_at, now - max(0.0, age_s))
+        for row in message.get("hints", ()):
+            hint = self._hints.hear(now, row)
+            if hint is not None:
+                self._events.on_hint(hint.target, hint.scores)
+        self._compare_version(message)
+        for answer in answers:
+            self._send(answer)
+
+    def _compare_version(self, message: Message) -> None:
+        theirs = Version(message["revision"], message["digest"])
+        member = self._members.get(message["sender"])
+        if member is not None and theirs > self._version:
+            self._events.on_version(theirs, (member.address, member.stream_port))
+
+    def _on_seed(self, members: tuple[Member, ...], leaving: frozenset[str]) -> None:
+        now = time.monotonic()
+        alone = self._members.size == 1
+        self._members.seed(now, members)
+        for vm in leaving:
+            if vm == self._settings.vm:
+                self._members.leave()
+            else:
+                self._members.mark_leaving(now, vm)
+        if alone:
+            for member in self._members.sample(SYNC_PEERS):
+                self._send(Send((member.address, member.gossip_port), "sync", 0))
+
+    def _announce(self) -> None:
+        self._announcements -= 1
+        for member in self._members.sample(ANNOUNCE_FANOUT):
+            self._send(Send((member.address, member.gossip_port), "announce", 0))
+
+    def _publish(self) -> None:
+        for member in self._members.changes():
+            self._events.on_node(_node(member))
+            if member.state is not MemberState.ALIVE or member.incarnation > 0:
+                evidence = f"{member.state.name.lower()}, incarnation {member.incarnation}"
+                self._audit.record(Kind.MEMBER_STATE, member.vm, evidence)
+        own = self._members.own
+        if own.state is MemberState.LEAVING and not self._told_leaving:
+            self._told_leaving = True
+            self._events.on_leave()
+
+    def _send(self, send: Send) -> None:
+        news = self._members.rumors()
+        while True:
+            content = self._seal(send, news)
+            if len(content) <= MAX_DATAGRAM or len(news) == 1:
+                break
+            news.pop()
+        try:
+            self._socket.sendto(content, send.to)
+        except OSError as error:
+            _log.debug("datagram not sent: %s", error)
+            return
+        self._metrics.count("gossip_sent")
+        self._metrics.count("gossip_sent_bytes", len(content))
+
+    def _seal(self, send: Send, news: list[Member]) -> bytes:
+        now = time.monotonic()
+        message = {
+            "t": send.type,
+            "sender": self._settings.vm,
+            "n": send.number,
+            "revision": self._version.revision,
+            "digest": self._version.digest,
+            "platform_age_s": round(self.platform_age_s, 1),
+            "news": news,
+        }
+        if send.on:
+            message["on"] = send.on
+        hints = self._hints.rows(now)
+        if hints:
+            message["hints"] = hints
+        payload: bytes = msgpack.packb(message)
+        if not self._settings.keys:
+            return payload
+        return payload + _mac(self._settings.keys[0], payload)
+
+    def _open(self, content: bytes) -> Message:
+        payload = content
+        if self._settings.keys:
+            payload, mac = content[:-MAC_BYTES], content[-MAC_BYTES:]
+            macs = (_mac(key, payload) for key in self._settings.keys)
+            if not any(hmac.compare_digest(mac, one) for one in macs):
+                raise FrameError("The datagram is not authentic.")
+        return check_gossip(msgpack.unpackb(payload, strict_map_key=True))
+
+    def _read(self) -> None:
+        while True:
+            try:
+                content, source = self._socket.recvfrom(RECEIVE_BYTES)
+            except OSError:
+                return
+            self._metrics.count("gossip_received_bytes", len(content))
+            try:
+                self.actor_ref.tell(Datagram(content, source))
+            except pykka.ActorDeadError:
+                return
+
+
+def _mac(key: bytes, payload: bytes) -> bytes:
+    return hmac.digest(key, payload, "sha256")[:MAC_BYTES]
+
+
+def _node(member: Member) -> Node:
+    return Node(
+        member.vm,
+        member.address,
+        member.stream_port,
+        member.hall,
+        member.region,
+        alive=member.state is not MemberState.DEAD,
+        leaving=member.state is MemberState.LEAVING,
+    )
--- /dev/null
+++ b/roadpass/health.py
@@ -0,0 +1,191 @@
+"""Health of the targets of one service as one ingress sees them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from statistics import median_low
+from typing import NamedTuple
+
+from roadpass.detect import FAILURE_BASE, Detector, Sample, Scores, threshold
+from roadpass.eject import Ejector, Fact, State, Step
+from roadpass.fleet import Service
+
+SLOW_MARGIN = 1.5
+SLOW_MIN_MS = 5.0
+PENDING_FACTOR = 4.0
+"""A request pending this many times longer than slow ones take is evidence of its own."""
+HINT_S = 5.0
+"""How long a sidecar's word on its target counts."""
+
+
+GONE_SCORE = 2.0
+_NO_EVIDENCE = Scores(0.0, 0.0)
+
+
+class Presence(NamedTuple):
+    """A target's slots, whether it or its VM said it leaves, and whether its node seems dead."""
+
+    slots: int
+    leaving: bool = False
+    gone: bool = False
+
+
+@dataclass(slots=True)
+class _TargetHealth:
+    detector: Detector
+    hint: Scores = _NO_EVIDENCE
+    hint_at: float = float("-inf")
+    bad: bool = False
+    slow_ms: float = 0.0
+    others_failure: float = FAILURE_BASE
+
+
+class ServiceHealth:
+    """Joins the evidence of this ingress with the sidecars' word, and ejects by it.
+
+    Slowness counts only as far as a target is slower than the service's others: a score has the
+    others' median score taken off, so what slows all of them ejects none.
+
+    Args:
+        service: What the operators set.
+    """
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        self._h = threshold(service.false_ejections_per_target_week)
+        self._ejector = Ejector(floor_slots=service.floor_slots, slow_start_s=service.slow_start_s)
+        self._targets: dict[str, _TargetHealth] = {}
+
+    @property
+    def names(self) -> list[str]:
+        """Targets that are known."""
+        return list(self._targets)
+
+    def configure(self, service: Service) -> None:
+        """Take over changed settings."""
+        if service.false_ejections_per_target_week != (
+            self._service.false_ejections_per_target_week
+        ):
+            self._h = threshold(service.false_ejections_per_target_week)
+            for health in self._targets.values():
+                health.detector = Detector(self._h)
+        self._service = service
+        self._ejector.configure(floor_slots=service.floor_slots, slow_start_s=service.slow_start_s)
+
+    def record(self, target: str, sample: Sample, *, counted_slow: bool = False) -> None:
+        """Take in the outcome of one attempt."""
+        health = self._targets.get(target)
+        if health is None:
+            return
+        slow = 0.0 < health.slow_ms < sample.service_ms
+        if sample.failed or slow:
+            health.bad = True
+        health.detector.observe(
+            sample,
+            slow_ms=health.slow_ms,
+            base_failure=health.others_failure,
+            counted_slow=counted_slow,
+        )
+
+    def record_pending(self, target: str) -> None:
+        """Take in that an attempt has been pending far too long; once for each attempt."""
+        health = self._targets.get(target)
+        if health is None:
+            return
+        health.bad = True
+        health.detector.observe_pending()
+
+    def hint(self, now: float, target: str, scores: Scores) -> None:
+        """Take in a sidecar's word on its target."""
+        health = self._targets.get(target)
+        if health is None:
+            return
+        health.hint = scores
+        health.hint_at = now
+
+    def slow_ms(self, target: str) -> float:
+        """Return the service time that counts as slow for a target, 0 if not known yet."""
+        health = self._targets.get(target)
+        return health.slow_ms if health else 0.0
+
+    def pending_ms(self, target: str) -> float:
+        """Return the age at which a pending attempt is evidence, 0 if not known yet."""
+        return PENDING_FACTOR * self.slow_ms(target)
+
+    def state(self, target: str) -> State | None:
+        """Return a target's state."""
+        return self._ejector.state(target)
+
+    def weight(self, target: str, now: float) -> float:
+        """Return a target's share of traffic, 0 to 1."""
+        return self._ejector.weight(target, now)
+
+    def scores(self, now: float, target: str) -> Scores:
+        """Return the evidence against a target: the worse of own and hinted."""
+        health = self._targets[target]
+        own = health.detector.scores
+        if now - health.hint_at > HINT_S:
+            return own
+        return Scores(max(own.failure, health.hint.failure), max(own.slow, health.hint.slow))
+
+    def step(self, now: float, present: Mapping[str, Presence]) -> Step:
+        """Bring references and states up to date.
+
+        Args:
+            now: Seconds.
+            present: Every target of the service.
+        """
+        for name in [name for name in self._targets if name not in present]:
+            del self._targets[name]
+        for name in present:
+            if name not in self._targets:
+                self._targets[name] = _TargetHealth(Detector(self._h))
+        self._update_references()
+        scores = {name: self.scores(now, name) for name in present}
+        facts = {name: self._fact(name, present[name], scores) for name in present}
+        step = self._ejector.step(now, facts)
+        for change in step.changes:
+            self._on_change(change.target, change.new)
+        for name in present:
+            self._targets[name].bad = False
+        return step
+
+    def _fact(self, name: str, presence: Presence, scores: Mapping[str, Scores]) -> Fact:
+        health = self._targets[name]
+        own = scores[name]
+        others = [other.slow for key, other in scores.items() if key != name]
+        slow = own.slow - median_low(others) if others else 0.0
+        evidence = (
+            f"failure {own.failure:.2f}, slow {slow:.2f} of threshold "
+            f"after {health.detector.samples} samples"
+        )
+        if presence.gone:
+            evidence = "its node seems dead"
+        return Fact(
+            slots=presence.slots,
+            leaving=presence.leaving,
+            gone=presence.gone,
+            score=max(own.failure, slow, GONE_SCORE if presence.gone else 0.0),
+            good_run=health.detector.good_run,
+            bad=health.bad,
+            evidence=evidence,
+        )
+
+    def _on_change(self, target: str, new: State) -> None:
+        health = self._targets[target]
+        if new in (State.TRIAL, State.RAMPING, State.EJECTED):
+            health.detector.reset()
+            health.hint = _NO_EVIDENCE
+
+    def _update_references(self) -> None:
+        latencies = {
+            name: health.detector.latency_ms
+            for name, health in self._targets.items()
+            if health.detector.latency_ms > 0.0
+        }
+        rates = {name: health.detector.failure_rate for name, health in self._targets.items()}
+        for name, health in self._targets.items():
+            others = [value for key, value in latencies.items() if key != name]
+            if others:
+                health.slow_ms = max(SLOW_MIN_MS, SLOW_MARGIN * median_low(others))
+            failures = [value for key, value in rates.items() if key != name]
+            health.others_failure = median_low(failures) if failures else FAILURE_BASE
--- /dev/null
+++ b/roadpass/hint.py
@@ -0,0 +1,72 @@
+"""Sidecars' words on their sick targets, spread by gossip as exceptions only."""
+
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from roadpass.detect import Scores
+
+SICK_SCORE = 0.8
+"""Only targets with at least this share of evidence are spoken of."""
+KEPT_S = 5.0
+MAX_HINTS = 4
+TRANSMISSIONS = 8
+
+
+class Hint(NamedTuple):
+    """A word on a target; `at` is when it was said, on the receiver's clock."""
+
+    target: str
+    scores: Scores
+    at: float
+
+
+@dataclass(slots=True)
+class _Entry:
+    hint: Hint
+    sent: int = 0
+
+
+class HintTable:
+    """Hints to pass on, each a bounded number of times and not past its age."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+
+    def say(self, now: float, target: str, scores: Scores) -> None:
+        """Add a word on a target of this VM, if it is bad enough and news."""
+        known = self._entries.get(target)
+        if scores.worst < SICK_SCORE:
+            return
+        if known is None or now - known.hint.at > KEPT_S / 2:
+            self._entries[target] = _Entry(Hint(target, scores, now))
+
+    def hear(self, now: float, row: Any) -> Hint | None:
+        """Take in a checked hint of a datagram.
+
+        Returns:
+            It, if it is news.
+        """
+        target, failure, slow, age_s = row
+        hint = Hint(target, Scores(failure, slow), now - max(0.0, age_s))
+        known = self._entries.get(target)
+        stale = now - hint.at > KEPT_S
+        if stale or (known is not None and hint.at <= known.hint.at + 0.1):
+            return None
+        self._entries[target] = _Entry(hint)
+        return hint
+
+    def rows(self, now: float) -> list[list[Any]]:
+        """Return the hints for the next datagram."""
+        self._entries = {
+            name: entry for name, entry in self._entries.items() if now - entry.hint.at <= KEPT_S
+        }
+        fresh = sorted(self._entries.values(), key=lambda entry: entry.sent)[:MAX_HINTS]
+        rows = []
+        for entry in fresh:
+            if entry.sent >= TRANSMISSIONS:
+                continue
+            entry.sent += 1
+            hint = entry.hint
+            age_s = round(now - hint.at, 2)
+            rows.append([hint.target, hint.scores.failure, hint.scores.slow, age_s])
+        return rows
--- /dev/null
+++ b/roadpass/jsonc.py
@@ -0,0 +1,60 @@
+"""JSON with comments: reading, and checking against a schema with clear errors."""
+
+import difflib
+import importlib.resources
+import json
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+import jsonyx
+import jsonyx.allow
+
+Checker: TypeAlias = Callable[[Any], Any]
+
+_ALLOW = jsonyx.allow.COMMENTS | jsonyx.allow.TRAILING_COMMA
+
+
+def parse(text: str) -> tuple[Any, list[str]]:
+    """Parse JSON with comments; duplicate keys are errors.
+
+    Args:
+        text: The source text.
+
+    Returns:
+        The value, and the problems found (with line and column); the value is `None` if any.
+    """
+    try:
+        return jsonyx.loads(text, allow=_ALLOW), []
+    except jsonyx.JSONSyntaxError as error:
+        return None, [f"line {error.lineno}, column {error.colno}: {error.msg}"]
+    except RecursionError:
+        return None, ["nested too deeply"]
+
+
+def explain(schema_name: str, value: Any) -> list[str]:
+    """List every violation of a schema, each with its JSON path and a hint where one is known.
+
+    The full checker is imported only here: the daemon needs it only once a document is bad.
+    """
+    from jsonschema import Draft7Validator
+
+    validator = Draft7Validator(load_schema(schema_name))
+    errors = sorted(validator.iter_errors(value), key=lambda error: list(map(str, error.path)))
+    return [f"{error.json_path}: {error.message}{_hint(error)}" for error in errors]
+
+
+def load_schema(name: str) -> Any:
+    """Return the JSON Schema `name` as a value."""
+    source = importlib.resources.files("roadpass.schema") / f"{name}.schema.json"
+    return json.loads(source.read_text())
+
+
+def _hint(error: Any) -> str:
+    if error.validator != "additionalProperties" or not isinstance(error.instance, dict):
+        return ""
+    known = list(error.schema.get("properties", ()))
+    for key in error.instance:
+        close = difflib.get_close_matches(key, known, n=1) if key not in known else []
+        if close:
+            return f" (did you mean '{close[0]}' for '{key}'?)"
+    return f" (known keys: {', '.join(known)})" if known else ""
--- /dev/null
+++ b/roadpass/load.py
@@ -0,0 +1,82 @@
+"""What an ingress believes of the load of targets."""
+
+import threading
+from dataclasses import dataclass
+
+from roadpass.balance import Load
+from roadpass.message import LoadReport
+
+REPORT_S = 1.0
+"""A report older than this is not believed; between, its weight falls off linearly."""
+SMOOTHING = 0.1
+AVOID_S = 2.0
+AVOIDED = Load(1e6, 1e6)
+DEFAULT_LIMIT = 10
+
+
+@dataclass(slots=True)
+class _Entry:
+    own: int = 0
+    latency_ms: float = 0.0
+    others: int = 0
+    limit: int = DEFAULT_LIMIT
+    reported_at: float = float("-inf")
+    avoid_until: float = float("-inf")
+
+
+class LoadTable:
+    """Own attempts in flight, the sidecars' reports and smoothed latencies; for any thread."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._lock = threading.Lock()
+
+    def load(self, target: str, now: float) -> Load:
+        """Return the belief of a target's load.
+
+        Args:
+            target: Its name.
+            now: Seconds.
+        """
+        entry = self._entries.get(target)
+        if entry is None:
+            return Load(0.0, 0.0)
+        if now < entry.avoid_until:
+            return AVOIDED
+        fresh = max(0.0, 1.0 - (now - entry.reported_at) / REPORT_S)
+        return Load((entry.own + entry.others * fresh) / entry.limit, entry.latency_ms)
+
+    def begin(self, target: str) -> None:
+        """Count an attempt that starts."""
+        with self._lock:
+            self._entries.setdefault(target, _Entry()).own += 1
+
+    def end(self, target: str, latency_ms: float | None) -> None:
+        """Count an attempt that ended; its latency if it had an answer."""
+        with self._lock:
+            entry = self._entries[target]
+            entry.own -= 1
+            if latency_ms is None:
+                return
+            if entry.latency_ms == 0.0:
+                entry.latency_ms = latency_ms
+            entry.latency_ms += SMOOTHING * (latency_ms - entry.latency_ms)
+
+    def report(self, now: float, target: str, report: LoadReport) -> None:
+        """Take in a sidecar's report; what it counts of this ingress's own is taken off."""
+        with self._lock:
+            entry = self._entries.setdefault(target, _Entry())
+            entry.others = max(0, report.in_flight + report.queued - entry.own)
+            entry.limit = max(1, report.limit)
+            entry.reported_at = now
+
+    def avoid(self, now: float, target: str) -> None:
+        """Keep away from a target that said it is leaving, until the views have caught up."""
+        with self._lock:
+            self._entries.setdefault(target, _Entry()).avoid_until = now + AVOID_S
+
+    def keep_only(self, targets: set[str]) -> None:
+        """Forget targets that are no longer configured."""
+        with self._lock:
+            for name in [n for n, e in self._entries.items() if n not in targets and not e.own]:
+                del self._entries[name]
--- /dev/null
+++ b/roadpass/local.py
@@ -0,0 +1,247 @@
+"""A target on this node's own VM: everything that is decided beside it."""
+
+import threading
+import time
+
+from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
+from roadpass.detect import Detector, Sample, Scores, threshold
+from roadpass.errors import TargetError, TargetRefusedError
+from roadpass.fence import FenceTable
+from roadpass.fleet import Service, Target
+from roadpass.limit import AdaptiveLimit
+from roadpass.message import Attempt, LoadReport
+from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.pause import PauseWatch
+from roadpass.target import TargetClient, TargetTimeoutError
+
+MIN_START_MS = 2.0
+"""With less time left an attempt is not started."""
+RETRY_SOON_MS = 500
+RETRY_LATER_MS = 2000
+SERVER_ERROR = 500
+EVIDENCE_KEPT_S = 2.0
+
+
+class LocalTarget:
+    """Admission, at-most-once start, limit and health of one target.
+
+    Args:
+        target: As configured.
+        service: As configured.
+        fences: The sidecar's table.
+        pause: The node's pause watch.
+    """
+
+    def __init__(
+        self, target: Target, service: Service, fences: FenceTable, pause: PauseWatch
+    ) -> None:
+        self.target = target
+        self._service = service
+        self._fences = fences
+        self._pause = pause
+        self._client = TargetClient(target.address, max_connections=target.connections)
+        self._limit = AdaptiveLimit(target.slots)
+        self._admission = Admission(
+            service.classes, slots=target.slots, queue_limit=service.queue_limit
+        )
+        self._detector = Detector(threshold(service.false_ejections_per_target_week))
+        self._queued: dict[str, Ticket] = {}
+        self._lock = threading.Lock()
+        self._learnt_at = time.monotonic()
+        self.leaving = target.leaving
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts that run or wait."""
+        return self._admission.in_use + self._admission.waiting
+
+    @property
+    def scores(self) -> Scores:
+        """Evidence against the target, seen over all its traffic."""
+        return self._detector.scores
+
+    def configure(self, target: Target, service: Service) -> bool:
+        """Take over changed settings.
+
+        Returns:
+            Whether this object can serve on; otherwise it must be replaced.
+        """
+        if target.address != self.target.address or service.classes != self._service.classes:
+            return False
+        if service.queue_limit != self._service.queue_limit:
+            return False
+        with self._lock:
+            self.target = target
+            self._service = service
+            self._limit.resize(target.slots)
+            self.leaving = target.leaving
+        return True
+
+    def report(self, revision: int) -> LoadReport:
+        """Return the load report that goes with every answer."""
+        scores = self._detector.scores
+        return LoadReport(
+            in_flight=self._admission.in_use,
+            queued=self._admission.waiting,
+            limit=self._limit.value,
+            failure_score=round(scores.failure, 3),
+            slow_score=round(scores.slow, 3),
+            revision=revision,
+        )
+
+    def run(self, attempt: Attempt, deadline: float) -> Outcome:
+        """Admit, start at most once, and see to the end of one attempt.
+
+        Args:
+            attempt: What to run.
+            deadline: Monotonic seconds.
+        """
+        refusal = self._admit(attempt, deadline)
+        if refusal is not None:
+            return refusal
+        try:
+            self._pause.settle()
+            refusal = self._claim(attempt, deadline)
+            if refusal is not None:
+                return refusal
+            return self._exchange(attempt, deadline)
+        finally:
+            self._release(attempt.traffic_class)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Pass a cancellation on to an attempt that waits or runs here."""
+        with self._lock:
+            ticket = self._queued.get(attempt_id)
+        if ticket is not None:
+            _wake(ticket)
+        else:
+            self._client.cancel(attempt_id)
+
+    def close(self) -> None:
+        """Close idle connections; running requests go on."""
+        self._client.close()
+
+    def forget_old_evidence(self, now: float) -> None:
+        """Drop evidence once no work has come for a while: who returns is judged anew."""
+        with self._lock:
+            if now - self._learnt_at > EVIDENCE_KEPT_S and self._detector.samples:
+                self._detector.reset()
+
+    def _admit(self, attempt: Attempt, deadline: float) -> Outcome | None:
+        now = time.monotonic()
+        with self._lock:
+            self._admission.set_limit(self._limit.value, self._limit.service_ms)
+            decision = self._admission.offer(
+                now,
+                attempt.traffic_class,
+                attempt.caller,
+                deadline - now,
+                retry=attempt.retry,
+            )
+            match decision:
+                case Admitted():
+                    return None
+                case Refused(reason=reason, retry_after_ms=retry_after_ms):
+                    return NotRun(reason, retry_after_ms)
+                case Queued(ticket=ticket, displaced=displaced):
+                    ticket.signal = threading.Event()
+                    self._queued[attempt.id] = ticket
+        if displaced is not None:
+            _wake(displaced)
+        return self._wait(attempt, ticket, deadline)
+
+    def _wait(self, attempt: Attempt, ticket: Ticket, deadline: float) -> Outcome | None:
+        signal = ticket.signal
+        assert isinstance(signal, threading.Event)
+        signal.wait(max(0.0, deadline - time.monotonic()))
+        with self._lock:
+            self._queued.pop(attempt.id, None)
+            if ticket.granted:
+                return None
+            self._wake_all(self._admission.abandon(time.monotonic(), ticket))
+        if time.monotonic() >= deadline:
+            return NotRun(Reason.TOO_LATE, RETRY_SOON_MS)
+        return NotRun(Reason.QUEUE_FULL, RETRY_SOON_MS)
+
+    def _claim(self, attempt: Attempt, deadline: float) -> Outcome | None:
+        now = time.monotonic()
+        if (deadline - now) * 1000.0 < MIN_START_MS:
+            return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
+        if self.leaving:
+            return NotRun(Reason.LEAVING, RETRY_SOON_MS)
+        with self._lock:
+            reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
+        match reason:
+            case None:
+                return None
+            case Reason.FENCED:
+                return NotRun(Reason.FENCED, RETRY_SOON_MS)
+            case _:
+                return Unknown(reason)
+
+    def _exchange(self, attempt: Attempt, deadline: float) -> Outcome:
+        started = time.monotonic()
+        outcome: Outcome
+        try:
+            outcome = self._client.send(
+                attempt.id,
+                attempt.method,
+                attempt.path,
+                attempt.headers,
+                attempt.body,
+                timeout_s=deadline - started,
+                fresh=not attempt.repeatable,
+            )
+        except TargetRefusedError:
+            outcome = NotRun(Reason.REFUSED, RETRY_LATER_MS)
+        except TargetTimeoutError:
+            outcome = Unknown(Reason.TIMEOUT)
+        except TargetError:
+            outcome = Unknown(Reason.TARGET_LOST)
+        outcome = self._as_shed(outcome)
+        self._learn(attempt, outcome, (time.monotonic() - started) * 1000.0)
+        return outcome
+
+    def _as_shed(self, outcome: Outcome) -> Outcome:
+        match outcome:
+            case Answered(status=status, headers=headers) if status == self._service.shed_status:
+                return NotRun(Reason.SHED, _retry_after_ms(headers))
+            case _:
+                return outcome
+
+    def _learn(self, attempt: Attempt, outcome: Outcome, service_ms: float) -> None:
+        match outcome:
+            case Answered(status=status):
+                failed = status >= SERVER_ERROR
+            case NotRun(reason=Reason.SHED):
+                return
+            case _:
+                failed = True
+        with self._lock:
+            self._learnt_at = time.monotonic()
+            self._detector.observe(Sample(failed, service_ms), slow_ms=attempt.slow_ms)
+            self._limit.observe(
+                time.monotonic(), service_ms, attempt.slow_ms, self._admission.in_use
+            )
+            self._admission.set_limit(self._limit.value, self._limit.service_ms)
+
+    def _release(self, traffic_class: str) -> None:
+        with self._lock:
+            self._wake_all(self._admission.release(time.monotonic(), traffic_class))
+
+    @staticmethod
+    def _wake_all(tickets: list[Ticket]) -> None:
+        for ticket in tickets:
+            _wake(ticket)
+
+
+def _wake(ticket: Ticket) -> None:
+    if isinstance(ticket.signal, threading.Event):
+        ticket.signal.set()
+
+
+def _retry_after_ms(headers: list[tuple[str, str]]) -> int:
+    for name, value in headers:
+        if name.lower() == "retry-after" and value.isdigit():
+            return int(value) * 1000
+    return RETRY_SOON_MS
--- /dev/null
+++ b/roadpass/message.py
@@ -0,0 +1,181 @@
+"""Messages between nodes: their checks and the outcomes' written form."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeAlias
+
+from fastjsonschema import JsonSchemaException
+
+from roadpass._generated import (
+    check_answered,
+    check_attempt,
+    check_datagram,
+    check_fence,
+    check_fence_key,
+    check_fenced,
+    check_hello,
+    check_not_run,
+    check_pull,
+    check_revision,
+    check_unknown,
+)
+from roadpass.errors import FrameError
+from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+
+Message: TypeAlias = dict[str, Any]
+
+_CHECKS: Mapping[str, Callable[[Any], Any]] = {
+    "hello": check_hello.validate,
+    "attempt": check_attempt.validate,
+    "answered": check_answered.validate,
+    "not_run": check_not_run.validate,
+    "unknown": check_unknown.validate,
+    "fence": check_fence.validate,
+    "fenced": check_fenced.validate,
+    "fence_key": check_fence_key.validate,
+    "pull": check_pull.validate,
+    "revision": check_revision.validate,
+}
+
+
+class Attempt(NamedTuple):
+    """One attempt at a request, as the sidecar gets it; times in milliseconds.
+
+    Args:
+        id: Ingress VM, its incarnation and a counter.
+        remaining_ms: Time the ingress will still wait for it.
+        revision: Configuration revision the ingress chose the target by.
+        slow_ms: What counts as slow among the service's other targets, 0 if unknown.
+        key: The caller's idempotency key in its service, empty for none.
+        repeat: Whether the caller declared a repeat of that key.
+    """
+
+    id: str
+    target: str
+    route: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    remaining_ms: float
+    traffic_class: str
+    caller: str
+    repeatable: bool
+    retry: bool
+    revision: int
+    slow_ms: float
+    key: str = ""
+    repeat: bool = False
+
+    @classmethod
+    def from_message(cls, message: Message) -> "Attempt":
+        """Build an attempt from a checked message."""
+        fields = {name: message[name] for name in cls._fields if name in message}
+        fields["headers"] = [(name, value) for name, value in message["headers"]]
+        return cls(**fields)
+
+    def to_message(self) -> Message:
+        """Return the written form."""
+        return {"t": "attempt", **self._asdict()}
+
+
+class LoadReport(NamedTuple):
+    """What a sidecar says of one of its targets with every answer."""
+
+    in_flight: int
+    queued: int
+    limit: int
+    failure_score: float
+    slow_score: float
+    revision: int
+
+
+class Reply(NamedTuple):
+    """An outcome with the load report that came with it, if one did."""
+
+    outcome: Outcome
+    load: LoadReport | None = None
+
+    @classmethod
+    def from_message(cls, message: Message) -> "Reply":
+        """Build a reply from a checked message.
+
+        Raises:
+            FrameError: It is no reply, or names an unknown reason.
+        """
+        load = LoadReport(**message["load"]) if "load" in message else None
+        try:
+            return cls(_outcome_from_message(message), load)
+        except ValueError as error:
+            raise FrameError(f"The reply is not usable: {error}.") from error
+
+    def to_message(self) -> Message:
+        """Return the written form."""
+        message = _outcome_to_message(self.outcome)
+        if self.load is not None:
+            message["load"] = self.load._asdict()
+        return message
+
+
+def check(message: Any) -> Message:
+    """Check a frame's content against the schema of its type.
+
+    Raises:
+        FrameError: It is malformed.
+    """
+    if not isinstance(message, dict) or not isinstance(message.get("t"), str):
+        raise FrameError("The frame has no type.")
+    checker = _CHECKS.get(message["t"])
+    if checker is None:
+        raise FrameError("The frame has an unknown type.")
+    _run(checker, message)
+    return message
+
+
+def check_gossip(message: Any) -> Message:
+    """Check a datagram's content against its schema.
+
+    Raises:
+        FrameError: It is malformed.
+    """
+    _run(check_datagram.validate, message)
+    checked: Message = message
+    return checked
+
+
+def _run(checker: Callable[[Any], Any], message: Any) -> None:
+    try:
+        checker(message)
+    except (JsonSchemaException, TypeError, ValueError, KeyError, AttributeError) as error:
+        raise FrameError(f"The message is malformed: {error}.") from error
+
+
+def _outcome_from_message(message: Message) -> Outcome:
+    match message["t"]:
+        case "answered":
+            headers = [(name, value) for name, value in message["headers"]]
+            body = message["body"]
+            if not isinstance(body, bytes):
+                raise FrameError("The answer's body is not bytes.")
+            return Answered(message["status"], headers, body, message["service_ms"])
+        case "not_run":
+            return NotRun(Reason(message["reason"]), message["retry_after_ms"])
+        case "unknown":
+            return Unknown(Reason(message["reason"]))
+        case other:
+            raise FrameError(f"The frame '{other}' is no reply.")
+
+
+def _outcome_to_message(outcome: Outcome) -> Message:
+    match outcome:
+        case Answered(status=status, headers=headers, body=body, service_ms=service_ms):
+            return {
+                "t": "answered",
+                "status": status,
+                "headers": headers,
+                "body": body,
+                "service_ms": service_ms,
+            }
+        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
+            return {"t": "not_run", "reason": reason.value, "retry_after_ms": retry_after_ms}
+        case Unknown(reason=reason):
+            return {"t": "unknown", "reason": reason.value}
--- /dev/null
+++ b/roadpass/monitor.py
@@ -0,0 +1,257 @@
+"""The health monitor: an actor that judges targets and publishes views for the workers."""
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from roadpass._actor import Actor
+from roadpass._ticker import Ticker
+from roadpass.audit import AuditTrail, Kind
+from roadpass.balance import Candidate
+from roadpass.detect import Scores
+from roadpass.dispatch import Dispatcher, Observation
+from roadpass.eject import State, Step
+from roadpass.fleet import Fleet
+from roadpass.health import Presence, ServiceHealth
+from roadpass.hint import SICK_SCORE
+from roadpass.sidecar import Sidecar
+from roadpass.view import ServiceView, View
+
+TICK_S = 0.05
+REFRESH_S = 0.25
+"""A service with traffic is judged at every tick that brought samples, and this often besides."""
+ACTIVE_S = 60.0
+HOUSEKEEPING_S = 1.0
+
+_log = logging.getLogger("roadpass.health")
+
+
+class Tick(NamedTuple):
+    """Time passes."""
+
+
+class FleetChanged(NamedTuple):
+    """Another revision is in force."""
+
+    fleet: Fleet
+
+
+class HintHeard(NamedTuple):
+    """A sidecar's word on its target came by gossip."""
+
+    target: str
+    scores: Scores
+
+
+class TargetStatus(NamedTuple):
+    """A target as the administration API shows it."""
+
+    target: str
+    service: str
+    vm: str
+    state: str
+    reason: str
+    failure_score: float
+    slow_score: float
+
+
+class _Active:
+    """A service with recent traffic."""
+
+    def __init__(self, health: ServiceHealth, now: float) -> None:
+        self.health = health
+        self.used_at = now
+        self.stepped_at = float("-inf")
+        self.dirty = True
+
+
+class HealthMonitor(Actor):
+    """Owns the health of the services that this ingress sends to.
+
+    Args:
+        view: Where service views are published.
+        dispatcher: Source of observations and pending attempts.
+        sidecar: Source of the own targets' scores.
+        say: Spreads a word on an own target.
+        audit: The audit trail.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        dispatcher: Dispatcher,
+        sidecar: Sidecar,
+        say: Callable[[str, Scores], None],
+        audit: AuditTrail,
+    ) -> None:
+        super().__init__()
+        self._view = view
+        self._dispatcher = dispatcher
+        self._sidecar = sidecar
+        self._say = say
+        self._audit = audit
+        self._services: dict[str, _Active] = {}
+        self._reasons: dict[str, str] = {}
+        self._next_housekeeping = 0.0
+        self._ticker = Ticker("health-tick", TICK_S, lambda: self.actor_ref.tell(Tick()))
+
+    def on_start(self) -> None:
+        """Start to tick."""
+        self._ticker.start()
+
+    def on_stop(self) -> None:
+        """Stop to tick."""
+        self._ticker.stop()
+
+    def handle(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case Tick():
+                self._on_tick(time.monotonic())
+            case FleetChanged(fleet=fleet):
+                self._on_fleet(fleet)
+            case HintHeard(target=target, scores=scores):
+                self._on_hint(target, scores)
+            case _:
+                _log.error("unknown message %r", message)
+
+    def statuses(self) -> list[TargetStatus]:
+        """Return every configured target's state and its reason; for any thread."""
+        now = time.monotonic()
+        return [self._status(now, name) for name in sorted(self._view.fleet.targets)]
+
+    def _status(self, now: float, name: str) -> TargetStatus:
+        target = self._view.fleet.targets[name]
+        active = self._services.get(target.service)
+        state: State | None = None
+        scores = Scores(0.0, 0.0)
+        if active is not None and name in active.health.names:
+            state = active.health.state(name)
+            scores = active.health.scores(now, name)
+        return TargetStatus(
+            name,
+            target.service,
+            target.vm,
+            state.value if state else "not-judged",
+            self._reasons.get(name, "no traffic from here yet" if state is None else ""),
+            round(scores.failure, 3),
+            round(scores.slow, 3),
+        )
+
+    def _on_tick(self, now: float) -> None:
+        self._drain(now)
+        self._scan_pending(now)
+        for name, active in list(self._services.items()):
+            if active.dirty or now - active.stepped_at >= REFRESH_S:
+                self._step(now, name, active)
+        if now >= self._next_housekeeping:
+            self._next_housekeeping = now + HOUSEKEEPING_S
+            self._keep_house(now)
+
+    def _drain(self, now: float) -> None:
+        observations = self._dispatcher.observations
+        for _ in range(len(observations)):
+            self._observe(now, observations.popleft())
+
+    def _observe(self, now: float, seen: Observation) -> None:
+        active = self._activate(now, seen.service)
+        if active is None:
+            return
+        if seen.sample is not None:
+            active.health.record(seen.target, seen.sample, counted_slow=seen.counted_slow)
+        if seen.scores is not None:
+            active.health.hint(now, seen.target, seen.scores)
+        active.dirty = True
+
+    def _activate(self, now: float, service: str) -> _Active | None:
+        active = self._services.get(service)
+        if active is None:
+            configured = self._view.fleet.services.get(service)
+            if configured is None:
+                return None
+            active = self._services[service] = _Active(ServiceHealth(configured), now)
+            active.health.step(now, self._presence(service))
+        active.used_at = now
+        return active
+
+    def _scan_pending(self, now: float) -> None:
+        for pending in self._dispatcher.pending.copy().values():
+            active = self._services.get(pending.service)
+            if active is None or pending.counted_slow:
+                continue
+            limit_ms = active.health.pending_ms(pending.target)
+            if limit_ms and (now - pending.since) * 1000.0 > limit_ms:
+                pending.counted_slow = True
+                active.health.record_pending(pending.target)
+                active.dirty = True
+
+    def _on_fleet(self, fleet: Fleet) -> None:
+        for name in [name for name in self._services if name not in fleet.services]:
+            del self._services[name]
+            self._view.services.pop(name, None)
+        for name, active in self._services.items():
+            active.health.configure(fleet.services[name])
+            active.dirty = True
+        self._dispatcher.loads.keep_only(set(fleet.targets))
+        self._reasons = {n: why for n, why in self._reasons.items() if n in fleet.targets}
+        self._on_tick(time.monotonic())
+
+    def _on_hint(self, name: str, scores: Scores) -> None:
+        target = self._view.fleet.targets.get(name)
+        active = self._services.get(target.service) if target else None
+        if active is not None:
+            active.health.hint(time.monotonic(), name, scores)
+            active.dirty = True
+
+    def _step(self, now: float, name: str, active: _Active) -> None:
+        active.dirty = False
+        active.stepped_at = now
+        step = active.health.step(now, self._presence(name))
+        self._report(name, step)
+        self._publish(now, name, active.health)
+
+    def _presence(self, service: str) -> dict[str, Presence]:
+        present = {}
+        for target in self._view.fleet.targets_of(service):
+            if target.vm == self._view.vm:
+                leaving = target.leaving or self._view.leaving
+                present[target.name] = Presence(target.slots, leaving)
+                continue
+            node = self._view.nodes.get(target.vm)
+            leaving = target.leaving or (node is not None and node.leaving)
+            gone = node is None or not node.alive
+            present[target.name] = Presence(target.slots, leaving, gone)
+        return present
+
+    def _report(self, service: str, step: Step) -> None:
+        for change in step.changes:
+            self._reasons[change.target] = change.evidence
+            old = change.old.value if change.old else "unknown"
+            evidence = f"{old} to {change.new.value}: {change.evidence}"
+            self._audit.record(Kind.TARGET_STATE, change.target, evidence)
+        for bound in step.bound:
+            evidence = f"kept in service by the floor of {service}: {bound.evidence}"
+            self._audit.record(Kind.FLOOR_BOUND, bound.target, evidence)
+
+    def _publish(self, now: float, name: str, health: ServiceHealth) -> None:
+        candidates = {}
+        slow_ms = {}
+        for target in self._view.fleet.targets_of(name):
+            weight = health.weight(target.name, now)
+            slow_ms[target.name] = health.slow_ms(target.name)
+            if weight > 0.0:
+                trial = health.state(target.name) is State.TRIAL
+                tier = self._view.tier(target)
+                candidates[target.name] = Candidate(target.name, tier, weight, trial)
+        self._view.services[name] = ServiceView(candidates, slow_ms=slow_ms)
+
+    def _keep_house(self, now: float) -> None:
+        for name in [n for n, a in self._services.items() if now - a.used_at > ACTIVE_S]:
+            del self._services[name]
+            self._view.services.pop(name, None)
+        for target, local in self._sidecar.targets.items():
+            local.forget_old_evidence(now)
+            if local.scores.worst >= SICK_SCORE:
+                self._say(target, local.scores)
+        self._sidecar.expire()
--- /dev/null
+++ b/roadpass/node.py
@@ -0,0 +1,302 @@
+"""A node: all parts of one `roadpassd` process, wired together."""
+
+import logging
+import random
+import threading
+import time
+from typing import Any
+
+import pykka
+
+from roadpass import __version__
+from roadpass.admin import Admin, Handler, Page, Query
+from roadpass.audit import AuditTrail, Kind
+from roadpass.configuration import Configuration, Offer, Store
+from roadpass.detect import Scores
+from roadpass.dispatch import Dispatcher
+from roadpass.fleet import Fleet
+from roadpass.gossip import Begin, Events, Gossip, InForce, Leave, PlatformSeen, Say, Seed
+from roadpass.ingress import Ingress
+from roadpass.member import Member, MemberState
+from roadpass.message import Message
+from roadpass.metric import Metrics
+from roadpass.monitor import FleetChanged, HealthMonitor, HintHeard
+from roadpass.patch import offer
+from roadpass.pause import PauseWatch
+from roadpass.peer import Address, PeerPool
+from roadpass.platform import Platform, VmEntry
+from roadpass.reader import News, Puller, Reader, ReaderEvents, Status, choose_readers
+from roadpass.revision import Version
+from roadpass.settings import Settings
+from roadpass.sidecar import Sidecar, StreamServer
+from roadpass.view import Node as PeerNode
+from roadpass.view import View
+
+READY_WAIT_S = 2.0
+"""How long a starting node with a configuration waits for peers to offer a newer one."""
+QUIET_S = 0.5
+LEAVE_MIN_S = 1.5
+POLL_S = 0.05
+
+_log = logging.getLogger("roadpass.node")
+
+
+class Node:
+    """One process of the fleet.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._started_at = time.monotonic()
+        self._incarnation = int(time.time() * 1000)
+        self._rng = random.Random()
+        self.audit = AuditTrail()
+        self.metrics = Metrics()
+        self._pause = PauseWatch()
+        self._view = View(settings.vm, settings.hall, settings.region)
+        self._sidecar = Sidecar(
+            settings.vm,
+            self._incarnation,
+            self._pause,
+            pull=self._on_pull,
+            behind=self._on_behind,
+        )
+        self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
+        self._dispatcher = Dispatcher(self._view, self._incarnation, self._sidecar, self._peers)
+        self._platform = Platform(settings.platform_url, self.metrics)
+        self._readers: list[str] = []
+        self._peer_seen = False
+        self._store = Store()
+        self._platform_asked = threading.Event()
+        self._actors: list[pykka.ActorRef[Any]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node serves callers."""
+        return self._view.ready and not self._view.leaving
+
+    def start(self) -> None:
+        """Start all parts; the node reports ready once it has the newest configuration."""
+        self.audit.record(Kind.START, self._settings.vm, f"version {__version__}")
+        self._pause.start()
+        self._configuration = self._start(Configuration, self._store, self.audit, self._on_fleet)
+        self._gossip = self._start(
+            Gossip,
+            self._settings,
+            self._own_member(),
+            Events(self._on_node, self._on_version, self._on_hint, self.leave),
+            self.audit,
+            self.metrics,
+            self._rng,
+        )
+        self._gossip_proxy = self._gossip.proxy()
+        self._monitor = self._start(
+            HealthMonitor, self._view, self._dispatcher, self._sidecar, self._say, self.audit
+        )
+        self._puller = self._start(
+            Puller,
+            self._peers,
+            self._store,
+            self._offer,
+            self.metrics,
+        )
+        self._gossip.tell(Begin())
+        self._start(StreamServer, self._settings, self._sidecar)
+        self._reader = self._start(
+            Reader,
+            self._settings,
+            self._platform,
+            self._store,
+            self._status,
+            ReaderEvents(self._offer, self._on_platform, self._on_vms),
+            self.audit,
+            self._rng,
+            self._platform_asked,
+        )
+        self._start(Admin, self._settings, self._pages())
+        self._ingress = self._start(
+            Ingress, self._settings, self._dispatcher, self._view, self.metrics
+        )
+        self._ingress_proxy = self._ingress.proxy()
+
+    def tick(self) -> None:
+        """Do what is due; called a few times a second by the main thread."""
+        if not self._view.ready:
+            self._check_ready()
+        self._peers.expire()
+
+    def leave(self) -> None:
+        """Take no new work from now on; what is in flight goes on."""
+        if self._view.leaving:
+            return
+        self._view.leaving = True
+        self._sidecar.leaving = True
+        self._gossip.tell(Leave())
+        self.audit.record(Kind.STOP, self._settings.vm, "leaving, takes no new work")
+
+    def drain(self) -> bool:
+        """Wait until nothing is in flight.
+
+        Returns:
+            Whether that was so within the stop limit.
+        """
+        started = time.monotonic()
+        quiet_since = started
+        while True:
+            now = time.monotonic()
+            if self._in_flight():
+                quiet_since = now
+            if now - quiet_since >= QUIET_S and now - started >= LEAVE_MIN_S:
+                return True
+            if now - started >= self._settings.stop_limit_s:
+                return False
+            time.sleep(POLL_S)
+
+    def stop(self) -> None:
+        """Stop all parts."""
+        for actor in reversed(self._actors):
+            actor.stop(block=False)
+        self._pause.stop()
+        self._peers.close()
+        self.audit.record(Kind.STOP, self._settings.vm, "stopped")
+
+    def _start(self, kind: Any, *args: Any) -> Any:
+        ref = kind.start(*args)
+        self._actors.append(ref)
+        return ref
+
+    def _in_flight(self) -> int:
+        active: int = self._ingress_proxy.active.get()
+        return active + self._dispatcher.in_flight + self._sidecar.in_flight
+
+    def _own_member(self) -> Member:
+        settings = self._settings
+        return Member(
+            settings.vm,
+            self._incarnation,
+            MemberState.ALIVE,
+            settings.advertise,
+            settings.ports.stream,
+            settings.ports.gossip,
+            settings.hall,
+            settings.region,
+        )
+
+    def _check_ready(self) -> None:
+        if self._view.fleet.revision == 0 or not self._platform_asked.is_set():
+            return
+        waited = time.monotonic() - self._started_at
+        if self._peer_seen or waited >= READY_WAIT_S:
+            self._view.ready = True
+            evidence = f"revision {self._view.fleet.revision} after {waited:.2f} s"
+            self.audit.record(Kind.READY, self._settings.vm, evidence)
+
+    def _on_fleet(self, fleet: Fleet) -> None:
+        self._view.fleet = fleet
+        self._sidecar.configure(fleet)
+        self._monitor.tell(FleetChanged(fleet))
+        self._gossip.tell(InForce(Version(fleet.revision, fleet.digest)))
+
+    def _on_node(self, node: PeerNode) -> None:
+        self._view.nodes[node.vm] = node
+        nodes = self._view.nodes.values()
+        hall = {n.vm for n in nodes if n.alive and n.hall == self._settings.hall and not n.leaving}
+        self._readers = choose_readers({*hall, self._settings.vm}, self._settings.readers_per_hall)
+
+    def _on_version(self, version: Version, address: Address) -> None:
+        self._puller.tell(News(version, address))
+
+    def _on_behind(self, revision: int) -> None:
+        _log.info("an attempt names revision %d, which is newer than the one in force", revision)
+
+    def _on_hint(self, target: str, scores: Scores) -> None:
+        self._monitor.tell(HintHeard(target, scores))
+
+    def _on_platform(self) -> None:
+        self._gossip.tell(PlatformSeen())
+
+    def _on_vms(self, entries: list[VmEntry]) -> None:
+        members = tuple(
+            Member(
+                e.vm,
+                0,
+                MemberState.ALIVE,
+                e.address,
+                e.stream_port,
+                e.gossip_port,
+                e.hall,
+                e.region,
+            )
+            for e in entries
+        )
+        leaving = frozenset(entry.vm for entry in entries if entry.leaving)
+        self._gossip.tell(Seed(members, leaving))
+
+    def _on_pull(self, message: Message) -> Message:
+        return offer(self._store.held, message["have"])
+
+    def _offer(self, revision: Offer) -> None:
+        self._configuration.tell(revision)
+
+    def _say(self, target: str, scores: Scores) -> None:
+        self._gossip.tell(Say(target, scores))
+
+    def _status(self) -> Status:
+        return Status(
+            is_reader=self._settings.vm in self._readers or not self._readers,
+            platform_age_s=self._gossip_proxy.platform_age_s.get(),
+            fleet_size=len(self._view.nodes) + 1,
+            leaving=self._view.leaving,
+        )
+
+    def _pages(self) -> dict[str, Handler]:
+        return {
+            "/status": self._page_status,
+            "/targets": self._page_targets,
+            "/members": self._page_members,
+            "/audit": self._page_audit,
+            "/metrics": self._page_metrics,
+            "/metrics.json": lambda _: Page.from_value(self.metrics.summary()),
+            "/health": lambda _: Page.from_value({"healthy": True}),
+            "/ready": self._page_ready,
+        }
+
+    def _page_status(self, _: Query) -> Page:
+        fleet = self._view.fleet
+        return Page.from_value(
+            {
+                "vm": self._settings.vm,
+                "hall": self._settings.hall,
+                "version": __version__,
+                "incarnation": self._incarnation,
+                "uptime_s": round(time.monotonic() - self._started_at, 1),
+                "ready": self._view.ready,
+                "leaving": self._view.leaving,
+                "revision": fleet.revision,
+                "digest": fleet.digest,
+                "readers": self._readers,
+                "members": sum(1 for node in self._view.nodes.values() if node.alive) + 1,
+                "in_flight": self._in_flight(),
+                "platform_age_s": round(self._gossip_proxy.platform_age_s.get(), 1),
+                "pauses": self._pause.pauses,
+            }
+        )
+
+    def _page_targets(self, _: Query) -> Page:
+        return Page.from_value([row._asdict() for row in self._monitor.proxy().statuses().get()])
+
+    def _page_members(self, _: Query) -> Page:
+        return Page.from_value([node._asdict() for node in self._view.nodes.copy().values()])
+
+    def _page_audit(self, query: Query) -> Page:
+        after = int(query.get("after", ["0"])[0])
+        return Page.from_value([event._asdict() for event in self.audit.since(after)])
+
+    def _page_metrics(self, _: Query) -> Page:
+        return Page(200, "text/plain; version=0.0.4", self.metrics.prometheus().encode())
+
+    def _page_ready(self, _: Query) -> Page:
+        return Page.from_value({"ready": self.ready}, status=200 if self.ready else 503)
--- /dev/null
+++ b/roadpass/outcome.py
@@ -0,0 +1,95 @@
+"""What an attempt ends in: answered, not run (proved), or unknown."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TypeAlias
+
+Headers: TypeAlias = list[tuple[str, str]]
+
+OUTCOME_HEADER = "Roadpass-Outcome"
+REASON_HEADER = "Roadpass-Reason"
+
+
+class Reason(StrEnum):
+    """Why an attempt was not run, or why it may have run."""
+
+    NO_ROUTE = "no-route"
+    NO_CAPACITY = "no-capacity"
+    NOT_READY = "not-ready"
+    LEAVING = "leaving"
+    EXPIRED = "expired"
+    FENCED = "fenced"
+    QUEUE_FULL = "queue-full"
+    TOO_LATE = "deadline-cannot-be-met"
+    WAITING_LIMIT = "waiting-limit"
+    STALE_ROUTE = "stale-route"
+    UNREACHABLE = "unreachable"
+    SHED = "shed-by-target"
+    REFUSED = "target-refused-connection"
+    DUPLICATE = "duplicate"
+    KEY_USED = "key-already-used"
+    TIMEOUT = "timeout"
+    STREAM_LOST = "stream-lost"
+    TARGET_LOST = "target-lost"
+    CANCELLED = "cancelled"
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole answer of the target to this request."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    service_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Proved: the target never got the request and never will."""
+
+    reason: Reason
+    retry_after_ms: int = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run."""
+
+    reason: Reason
+
+
+Outcome: TypeAlias = Answered | NotRun | Unknown
+
+_NOT_RUN_STATUS = {
+    Reason.NO_ROUTE: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.TOO_LARGE: 413,
+}
+
+
+def status_of(outcome: Outcome) -> int:
+    """Return the HTTP status that the caller sees for an outcome."""
+    match outcome:
+        case Answered(status=status):
+            return status
+        case NotRun(reason=reason):
+            return _NOT_RUN_STATUS.get(reason, 503)
+        case Unknown():
+            return 504
+
+
+def caller_headers(outcome: Outcome) -> Headers:
+    """Return the headers that tell the caller what became of its request."""
+    match outcome:
+        case Answered():
+            return [(OUTCOME_HEADER, "answered")]
+        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
+            headers = [(OUTCOME_HEADER, "not-run"), (REASON_HEADER, reason.value)]
+            if reason not in _NOT_RUN_STATUS:
+                headers.append(("Retry-After", str(max(1, -(-retry_after_ms // 1000)))))
+            return headers
+        case Unknown(reason=reason):
+            return [(OUTCOME_HEADER, "unknown"), (REASON_HEADER, reason.value)]
--- /dev/null
+++ b/roadpass/peer.py
@@ -0,0 +1,106 @@
+"""Pools of streams to other nodes."""
+
+import threading
+import time
+from collections.abc import Sequence
+from typing import TypeAlias
+
+from roadpass.errors import StreamError
+from roadpass.message import Message
+from roadpass.stream import Stream
+
+Address: TypeAlias = tuple[str, int]
+
+IDLE_LIMIT_S = 20.0
+"""Shorter than a node waits for the next frame, so that this side closes first."""
+MAX_IDLE = 16
+
+
+class PeerPool:
+    """Idle streams by address; a stream is lent to one exchange at a time.
+
+    Args:
+        hello: This node's hello message.
+        keys: Keys for the MAC of frames.
+        source: IP number to connect from, empty for any.
+    """
+
+    def __init__(self, hello: Message, keys: Sequence[bytes], *, source: str = "") -> None:
+        self._hello = hello
+        self._keys = keys
+        self._source = source
+        self._idle: dict[Address, list[Stream]] = {}
+        self._lock = threading.Lock()
+
+    def acquire(self, address: Address, *, timeout_s: float) -> Stream:
+        """Lend an idle stream or open a new one.
+
+        Raises:
+            ConnectError: The peer could not be reached.
+        """
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                stream = idle.pop() if idle else None
+            if stream is None:
+                return Stream.connect(
+                    address,
+                    self._keys,
+                    self._hello,
+                    timeout_s=timeout_s,
+                    source=self._source,
+                )
+            if time.monotonic() - stream.idle_since < IDLE_LIMIT_S and stream.reusable:
+                return stream
+            stream.close()
+
+    def release(self, address: Address, stream: Stream) -> None:
+        """Take a stream back after a whole exchange."""
+        stream.idle_since = time.monotonic()
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < MAX_IDLE:
+                idle.append(stream)
+                return
+        stream.close()
+
+    def exchange(self, address: Address, message: Message, *, timeout_s: float) -> Message:
+        """Send one message and return the reply.
+
+        Raises:
+            StreamError: No whole reply came in time.
+        """
+        deadline = time.monotonic() + timeout_s
+        stream = self.acquire(address, timeout_s=timeout_s)
+        try:
+            stream.send(message)
+            reply = stream.receive(max(0.0, deadline - time.monotonic())).message
+        except StreamError:
+            stream.close()
+            raise
+        self.release(address, stream)
+        return reply
+
+    def expire(self) -> None:
+        """Close streams that have been idle for too long."""
+        limit = time.monotonic() - IDLE_LIMIT_S
+        stale: list[Stream] = []
+        with self._lock:
+            for address in list(self._idle):
+                streams = self._idle[address]
+                stale += [s for s in streams if s.idle_since < limit]
+                fresh = [s for s in streams if s.idle_since >= limit]
+                if fresh:
+                    self._idle[address] = fresh
+                else:
+                    del self._idle[address]
+        for stream in stale:
+            stream.close()
+
+    def close(self) -> None:
+        """Close all idle streams."""
+        with self._lock:
+            streams = [stream for idle in self._idle.values() for stream in idle]
+            self._idle.clear()
+        for stream in streams:
+            stream.close()
--- /dev/null
+++ b/roadpass/route.py
@@ -0,0 +1,84 @@
+"""Routes: from host, path and method to a service."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from roadpass.label import Labels
+
+ANY_HOST = "*"
+
+
+class Route(NamedTuple):
+    """One route; `timeout_ms` is `None` where the service's value holds."""
+
+    name: str
+    host: str
+    path: str
+    methods: frozenset[str]
+    service: str
+    traffic_class: str | None
+    repeatable: bool
+    labels: Labels
+    timeout_ms: int | None
+
+    @classmethod
+    def from_config(cls, name: str, value: Any) -> "Route":
+        """Build a route from its checked written form."""
+        return cls(
+            name=name,
+            host=value.get("host", ANY_HOST).lower(),
+            path=value["path"],
+            methods=frozenset(value.get("methods", ())),
+            service=value["service"],
+            traffic_class=value.get("class"),
+            repeatable=value.get("repeatable", False),
+            labels=value.get("labels", {}),
+            timeout_ms=value.get("timeout_ms"),
+        )
+
+
+class RouteTable:
+    """Finds the most specific route: exact host first, then the longest path prefix.
+
+    Prefixes end at path segments: `/opac` serves `/opac` and `/opac/x`, not `/opacity`. Among
+    routes of one prefix those that name the method go before those that take any.
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._by_host: dict[str, dict[str, list[Route]]] = {}
+        for route in sorted(routes, key=lambda route: (not route.methods, route.name)):
+            prefixes = self._by_host.setdefault(route.host, {})
+            prefixes.setdefault(_normal(route.path), []).append(route)
+
+    def find(self, host: str, path: str, method: str) -> Route | None:
+        """Return the route of a request, or `None`.
+
+        Args:
+            host: Host name of the request, with or without port.
+            path: Path, with or without query.
+            method: HTTP method in capitals.
+        """
+        name = host.rsplit(":", 1)[0].lower()
+        plain = path.partition("?")[0]
+        for prefixes in (self._by_host.get(name), self._by_host.get(ANY_HOST)):
+            if prefixes is None:
+                continue
+            found = _longest(prefixes, plain, method)
+            if found is not None:
+                return found
+        return None
+
+
+def _longest(prefixes: dict[str, list[Route]], path: str, method: str) -> Route | None:
+    prefix = _normal(path)
+    while True:
+        for route in prefixes.get(prefix, ()):
+            if not route.methods or method in route.methods:
+                return route
+        if not prefix:
+            return None
+        prefix = prefix[: prefix.rfind("/")]
+
+
+def _normal(path: str) -> str:
+    return path.rstrip("/")
--- /dev/null
+++ b/roadpass/schema/__init__.py
@@ -0,0 +1,1 @@
+"""JSON Schemas of settings, documents and messages."""
--- /dev/null
+++ b/roadpass/selector.py
@@ -0,0 +1,147 @@
+"""Selectors: which labelled capacity may serve which traffic, and when."""
+
+from collections.abc import Iterable, Sequence
+from datetime import datetime
+from functools import lru_cache
+from typing import Any, NamedTuple
+from zoneinfo import ZoneInfo
+
+from roadpass.label import Labels, Match, match_from_config, matches
+
+DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
+MINUTES_A_DAY = 24 * 60
+
+
+class Window(NamedTuple):
+    """Days and minutes of the day in an IANA time zone; it may run past midnight."""
+
+    days: frozenset[int]
+    start: int
+    end: int
+    zone: str
+
+    @classmethod
+    def from_config(cls, value: Any) -> "Window":
+        """Build a window from its checked written form."""
+        days = value.get("days", DAYS)
+        return cls(
+            days=frozenset(DAYS.index(day) for day in days),
+            start=_minutes(value["from"]),
+            end=_minutes(value["to"]),
+            zone=value["zone"],
+        )
+
+    def contains(self, instant: datetime) -> bool:
+        """Tell whether an instant (with time zone) lies in the window."""
+        local = instant.astimezone(_zone(self.zone))
+        minute = local.hour * 60 + local.minute
+        today = local.weekday()
+        if self.start < self.end:
+            return today in self.days and self.start <= minute < self.end
+        if minute >= self.start:
+            return today in self.days
+        return minute < self.end and (today - 1) % 7 in self.days
+
+
+class Selector(NamedTuple):
+    """One rule; rules are tried in the order of the document."""
+
+    name: str
+    service: str | None
+    routes: Match
+    targets: Match
+    windows: tuple[Window, ...]
+    spill: bool
+
+    @classmethod
+    def from_config(cls, value: Any) -> "Selector":
+        """Build a selector from its checked written form."""
+        return cls(
+            name=value["name"],
+            service=value.get("service"),
+            routes=match_from_config(value.get("routes", {})),
+            targets=match_from_config(value["targets"]),
+            windows=tuple(Window.from_config(window) for window in value.get("when", ())),
+            spill=value.get("spill", False),
+        )
+
+    def applies(self, service: str, labels: Labels) -> bool:
+        """Tell whether the selector speaks of a route, at whatever time."""
+        return self.service in (None, service) and matches(self.routes, labels)
+
+    def active(self, instant: datetime) -> bool:
+        """Tell whether the selector is in force at an instant."""
+        return not self.windows or any(window.contains(instant) for window in self.windows)
+
+
+class Labelled(NamedTuple):
+    """A target's name and labels, as selectors see it."""
+
+    name: str
+    labels: Labels
+
+
+def select(
+    selectors: Sequence[Selector],
+    service: str,
+    route_labels: Labels,
+    targets: Iterable[Labelled],
+    instant: datetime,
+) -> tuple[tuple[str, ...], ...]:
+    """Choose the groups of targets that may serve a route, in the order they are to be used.
+
+    With no selector that speaks of the route all targets may serve it. Otherwise the first
+    selector in force that matches a target gives the first group; with `spill` the next one
+    adds a group to fall back on.
+
+    Args:
+        selectors: In the order of the document.
+        service: The route's service.
+        route_labels: The route's labels.
+        targets: The service's targets.
+        instant: When, with a time zone.
+
+    Returns:
+        Groups of target names; empty if no capacity is selected.
+    """
+    candidates = list(targets)
+    speaking = [rule for rule in selectors if rule.applies(service, route_labels)]
+    if not speaking:
+        everyone = tuple(target.name for target in candidates)
+        return (everyone,) if everyone else ()
+    groups: list[tuple[str, ...]] = []
+    seen: set[str] = set()
+    for rule in speaking:
+        if not rule.active(instant):
+            continue
+        group = tuple(
+            target.name
+            for target in candidates
+            if target.name not in seen and matches(rule.targets, target.labels)
+        )
+        if not group:
+            continue
+        groups.append(group)
+        seen.update(group)
+        if not rule.spill:
+            break
+    return tuple(groups)
+
+
+def known_zone(name: str) -> bool:
+    """Tell whether a name is an IANA time zone."""
+    try:
+        _zone(name)
+    except (KeyError, ValueError, OSError):
+        return False
+    return True
+
+
+@lru_cache(maxsize=256)
+def _zone(name: str) -> ZoneInfo:
+    return ZoneInfo(name)
+
+
+def _minutes(text: str) -> int:
+    hours, minutes = text.split(":")
+    return int(hours) * 60 + int(minutes)
--- /dev/null
+++ b/roadpass/sidecar.py
@@ -0,0 +1,233 @@
+"""The sidecar: the only way to the targets of this VM."""
+
+import logging
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from roadpass._actor import Actor
+from roadpass.errors import StreamError
+from roadpass.fence import FenceTable, Verdict
+from roadpass.fleet import Fleet
+from roadpass.local import RETRY_SOON_MS, LocalTarget
+from roadpass.message import Attempt, Message, Reply
+from roadpass.outcome import NotRun, Outcome, Reason
+from roadpass.pause import PauseWatch
+from roadpass.settings import Settings
+from roadpass.stream import Stream
+
+MAX_STREAMS = 1024
+IDLE_LIMIT_S = 60.0
+ACCEPT_POLL_S = 0.2
+CLOCK_TOLERANCE_S = 5.0
+"""A selector that ended this short a time ago still counts at the target's side."""
+
+_log = logging.getLogger("roadpass.sidecar")
+
+
+class Sidecar:
+    """Serves attempts, fences and pulls; called by the stream threads and the own ingress.
+
+    Args:
+        vm: Name of this VM.
+        incarnation: Number of this process, higher than those before it on the VM.
+        pause: The node's pause watch.
+        pull: Answers a peer's pull of the configuration.
+        behind: Called when an attempt shows that a newer revision exists.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        pause: PauseWatch,
+        *,
+        pull: Callable[[Message], Message],
+        behind: Callable[[int], None],
+    ) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._pause = pause
+        self._pull = pull
+        self._behind = behind
+        self._fences = FenceTable(started_at=time.monotonic())
+        self._fleet = Fleet.empty()
+        self._targets: dict[str, LocalTarget] = {}
+        self._retired: list[LocalTarget] = []
+        self._lock = threading.Lock()
+        self.leaving = False
+        self.refused = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts that run or wait at all targets."""
+        known = [*self._targets.values(), *self._retired]
+        return sum(local.in_flight for local in known)
+
+    @property
+    def targets(self) -> dict[str, LocalTarget]:
+        """The targets of this VM by name."""
+        return self._targets
+
+    def configure(self, fleet: Fleet) -> None:
+        """Put a revision in force at the targets of this VM."""
+        targets: dict[str, LocalTarget] = {}
+        for target in fleet.targets_on(self._vm):
+            service = fleet.services[target.service]
+            local = self._targets.get(target.name)
+            if local is None or not local.configure(target, service):
+                local = LocalTarget(target, service, self._fences, self._pause)
+            targets[target.name] = local
+        gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
+        for local in gone:
+            local.leaving = True
+        with self._lock:
+            self._retired = [t for t in (*self._retired, *gone) if t.in_flight]
+            self._targets = targets
+            self._fleet = fleet
+
+    def expire(self) -> None:
+        """Drop old fences."""
+        with self._lock:
+            self._fences.expire(time.monotonic())
+
+    def run(self, attempt: Attempt, age_s: float = 0.0) -> Reply:
+        """See one attempt to its end.
+
+        Args:
+            attempt: What to run.
+            age_s: How long its frame was under way or lay unread.
+        """
+        deadline = time.monotonic() + attempt.remaining_ms / 1000.0 - age_s
+        local = self._targets.get(attempt.target)
+        refusal = self._refusal(attempt, local, deadline)
+        if refusal is not None or local is None:
+            self.refused += 1
+            outcome: Outcome = refusal or NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
+            return Reply(outcome, local.report(self._fleet.revision) if local else None)
+        outcome = local.run(attempt, deadline)
+        return Reply(outcome, local.report(self._fleet.revision))
+
+    def fence(self, attempt_id: str) -> Verdict:
+        """Promise that an attempt never starts here, or cancel it if it runs."""
+        with self._lock:
+            verdict = self._fences.fence(time.monotonic(), attempt_id)
+        for local in self._targets.values():
+            local.cancel(attempt_id)
+        return verdict
+
+    def fence_key(self, key: str, token: str) -> Verdict:
+        """Promise that only the attempt `token` may still start with a key."""
+        with self._lock:
+            return self._fences.fence_key(time.monotonic(), key, token)
+
+    def hello(self) -> Message:
+        """Return this node's hello message."""
+        return {"t": "hello", "vm": self._vm, "incarnation": self._incarnation}
+
+    def answer(self, message: Message, age_s: float) -> Message:
+        """Return the reply to one message of a peer stream."""
+        match message["t"]:
+            case "attempt":
+                return self.run(Attempt.from_message(message), age_s).to_message()
+            case "fence":
+                return self._fenced(self.fence(message["id"]))
+            case "fence_key":
+                return self._fenced(self.fence_key(message["key"], message["id"]))
+            case "pull":
+                return self._pull(message)
+            case other:
+                raise StreamError(f"The peer sent '{other}', which is no request.")
+
+    def _fenced(self, verdict: Verdict) -> Message:
+        return {"t": "fenced", "verdict": verdict.value, "incarnation": self._incarnation}
+
+    def _refusal(
+        self, attempt: Attempt, local: LocalTarget | None, deadline: float
+    ) -> NotRun | None:
+        if time.monotonic() >= deadline:
+            return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
+        if self.leaving or (local is not None and local.leaving):
+            return NotRun(Reason.LEAVING, RETRY_SOON_MS)
+        fleet = self._fleet
+        if attempt.revision > fleet.revision:
+            self._behind(attempt.revision)
+            return None if local is not None else NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
+        if local is None or not self._selected(fleet, attempt):
+            return NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
+        return None
+
+    @staticmethod
+    def _selected(fleet: Fleet, attempt: Attempt) -> bool:
+        now = time.time()
+        if fleet.may_serve(attempt.route, attempt.target, now):
+            return True
+        earlier, later = now - CLOCK_TOLERANCE_S, now + CLOCK_TOLERANCE_S
+        return fleet.may_serve(attempt.route, attempt.target, earlier) or fleet.may_serve(
+            attempt.route, attempt.target, later
+        )
+
+
+class StreamServer(Actor):
+    """Owns the listening socket for peer streams; one thread serves one stream.
+
+    Args:
+        settings: Of this node.
+        sidecar: Answers the messages.
+    """
+
+    def __init__(self, settings: Settings, sidecar: Sidecar) -> None:
+        super().__init__()
+        self._settings = settings
+        self._sidecar = sidecar
+        self._listener: socket.socket | None = None
+        self._slots = threading.Semaphore(MAX_STREAMS)
+
+    def on_start(self) -> None:
+        """Listen and accept."""
+        address = (self._settings.address, self._settings.ports.stream)
+        self._listener = socket.create_server(address, backlog=512)
+        self._listener.settimeout(ACCEPT_POLL_S)
+        threading.Thread(target=self._accept, name="stream-accept", daemon=True).start()
+        _log.info("listening for peers on %s:%d", *address)
+
+    def on_stop(self) -> None:
+        """Stop to accept; open streams end with the process."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def _accept(self) -> None:
+        listener = self._listener
+        assert listener is not None
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            if not self._slots.acquire(blocking=False):
+                sock.close()
+                continue
+            threading.Thread(target=self._serve, args=(sock,), name="stream", daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            stream = Stream.accept(sock, self._settings.keys, self._sidecar.hello())
+        except StreamError as error:
+            _log.debug("peer refused: %s", error)
+            self._slots.release()
+            return
+        try:
+            self._answer_all(stream)
+        except StreamError as error:
+            _log.debug("stream ended: %s", error)
+        finally:
+            stream.close()
+            self._slots.release()
+
+    def _answer_all(self, stream: Stream) -> None:
+        while True:
+            received = stream.receive(IDLE_LIMIT_S)
+            stream.send(self._sidecar.answer(received.message, received.age_s))
--- /dev/null
+++ b/roadpass/stream.py
@@ -0,0 +1,281 @@
+"""Streams between nodes: length-bounded msgpack frames over TCP, with age and a keyed MAC.
+
+A connection is used by one exchange at a time. Each frame carries its sender's monotonic clock;
+the smallest difference to the receiver's clock seen on the connection is the transit time of an
+undelayed frame, and what a frame exceeds it by is the frame's age.
+"""
+
+import hmac
+import secrets
+import select
+import socket
+import struct
+import time
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+import msgpack
+
+from roadpass.errors import ConnectError, FrameError, ReplyTimeoutError, StreamError
+from roadpass.message import Message, check
+
+MAGIC = b"RPS1"
+NONCE_BYTES = 16
+MAC_BYTES = 16
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+HELLO_LIMIT_S = 1.0
+"""A slower handshake is given up: its delay bounds the error of a frame's age."""
+FRAME_LIMIT_S = 10.0
+_HEADER = struct.Struct(">I")
+_SEQUENCE = struct.Struct(">Q")
+_NS = 1e9
+
+
+class Received(NamedTuple):
+    """A checked message and its age in seconds."""
+
+    message: Message
+    age_s: float
+
+
+class CallerGoneError(StreamError):
+    """The caller closed its connection while the reply was awaited."""
+
+
+class Stream:
+    """One authenticated connection after its handshake.
+
+    Args:
+        sock: Connected socket; the stream owns it from now on.
+        keys: The first signs, all are accepted; empty for no MAC.
+        client: Whether this side opened the connection.
+    """
+
+    def __init__(self, sock: socket.socket, keys: Sequence[bytes], *, client: bool) -> None:
+        self._sock = sock
+        self._keys = keys
+        self._client = client
+        self._nonce = b""
+        self._sent = 0
+        self._received = 0
+        self._transit_ns: int | None = None
+        self._buffer = bytearray()
+        self.peer_incarnation = 0
+        self.idle_since = 0.0
+
+    @classmethod
+    def connect(
+        cls,
+        address: tuple[str, int],
+        keys: Sequence[bytes],
+        hello: Message,
+        *,
+        timeout_s: float = HELLO_LIMIT_S,
+        source: str = "",
+    ) -> "Stream":
+        """Open a connection and exchange hellos.
+
+        Args:
+            address: IP number and port.
+            keys: See the class.
+            hello: This node's hello message.
+            timeout_s: Limit for all of it.
+            source: IP number to connect from, empty for any.
+
+        Raises:
+            ConnectError: The peer could not be reached in time; nothing but the hello was sent.
+        """
+        limit = min(timeout_s, HELLO_LIMIT_S)
+        deadline = time.monotonic() + limit
+        try:
+            sock = socket.create_connection(
+                address, timeout=limit, source_address=(source, 0) if source else None
+            )
+        except OSError as error:
+            raise ConnectError(f"No connection to {address[0]}:{address[1]}: {error}.") from error
+        stream = cls(sock, keys, client=True)
+        try:
+            stream._handshake(limit)
+            stream.send(hello)
+            reply = stream.receive(max(0.001, deadline - time.monotonic())).message
+        except (StreamError, OSError) as error:
+            stream.close()
+            raise ConnectError(f"No handshake with {address[0]}:{address[1]}: {error}.") from error
+        if reply["t"] != "hello":
+            stream.close()
+            raise ConnectError(f"{address[0]}:{address[1]} did not say hello.")
+        stream.peer_incarnation = reply["incarnation"]
+        return stream
+
+    @classmethod
+    def accept(cls, sock: socket.socket, keys: Sequence[bytes], hello: Message) -> "Stream":
+        """Answer a handshake on an accepted socket.
+
+        Raises:
+            StreamError: The peer does not speak this protocol or lacks the key.
+        """
+        stream = cls(sock, keys, client=False)
+        try:
+            stream._handshake(HELLO_LIMIT_S)
+            first = stream.receive(HELLO_LIMIT_S).message
+            if first["t"] != "hello":
+                raise FrameError("The first frame is no hello.")
+            stream.send(hello)
+        except OSError as error:
+            stream.close()
+            raise StreamError(f"The handshake failed: {error}.") from error
+        except StreamError:
+            stream.close()
+            raise
+        return stream
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the peer has neither closed the connection nor sent anything unasked."""
+        if self._buffer:
+            return False
+        return not _readable(self._sock, 0.0)
+
+    def send(self, message: Message) -> None:
+        """Write one frame.
+
+        Raises:
+            StreamError: It may have been written in part.
+        """
+        payload: bytes = msgpack.packb((time.monotonic_ns(), message))
+        if len(payload) > MAX_FRAME_BYTES:
+            raise FrameError("The frame to send is too long.")
+        mac = self._mac(self._keys[0], self._client, self._sent, payload) if self._keys else b""
+        self._sent += 1
+        frame = _HEADER.pack(len(payload) + len(mac)) + payload + mac
+        try:
+            self._sock.settimeout(FRAME_LIMIT_S)
+            self._sock.sendall(frame)
+        except OSError as error:
+            raise StreamError(f"The frame was not written: {error}.") from error
+
+    def receive(self, timeout_s: float, *, caller: socket.socket | None = None) -> Received:
+        """Wait for one frame.
+
+        Args:
+            timeout_s: Time until its first byte.
+            caller: A caller's socket to watch; its closing ends the wait.
+
+        Raises:
+            ReplyTimeoutError: Nothing came in time.
+            CallerGoneError: The caller closed its connection.
+            StreamError: The connection is lost or the frame is bad.
+        """
+        if not self._buffer:
+            self._await_data(timeout_s, caller)
+        self._sock.settimeout(FRAME_LIMIT_S)
+        try:
+            header = self._read(_HEADER.size)
+            (length,) = _HEADER.unpack(header)
+            if length > MAX_FRAME_BYTES + MAC_BYTES:
+                raise FrameError("The received frame is too long.")
+            frame = self._read(length)
+        except OSError as error:
+            raise StreamError(f"The connection is lost: {error}.") from error
+        return self._open(frame)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    def shutdown(self) -> None:
+        """End the connection so that a thread that waits on it wakes."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def _handshake(self, timeout_s: float) -> None:
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock.settimeout(timeout_s)
+        own = secrets.token_bytes(NONCE_BYTES)
+        self._sock.sendall(MAGIC + own)
+        greeting = self._read(len(MAGIC) + NONCE_BYTES)
+        if not greeting.startswith(MAGIC):
+            raise FrameError("The peer speaks another protocol.")
+        theirs = greeting[len(MAGIC) :]
+        self._nonce = own + theirs if self._client else theirs + own
+
+    def _await_data(self, timeout_s: float, caller: socket.socket | None) -> None:
+        deadline = time.monotonic() + timeout_s
+        while True:
+            left = deadline - time.monotonic()
+            poller = select.poll()
+            poller.register(self._sock, select.POLLIN)
+            if caller is not None:
+                poller.register(caller, select.POLLIN)
+            ready = {fd for fd, _ in poller.poll(max(0.0, left) * 1000.0)}
+            if self._sock.fileno() in ready:
+                return
+            if caller is not None and ready:
+                if _closed(caller):
+                    raise CallerGoneError("The caller closed its connection.")
+                caller = None
+            elif not ready:
+                raise ReplyTimeoutError("The peer did not reply in time.")
+
+    def _read(self, size: int) -> bytes:
+        while len(self._buffer) < size:
+            chunk = self._sock.recv(max(65536, size - len(self._buffer)))
+            if not chunk:
+                raise StreamError("The peer closed the connection.")
+            self._buffer += chunk
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return data
+
+    def _open(self, frame: bytes) -> Received:
+        payload = frame
+        if self._keys:
+            payload, mac = frame[:-MAC_BYTES], frame[-MAC_BYTES:]
+            if not self._authentic(payload, mac):
+                raise FrameError("The frame is not authentic.")
+        self._received += 1
+        sent_ns, message = _unpack(payload)
+        difference = time.monotonic_ns() - sent_ns
+        if self._transit_ns is None or difference < self._transit_ns:
+            self._transit_ns = difference
+        return Received(check(message), (difference - self._transit_ns) / _NS)
+
+    def _authentic(self, payload: bytes, mac: bytes) -> bool:
+        expected = (self._mac(key, not self._client, self._received, payload) for key in self._keys)
+        return any(hmac.compare_digest(mac, one) for one in expected)
+
+    def _mac(self, key: bytes, from_client: bool, sequence: int, payload: bytes) -> bytes:
+        side = b"c" if from_client else b"s"
+        content = self._nonce + side + _SEQUENCE.pack(sequence) + payload
+        return hmac.digest(key, content, "sha256")[:MAC_BYTES]
+
+
+def _unpack(payload: bytes) -> tuple[int, Any]:
+    try:
+        value = msgpack.unpackb(payload, strict_map_key=True)
+        sent_ns, message = value
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise FrameError(f"The frame is not msgpack: {error}.") from error
+    if not isinstance(sent_ns, int):
+        raise FrameError("The frame has no time.")
+    return sent_ns, message
+
+
+def _readable(sock: socket.socket, timeout_s: float) -> bool:
+    poller = select.poll()
+    try:
+        poller.register(sock, select.POLLIN)
+        return bool(poller.poll(timeout_s * 1000.0))
+    except (OSError, ValueError):
+        return True
+
+
+def _closed(sock: socket.socket) -> bool:
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what roadpass meets: the platform, targets and callers."""
--- /dev/null
+++ b/stand_ins/caller.py
@@ -0,0 +1,171 @@
+"""Stand-in for callers: a bounded open load that checks every answer."""
+
+import argparse
+import itertools
+import json
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import urllib3
+from hdrh.histogram import HdrHistogram
+
+from roadpass.outcome import OUTCOME_HEADER, REASON_HEADER
+
+TIMEOUT_S = 20.0
+HIGHEST_US = 60_000_000
+
+
+class Result(NamedTuple):
+    """What became of one request, as the caller sees it; times in seconds."""
+
+    id: str
+    path: str
+    status: int
+    outcome: str
+    reason: str
+    target: str
+    started: float
+    latency_s: float
+    wrong: bool
+
+
+class Load(NamedTuple):
+    """One stream of requests."""
+
+    method: str
+    path: str
+    rate: float
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Caller:
+    """Sends requests at intended times through several addresses in turn.
+
+    Args:
+        addresses: `ip:port` of ingresses.
+        threads: Requests at once.
+    """
+
+    def __init__(self, addresses: Sequence[str], *, threads: int = 16) -> None:
+        self._pools = [
+            urllib3.HTTPConnectionPool(
+                *_split(address), maxsize=threads, retries=False, timeout=TIMEOUT_S
+            )
+            for address in addresses
+        ]
+        self._turns = itertools.cycle(range(len(self._pools)))
+        self._threads = threads
+        self._numbers = itertools.count()
+        self._prefix = f"r{time.time_ns()}-"
+        self.results: list[Result] = []
+
+    def run(self, loads: Sequence[Load], duration_s: float) -> list[Result]:
+        """Send for a while and return every result."""
+        stop_at = time.monotonic() + duration_s
+        threads = []
+        for load in loads:
+            for index in range(self._threads):
+                plan = self._plan(load, index, stop_at)
+                threads.append(threading.Thread(target=plan, daemon=True))
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(duration_s + TIMEOUT_S + 10.0)
+        return self.results
+
+    def send(self, load: Load, *, intended: float | None = None) -> Result:
+        """Send one request."""
+        request_id = f"{self._prefix}{next(self._numbers)}"
+        pool = self._pools[next(self._turns)]
+        started = intended if intended is not None else time.monotonic()
+        headers = {"X-Request": request_id, **dict(load.headers)}
+        body = b"payload" if load.method == "POST" else None
+        path = f"{load.path}?q={request_id}"
+        try:
+            response = pool.request(
+                load.method, path, body=body, headers=headers, retries=False, redirect=False
+            )
+        except urllib3.exceptions.HTTPError as error:
+            result = _lost(request_id, load.path, started, type(error).__name__)
+        else:
+            result = _judge(request_id, load.path, path, started, response)
+        self.results.append(result)
+        return result
+
+    def _plan(self, load: Load, index: int, stop_at: float) -> Callable[[], None]:
+        interval = self._threads / load.rate
+
+        def send_all() -> None:
+            next_at = time.monotonic() + interval * index / self._threads
+            while next_at < stop_at:
+                pause = next_at - time.monotonic()
+                if pause > 0.0:
+                    time.sleep(pause)
+                self.send(load, intended=next_at)
+                next_at += interval
+
+        return send_all
+
+
+def summarize(results: Sequence[Result]) -> dict[str, object]:
+    """Return counts by outcome and latency percentiles in milliseconds."""
+    histogram = HdrHistogram(1, HIGHEST_US, 3)
+    for result in results:
+        histogram.record_value(max(1, int(result.latency_s * 1e6)))
+    return {
+        "requests": len(results),
+        "outcomes": dict(Counter(f"{r.status} {r.outcome} {r.reason}".strip() for r in results)),
+        "wrong": sum(result.wrong for result in results),
+        "p50_ms": histogram.get_value_at_percentile(50) / 1e3,
+        "p99_ms": histogram.get_value_at_percentile(99) / 1e3,
+    }
+
+
+def _judge(
+    request_id: str, route: str, path: str, started: float, response: urllib3.BaseHTTPResponse
+) -> Result:
+    latency_s = time.monotonic() - started
+    outcome = response.headers.get(OUTCOME_HEADER, "direct")
+    target, wrong = "", False
+    if response.status == 200:
+        try:
+            answer = json.loads(response.data)
+            target = answer["target"]
+            wrong = answer["id"] != request_id or answer["path"] != path
+        except (ValueError, KeyError):
+            wrong = True
+    reason = response.headers.get(REASON_HEADER, "")
+    return Result(
+        request_id, route, response.status, outcome, reason, target, started, latency_s, wrong
+    )
+
+
+def _lost(request_id: str, route: str, started: float, why: str) -> Result:
+    latency_s = time.monotonic() - started
+    return Result(request_id, route, 0, "lost", why, "", started, latency_s, False)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def main() -> None:
+    """Run one load and print its summary as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("addresses", nargs="+", help="ip:port of ingresses")
+    parser.add_argument("--method", default="GET")
+    parser.add_argument("--path", default="/opac/search")
+    parser.add_argument("--rate", type=float, default=50.0)
+    parser.add_argument("--seconds", type=float, default=5.0)
+    options = parser.parse_args()
+    caller = Caller(options.addresses)
+    load = Load(options.method, options.path, options.rate)
+    print(json.dumps(summarize(caller.run([load], options.seconds))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/target.py
@@ -0,0 +1,181 @@
+"""Stand-in for a target: slots, cold start, shedding, and gray failures; keeps a ledger.
+
+The behaviour is set through `POST /_control` with fields of `Behaviour`; `GET /_ledger` tells how
+often each request id (the caller's `X-Request` header) was run to its end or only begun.
+"""
+
+import argparse
+import json
+import random
+import select
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from roadpass.web import WebGateway, WebServer
+
+THREADS = 64
+PROBE_PATH = "/health"
+HANG_LIMIT_S = 60.0
+REQUEST_HEADER = "X-Request"
+
+
+@dataclass
+class Behaviour:
+    """How the target behaves; times in milliseconds."""
+
+    median_ms: float = 5.0
+    spread: float = 0.3
+    slow_factor: float = 1.0
+    fail_share: float = 0.0
+    hang: bool = False
+    hang_share: float = 0.0
+    flap_s: float = 0.0
+    sick_for: str = ""
+    shed: bool = False
+    lying_probe: bool = True
+    cut_answers: bool = False
+    body_bytes: int = 0
+
+    def sick_now(self, caller: str) -> bool:
+        """Tell whether the faults apply to this caller at this moment."""
+        if self.flap_s and int(time.monotonic() / self.flap_s) % 2:
+            return False
+        return not self.sick_for or self.sick_for == caller
+
+
+class TargetState:
+    """Behaviour, slots and ledger of one target."""
+
+    def __init__(self, name: str, slots: int, cold_s: float) -> None:
+        self.name = name
+        self.behaviour = Behaviour()
+        self.cold_until = time.monotonic() + cold_s
+        self.slots = threading.Semaphore(slots)
+        self.lock = threading.Lock()
+        self.begun: Counter[str] = Counter()
+        self.finished: Counter[str] = Counter()
+        self.cut = 0
+        self.served = 0
+
+    def begin(self, request_id: str) -> None:
+        """Note that a request is run."""
+        with self.lock:
+            self.begun[request_id] += 1
+            self.served += 1
+
+    def finish(self, request_id: str) -> None:
+        """Note that its work is done."""
+        with self.lock:
+            self.finished[request_id] += 1
+
+
+class _TargetGateway(WebGateway):
+    """Runs requests as the behaviour says."""
+
+    def answer(self) -> None:
+        state: TargetState = self.req.server.owner
+        path = urlsplit(self.uri).path
+        if path.startswith("/_"):
+            self._control(state, path)
+        elif path == PROBE_PATH:
+            self._probe(state)
+        elif state.behaviour.shed or not state.slots.acquire(timeout=1.0):
+            self.reply(503, [("Retry-After", "1")], b"shed")
+        else:
+            try:
+                self._run(state)
+            finally:
+                state.slots.release()
+
+    def _run(self, state: TargetState) -> None:
+        request_id = self.header(REQUEST_HEADER)
+        body = self.body()
+        state.begin(request_id)
+        behaviour = state.behaviour
+        sick = behaviour.sick_now(self.header("X-Ingress"))
+        if sick and (behaviour.hang or random.random() < behaviour.hang_share):
+            self._hang(state)
+            return
+        factor = behaviour.slow_factor if sick else 1.0
+        if time.monotonic() < state.cold_until:
+            factor *= 3.0
+        time.sleep(behaviour.median_ms / 1e3 * factor * random.lognormvariate(0, behaviour.spread))
+        state.finish(request_id)
+        if sick and random.random() < behaviour.fail_share:
+            self.reply(500, [], b"failed")
+            return
+        answer = {
+            "id": request_id,
+            "path": self.uri,
+            "target": state.name,
+            "got": len(body),
+            "pad": "x" * behaviour.body_bytes,
+        }
+        content = json.dumps(answer).encode()
+        if sick and behaviour.cut_answers:
+            self._cut(content)
+            return
+        self.reply(200, [("Content-Type", "application/json")], content)
+
+    def _hang(self, state: TargetState) -> None:
+        """Hold the request until its connection is closed, which cancels it."""
+        deadline = time.monotonic() + HANG_LIMIT_S
+        while time.monotonic() < deadline:
+            poller = select.poll()
+            poller.register(self.sock, select.POLLIN)
+            if poller.poll(50):
+                break
+        with state.lock:
+            state.cut += 1
+        self.req.close_connection = True
+        self.reply(500, [], b"cancelled", close=True)
+
+    def _cut(self, content: bytes) -> None:
+        req = self.req
+        req.status = b"200 OK"
+        req.outheaders = [(b"Content-Length", str(len(content)).encode())]
+        req.close_connection = True
+        req.ensure_headers_sent()
+        req.write(content[: len(content) // 2])
+
+    def _probe(self, state: TargetState) -> None:
+        healthy = state.behaviour.lying_probe or not state.behaviour.sick_now("")
+        self.reply(200 if healthy else 500, [], b"ok" if healthy else b"sick")
+
+    def _control(self, state: TargetState, path: str) -> None:
+        if path == "/_control":
+            changes = json.loads(self.body())
+            state.behaviour = Behaviour(**changes)
+            self.reply(200, [], b"{}")
+        elif path == "/_ledger":
+            with state.lock:
+                ledger = {
+                    "begun": dict(state.begun),
+                    "finished": dict(state.finished),
+                    "served": state.served,
+                }
+            self.reply(200, [], json.dumps(ledger).encode())
+        else:
+            self.reply(404, [], b"")
+
+
+def main() -> None:
+    """Serve until killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--name", default="target")
+    parser.add_argument("--address", default="127.0.0.1:9000")
+    parser.add_argument("--slots", type=int, default=10)
+    parser.add_argument("--cold-s", type=float, default=0.0)
+    parser.add_argument("--median-ms", type=float, default=5.0)
+    options = parser.parse_args()
+    host, _, port = options.address.rpartition(":")
+    state = TargetState(options.name, options.slots, options.cold_s)
+    state.behaviour.median_ms = options.median_ms
+    WebServer((host, int(port)), _TargetGateway, state, threads=THREADS).safe_start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of roadpass."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository; nothing here is part of the product."""
