--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -239,6 +239,9 @@
     slow_score: Required[int | float]
     r""" Required property """
 
+    latency_ms: Required[int | float]
+    r""" Required property """
+
     revision: Required[int]
     r""" Required property """
 
--- a/roadpass/balance.py
+++ b/roadpass/balance.py
@@ -8,6 +8,8 @@
 
 SPILL_UTILIZATION = 1.0
 DRAWS = 4
+EXPLORE_SHARE = 0.02
+"""Share of requests that ignore distance, so that an ingress knows how the others fare."""
 TIER_PENALTY_MS = (0.0, 3.0, 20.0)
 """Round trip to the same data hall, to others of the region, and to other regions."""
 
@@ -73,6 +75,8 @@
     def __init__(self, groups: Sequence[Sequence[Candidate]]) -> None:
         self._all = _tiers(groups, trials=True)
         self._settled = _tiers(groups, trials=False)
+        first = [member._replace(tier=0) for member in groups[0]] if groups else []
+        self._anywhere = _tiers([first], trials=False)
 
     @property
     def names(self) -> list[str]:
@@ -98,6 +102,10 @@
         Returns:
             Its name, or `None` if nobody is left.
         """
+        if self._anywhere and rng.random() < EXPLORE_SHARE:
+            name = self._better_of_two(self._anywhere[0], load_of, rng, excluded)
+            if name is not None and load_of(name).utilization < SPILL_UTILIZATION:
+                return name
         best_name: str | None = None
         best_cost = 0.0
         for tier in self._all if repeatable else self._settled:
--- a/roadpass/detect.py
+++ b/roadpass/detect.py
@@ -21,6 +21,8 @@
 """Tests run side by side: partial failure, full failure, slowness."""
 QUANTILE = 0.95
 QUANTILE_STEP = 0.05
+QUANTILE_MIN = 30
+"""With fewer values an estimate is not used."""
 RATE_SMOOTHING = 0.002
 SCORE_CAP = 1.5
 """Evidence is kept up to this share of the threshold, so that recovery shows soon."""
@@ -80,14 +82,16 @@
         self._up = 1.0 + step * quantile
         self._down = 1.0 - step * (1.0 - quantile)
         self._value = 0.0
+        self._count = 0
 
     @property
     def value(self) -> float:
-        """The estimate, 0 before the first value."""
-        return self._value
+        """The estimate, 0 while too few values tell."""
+        return self._value if self._count >= QUANTILE_MIN else 0.0
 
     def add(self, value: float) -> None:
         """Take in one value."""
+        self._count += 1
         if self._value == 0.0:
             self._value = 2.0 * value
         self._value *= self._up if value > self._value else self._down
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -71,6 +71,7 @@
     target: str
     sample: Sample | None
     scores: Scores | None
+    latency_ms: float = 0.0
     counted_slow: bool = False
 
 
@@ -95,6 +96,15 @@
     key: str
     tried: set[str]
     retries: int = 0
+    may_have_run: Outcome | None = None
+
+    def final(self, outcome: Outcome) -> Outcome:
+        """Return what to tell the caller: "not run" only if no attempt may have run."""
+        match outcome:
+            case NotRun():
+                return self.may_have_run or outcome
+            case _:
+                return outcome
 
 
 class Dispatcher:
@@ -171,14 +181,19 @@
         outcome: Outcome = NotRun(Reason.NO_CAPACITY, RETRY_LATER_MS)
         while True:
             if trip.deadline - time.monotonic() < MIN_ATTEMPT_S:
-                return outcome if trip.tried else NotRun(Reason.EXPIRED, RETRY_SOON_MS)
+                return trip.final(NotRun(Reason.EXPIRED, RETRY_SOON_MS))
             target = self._pick(trip)
             if target is None:
-                return outcome
+                return trip.final(outcome)
             outcome = self._attempt(trip, target)
             trip.tried.add(target.name)
+            match outcome:
+                case NotRun():
+                    pass
+                case _:
+                    trip.may_have_run = outcome
             if not _may_retry(outcome, trip.route) or not budget.take():
-                return outcome
+                return trip.final(outcome)
             trip.retries += 1
 
     def _pick(self, trip: _Trip) -> Target | None:
@@ -342,10 +357,10 @@
         self, trip: _Trip, target: Target, reply: Reply, pending: Pending, started: float
     ) -> None:
         now = time.monotonic()
-        scores = None
+        scores, latency_ms = None, 0.0
         if reply.load is not None:
             self._loads.report(now, target.name, reply.load)
-            scores = _scores(reply.load)
+            scores, latency_ms = _scores(reply.load), reply.load.latency_ms
         sample: Sample | None = None
         match reply.outcome:
             case Answered(status=status, service_ms=service_ms):
@@ -361,7 +376,14 @@
             case _:
                 pass
         self.observations.append(
-            Observation(trip.service.name, target.name, sample, scores, pending.counted_slow)
+            Observation(
+                trip.service.name,
+                target.name,
+                sample,
+                scores,
+                latency_ms,
+                pending.counted_slow,
+            )
         )
 
     def _address(self, target: Target) -> Address | None:
--- a/roadpass/eject.py
+++ b/roadpass/eject.py
@@ -12,6 +12,8 @@
 TRIAL_WEIGHT = 0.02
 TRIAL_SUCCESSES = 8
 RAMP_START = 0.1
+BOUND_WEIGHT = 0.3
+"""A sick target that the floor keeps in service gets less traffic than a healthy one."""
 
 
 class State(StrEnum):
@@ -112,6 +114,8 @@
         if record is None:
             return 0.0
         match record.state:
+            case State.IN_SERVICE if record.bound:
+                return BOUND_WEIGHT
             case State.IN_SERVICE:
                 return 1.0
             case State.RAMPING:
--- a/roadpass/health.py
+++ b/roadpass/health.py
@@ -13,6 +13,9 @@
 SLOW_MIN_MS = 5.0
 PENDING_FACTOR = 4.0
 """A request pending this many times longer than slow ones take is evidence of its own."""
+OWN_FACTOR = 3.0
+"""Where no other target's latency is known, so many times the own 95th percentile is slow."""
+LATENCY_KEPT_S = 60.0
 HINT_S = 5.0
 """How long a sidecar's word on its target counts."""
 
@@ -37,6 +40,8 @@
     bad: bool = False
     slow_ms: float = 0.0
     others_failure: float = FAILURE_BASE
+    reported_ms: float = 0.0
+    reported_at: float = float("-inf")
 
 
 class ServiceHealth:
@@ -94,13 +99,23 @@
         health.bad = True
         health.detector.observe_pending()
 
-    def hint(self, now: float, target: str, scores: Scores) -> None:
-        """Take in a sidecar's word on its target."""
+    def hint(self, now: float, target: str, scores: Scores, *, latency_ms: float = 0.0) -> None:
+        """Take in a sidecar's word on its target.
+
+        Args:
+            now: Seconds.
+            target: Its name.
+            scores: The sidecar's evidence against it.
+            latency_ms: 95th percentile of its service time, 0 if unknown.
+        """
         health = self._targets.get(target)
         if health is None:
             return
         health.hint = scores
         health.hint_at = now
+        if latency_ms > 0.0:
+            health.reported_ms = latency_ms
+            health.reported_at = now
 
     def slow_ms(self, target: str) -> float:
         """Return the service time that counts as slow for a target, 0 if not known yet."""
@@ -109,7 +124,10 @@
 
     def pending_ms(self, target: str) -> float:
         """Return the age at which a pending attempt is evidence, 0 if not known yet."""
-        return PENDING_FACTOR * self.slow_ms(target)
+        health = self._targets.get(target)
+        if health is None:
+            return 0.0
+        return PENDING_FACTOR * (health.slow_ms or OWN_FACTOR * health.detector.latency_ms)
 
     def state(self, target: str) -> State | None:
         """Return a target's state."""
@@ -139,7 +157,7 @@
         for name in present:
             if name not in self._targets:
                 self._targets[name] = _TargetHealth(Detector(self._h))
-        self._update_references()
+        self._update_references(now)
         scores = {name: self.scores(now, name) for name in present}
         facts = {name: self._fact(name, present[name], scores) for name in present}
         step = self._ejector.step(now, facts)
@@ -176,12 +194,13 @@
             health.detector.reset()
             health.hint = _NO_EVIDENCE
 
-    def _update_references(self) -> None:
-        latencies = {
-            name: health.detector.latency_ms
-            for name, health in self._targets.items()
-            if health.detector.latency_ms > 0.0
-        }
+    def _update_references(self, now: float) -> None:
+        latencies = {}
+        for name, health in self._targets.items():
+            reported = now - health.reported_at <= LATENCY_KEPT_S
+            latency_ms = health.reported_ms if reported else health.detector.latency_ms
+            if latency_ms > 0.0:
+                latencies[name] = latency_ms
         rates = {name: health.detector.failure_rate for name, health in self._targets.items()}
         for name, health in self._targets.items():
             others = [value for key, value in latencies.items() if key != name]
--- a/roadpass/jsonc.py
+++ b/roadpass/jsonc.py
@@ -23,12 +23,24 @@
     Returns:
         The value, and the problems found (with line and column); the value is `None` if any.
     """
+    duplicates: list[str] = []
+
+    def build(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        value = dict(pairs)
+        if len(value) < len(pairs):
+            keys = [key for key, _ in pairs]
+            duplicates.extend(sorted({key for key in keys if keys.count(key) > 1}))
+        return value
+
     try:
-        return jsonyx.loads(text, allow=_ALLOW), []
+        value = jsonyx.loads(text, allow=_ALLOW, cache_keys=True, hooks={"object": build})
     except jsonyx.JSONSyntaxError as error:
         return None, [f"line {error.lineno}, column {error.colno}: {error.msg}"]
-    except RecursionError:
-        return None, ["nested too deeply"]
+    except (RecursionError, ValueError) as error:
+        return None, [f"cannot be parsed: {error}"]
+    if duplicates:
+        return None, [_duplicate(text, key) for key in duplicates]
+    return value, []
 
 
 def explain(schema_name: str, value: Any) -> list[str]:
@@ -49,6 +61,12 @@
     return json.loads(source.read_text())
 
 
+def _duplicate(text: str, key: str) -> str:
+    """Say where a key stands that is there twice in one object; the last place is near it."""
+    line = text.count("\n", 0, text.rfind(f'"{key}"')) + 1
+    return f"line {line}: the key '{key}' stands twice in one object"
+
+
 def _hint(error: Any) -> str:
     if error.validator != "additionalProperties" or not isinstance(error.instance, dict):
         return ""
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -86,6 +86,7 @@
             limit=self._limit.value,
             failure_score=round(scores.failure, 3),
             slow_score=round(scores.slow, 3),
+            latency_ms=round(self._detector.latency_ms, 1),
             revision=revision,
         )
 
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -79,13 +79,18 @@
 
 
 class LoadReport(NamedTuple):
-    """What a sidecar says of one of its targets with every answer."""
+    """What a sidecar says of one of its targets with every answer.
+
+    Args:
+        latency_ms: 95th percentile of its service time, 0 while too few samples tell.
+    """
 
     in_flight: int
     queued: int
     limit: int
     failure_score: float
     slow_score: float
+    latency_ms: float
     revision: int
 
 
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -164,7 +164,7 @@
         if seen.sample is not None:
             active.health.record(seen.target, seen.sample, counted_slow=seen.counted_slow)
         if seen.scores is not None:
-            active.health.hint(now, seen.target, seen.scores)
+            active.health.hint(now, seen.target, seen.scores, latency_ms=seen.latency_ms)
         active.dirty = True
 
     def _activate(self, now: float, service: str) -> _Active | None:
--- /dev/null
+++ b/tests/naive.py
@@ -0,0 +1,142 @@
+"""Naive twins: the plainest correct form of a decision, to compare the product's with."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from zoneinfo import ZoneInfo
+
+from roadpass.route import ANY_HOST, Route
+from roadpass.selector import DAYS, Labelled, Selector, Window
+
+
+def in_window(window: Window, instant: datetime) -> bool:
+    """Walk from the window's starts of yesterday and today, minute by minute in local time."""
+    local = instant.astimezone(ZoneInfo(window.zone)).replace(tzinfo=None)
+    for back in (0, 1):
+        day = (local - timedelta(days=back)).date()
+        if day.weekday() not in window.days:
+            continue
+        midnight = datetime(day.year, day.month, day.day)
+        start = midnight + timedelta(minutes=window.start)
+        length = (window.end - window.start) % (24 * 60) or 24 * 60
+        if start <= local < start + timedelta(minutes=length):
+            return True
+    return False
+
+
+def select(
+    selectors: Sequence[Selector],
+    service: str,
+    labels: Mapping[str, str],
+    targets: Sequence[Labelled],
+    instant: datetime,
+) -> list[set[str]]:
+    """Return the groups of target names, straight from the words of the documentation."""
+    speaking = [
+        s
+        for s in selectors
+        if s.service in (None, service)
+        and all(labels.get(k) in v or ("*" in v and k in labels) for k, v in s.routes.items())
+    ]
+    if not speaking:
+        return [{t.name for t in targets}] if targets else []
+    groups: list[set[str]] = []
+    for rule in speaking:
+        if rule.windows and not any(in_window(w, instant) for w in rule.windows):
+            continue
+        used = set().union(*groups)
+        group = {
+            t.name
+            for t in targets
+            if all(
+                t.labels.get(k) in v or ("*" in v and k in t.labels)
+                for k, v in rule.targets.items()
+            )
+        } - used
+        if group:
+            groups.append(group)
+            if not rule.spill:
+                break
+    return groups
+
+
+def find_route(routes: Sequence[Route], host: str, path: str, method: str) -> Route | None:
+    """Try every route and keep the best."""
+    best: tuple[tuple[bool, int, bool], str, Route] | None = None
+    for route in routes:
+        prefix = route.path.rstrip("/")
+        if route.host not in (host, ANY_HOST):
+            continue
+        if path.rstrip("/") != prefix and not path.startswith(prefix + "/"):
+            continue
+        if route.methods and method not in route.methods:
+            continue
+        rank = (route.host != ANY_HOST, len(prefix), bool(route.methods))
+        if best is None or rank > best[0] or (rank == best[0] and route.name < best[1]):
+            best = (rank, route.name, route)
+    return best[2] if best else None
+
+
+@dataclass
+class Fences:
+    """The at-most-once table as plain history: what was started and what was fenced."""
+
+    started: set[str] = field(default_factory=set)
+    fenced: set[str] = field(default_factory=set)
+    started_keys: set[str] = field(default_factory=set)
+    tokens: dict[str, str] = field(default_factory=dict)
+
+    def claim(self, attempt: str, key: str, repeat: bool) -> bool:
+        """Tell whether an attempt may start, and note that it does."""
+        if attempt in self.started or attempt in self.fenced or key in self.started_keys:
+            return False
+        if key in self.tokens and not (repeat and self.tokens[key] == attempt):
+            return False
+        if repeat and key not in self.tokens:
+            return False
+        self.started.add(attempt)
+        if key:
+            self.started_keys.add(key)
+        return True
+
+    def fence(self, attempt: str) -> bool:
+        """Tell whether an attempt never starts from now on."""
+        if attempt in self.started:
+            return False
+        self.fenced.add(attempt)
+        return True
+
+    def fence_key(self, key: str, token: str) -> bool:
+        """Tell whether only `token` may still start a key."""
+        if key in self.started_keys:
+            return False
+        self.tokens[key] = token
+        return True
+
+
+class NaiveEjector:
+    """Five failures in a row, 30 s out, at most half out."""
+
+    FAILURES = 5
+    OUT_S = 30.0
+
+    def __init__(self, names: Sequence[str]) -> None:
+        self._row = dict.fromkeys(names, 0)
+        self._until = dict.fromkeys(names, float("-inf"))
+        self.ejections = 0
+
+    def serving(self, now: float) -> list[str]:
+        """Return the targets that are in."""
+        return [name for name, until in self._until.items() if now >= until]
+
+    def record(self, now: float, name: str, failed: bool) -> None:
+        """Take in one outcome."""
+        self._row[name] = self._row[name] + 1 if failed else 0
+        out = len(self._until) - len(self.serving(now))
+        if self._row[name] >= self.FAILURES and out + 1 <= len(self._until) // 2:
+            self._until[name] = now + self.OUT_S
+            self._row[name] = 0
+            self.ejections += 1
+
+
+ALL_DAYS = frozenset(range(len(DAYS)))
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,126 @@
+"""Admission at the sidecar: slots, reserved shares, turns, deadlines."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
+from roadpass.fleet import TrafficClass
+from roadpass.outcome import Reason
+
+CLASSES = (TrafficClass("counter", 0.5), TrafficClass("members", 0.2), TrafficClass("internal", 0))
+SLOTS = 10
+
+
+def admission(queue_limit: int = 20) -> Admission:
+    """Return an admission of ten slots that has measured 10 ms of service time."""
+    made = Admission(CLASSES, slots=SLOTS, queue_limit=queue_limit)
+    made.set_limit(SLOTS, 10.0)
+    return made
+
+
+def take(one: Admission, name: str, count: int, caller: str = "c") -> list[object]:
+    """Offer some requests of a class at once."""
+    return [one.offer(0.0, name, caller, 1.0, retry=False) for _ in range(count)]
+
+
+def fill(one: Admission) -> None:
+    """Take all slots, each class's reserved ones by itself."""
+    held = [*take(one, "counter", 8), *take(one, "members", 2)]
+    assert all(isinstance(decision, Admitted) for decision in held)
+
+
+def test_internal_traffic_never_takes_what_members_need() -> None:
+    """A flood of internal traffic leaves the reserved slots free."""
+    one = admission()
+    admitted = [d for d in take(one, "internal", 50) if isinstance(d, Admitted)]
+    assert len(admitted) == 3
+    assert all(isinstance(d, Admitted) for d in take(one, "counter", 5))
+    assert all(isinstance(d, Admitted) for d in take(one, "members", 2))
+
+
+def test_important_classes_go_first_and_displace() -> None:
+    """With the queue full of internal traffic a counter's request takes a place."""
+    one = admission(queue_limit=5)
+    fill(one)
+    for number in range(20):
+        take(one, "internal", 1, f"batch-{number}")
+    (decision,) = take(one, "counter", 1)
+    assert isinstance(decision, Queued)
+    assert decision.displaced is not None
+    assert decision.displaced.traffic_class == "internal"
+    assert one.release(0.1, "counter") == [decision.ticket]
+
+
+def test_callers_take_turns() -> None:
+    """One caller's many requests do not hold up another's one."""
+    one = admission()
+    fill(one)
+    take(one, "counter", 5, "many")
+    (single,) = take(one, "counter", 1, "few")
+    assert isinstance(single, Queued)
+    granted: list[Ticket] = []
+    for _ in range(2):
+        granted += one.release(0.1, "counter")
+    assert single.ticket in granted
+
+
+def test_what_cannot_meet_its_deadline_is_refused_at_once() -> None:
+    """The wait is told from measured service time, and with it when to come back."""
+    one = admission()
+    fill(one)
+    take(one, "counter", 10)
+    decision = one.offer(0.0, "counter", "c", 0.012, retry=False)
+    assert isinstance(decision, Refused)
+    assert decision.reason is Reason.TOO_LATE
+    assert decision.retry_after_ms >= 100
+
+
+def test_retries_are_shed_first() -> None:
+    """A retry does not wait where a first attempt may."""
+    one = admission(queue_limit=8)
+    fill(one)
+    take(one, "counter", 3)
+    assert isinstance(one.offer(0.0, "counter", "c", 1.0, retry=True), Refused)
+    assert isinstance(one.offer(0.0, "counter", "c", 1.0, retry=False), Queued)
+
+
+@given(st.integers(0, 2**32), st.integers(1, 12), st.integers(0, 12))
+def test_bounds_hold_over_any_sequence(seed: int, slots: int, queue_limit: int) -> None:
+    """Slots and queue are never exceeded, nothing is granted twice, and all comes back."""
+    rng = random.Random(seed)
+    one = Admission(CLASSES, slots=slots, queue_limit=queue_limit)
+    running: list[str] = []
+    waiting: list[Ticket] = []
+    for step in range(150):
+        now = step / 100.0
+        name = rng.choice([entry.name for entry in CLASSES])
+        if rng.random() < 0.6:
+            caller = rng.choice("xyz")
+            match one.offer(now, name, caller, rng.uniform(0.01, 2.0), retry=rng.random() < 0.2):
+                case Admitted():
+                    running.append(name)
+                case Queued(ticket=ticket, displaced=displaced):
+                    waiting.append(ticket)
+                    if displaced is not None:
+                        waiting.remove(displaced)
+                case Refused():
+                    pass
+        elif running and rng.random() < 0.8:
+            done = running.pop(rng.randrange(len(running)))
+            _grant(one.release(now, done), waiting, running)
+        elif waiting:
+            ticket = waiting.pop(rng.randrange(len(waiting)))
+            _grant(one.abandon(now, ticket), waiting, running)
+        assert one.in_use == len(running) <= slots
+        assert one.waiting <= queue_limit
+    while running:
+        _grant(one.release(1e9, running.pop()), waiting, running)
+    assert one.in_use == 0
+
+
+def _grant(granted: list[Ticket], waiting: list[Ticket], running: list[str]) -> None:
+    for ticket in granted:
+        waiting.remove(ticket)
+        running.append(ticket.traffic_class)
--- /dev/null
+++ b/tests/test_detect.py
@@ -0,0 +1,96 @@
+"""Sequential tests against targets that are sick, healthy or as slow as all others."""
+
+import random
+
+import pytest
+
+from roadpass.detect import Detector, Sample, threshold, wald_samples
+from roadpass.eject import State
+from roadpass.fleet import Service, TrafficClass
+from roadpass.health import Presence, ServiceHealth
+
+WEEKLY = 0.1
+
+
+def samples_until_fired(failing: float, seed: int) -> int:
+    """Return the samples that a target failing at a rate survives."""
+    rng = random.Random(seed)
+    detector = Detector(threshold(WEEKLY))
+    while detector.scores.worst < 1.0:
+        detector.observe(Sample(rng.random() < failing, 5.0))
+    return detector.samples
+
+
+@pytest.mark.parametrize("failing", [0.3, 0.5, 1.0])
+def test_samples_stay_near_walds_bound(failing: float) -> None:
+    """The mean over many runs, seeded."""
+    runs = [samples_until_fired(failing, seed) for seed in range(200)]
+    bound = wald_samples(threshold(WEEKLY), 0.005, failing)
+    assert sum(runs) / len(runs) <= 1.5 * bound + 1.0
+
+
+def test_a_dead_target_is_out_after_five_failures() -> None:
+    """No slower than the naive rule even with the dial at few false ejections."""
+    detector = Detector(threshold(0.01))
+    for _ in range(5):
+        detector.observe(Sample(True, 5.0))
+    assert detector.scores.worst >= 1.0
+
+
+def test_healthy_target_is_not_ejected_in_many_samples() -> None:
+    """Failures at the base rate and service times with a long tail."""
+    rng = random.Random(7)
+    detector = Detector(threshold(WEEKLY))
+    worst = 0.0
+    for _ in range(300_000):
+        sample = Sample(rng.random() < 0.003, rng.lognormvariate(1.5, 0.4))
+        detector.observe(sample, slow_ms=13.0)
+        worst = max(worst, detector.scores.worst)
+    assert worst < 1.0
+
+
+def service_health(floor: int = 10) -> ServiceHealth:
+    """Return the health of a service of four targets, stepped past the ramp."""
+    service = Service(
+        "s", floor, WEEKLY, 1000, 500, 10, 10, 0.1, 0.0, None, (TrafficClass("c", 0.0),)
+    )
+    health = ServiceHealth(service)
+    for now in (0.0, 1.0):
+        health.step(now, present())
+    return health
+
+
+def present() -> dict[str, Presence]:
+    """Return four targets that are there."""
+    return {name: Presence(10) for name in "abcd"}
+
+
+def feed(health: ServiceHealth, rng: random.Random, slow: str, factor: float, rounds: int) -> None:
+    """Give every target as many samples, those of `slow` by a factor longer."""
+    for n in range(rounds):
+        for name in "abcd":
+            scale = factor if name in slow else 1.0
+            health.record(name, Sample(False, rng.lognormvariate(1.5, 0.3) * scale))
+        health.step(2.0 + n / 20.0, present())
+
+
+def test_one_slow_target_is_ejected_and_a_common_slowdown_ejects_none() -> None:
+    """Slowness counts relative to the service's other targets."""
+    rng = random.Random(3)
+    one, all_ = service_health(), service_health()
+    feed(one, rng, "", 1.0, 200)
+    feed(one, rng, "b", 5.0, 30)
+    assert one.state("b") is State.EJECTED
+    feed(all_, rng, "", 1.0, 200)
+    feed(all_, rng, "abcd", 5.0, 300)
+    assert {all_.state(name) for name in "abcd"} == {State.IN_SERVICE}
+
+
+def test_pending_requests_are_evidence_before_they_time_out() -> None:
+    """A target that hangs is ejected without a single finished request."""
+    health = service_health()
+    feed(health, random.Random(1), "", 1.0, 100)
+    for _ in range(12):
+        health.record_pending("c")
+    health.step(50.0, present())
+    assert health.state("c") is State.EJECTED
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,152 @@
+"""Outcomes at the ingress, with a fake sidecar in place of this VM's own."""
+
+import json
+import time
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpass.dispatch import Dispatcher, Request
+from roadpass.fence import Verdict
+from roadpass.fleet import Fleet
+from roadpass.message import Attempt, Reply
+from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.peer import PeerPool
+from roadpass.sidecar import Sidecar
+from roadpass.view import View
+
+VM = "vm-1"
+
+
+class FakeSidecar(Sidecar):
+    """Gives the outcomes of a script, then refuses; notes what was run."""
+
+    def __init__(self, script: list[Outcome]) -> None:
+        self.script = script
+        self.attempts: list[Attempt] = []
+        self.verdict = Verdict.NEVER_STARTS
+
+    def run(self, attempt: Attempt, age_s: float = 0.0) -> Reply:
+        self.attempts.append(attempt)
+        refused = NotRun(Reason.QUEUE_FULL)
+        return Reply(self.script.pop(0) if self.script else refused)
+
+    def fence_key(self, key: str, token: str) -> Verdict:
+        return self.verdict
+
+
+def fleet(**service: object) -> Fleet:
+    """Return a fleet with one service on one VM."""
+    value = {
+        "services": {"s": {"floor_slots": 1, "retry_ratio": 0.5, **service}},
+        "targets": {
+            f"t{n}": {"service": "s", "vm": VM, "address": f"127.0.0.1:{9000 + n}", "slots": 1}
+            for n in range(4)
+        },
+        "routes": {
+            "get": {"path": "/", "methods": ["GET"], "service": "s", "repeatable": True},
+            "post": {"path": "/", "methods": ["POST"], "service": "s"},
+        },
+    }
+    return Fleet.from_documents([("all", json.dumps(value))], revision=1, digest="d")
+
+
+def dispatcher(sidecar: Sidecar, **service: object) -> Dispatcher:
+    """Return a ready dispatcher on the fleet."""
+    view = View(VM, "hall", "region")
+    view.fleet = fleet(**service)
+    view.ready = True
+    return Dispatcher(view, 1, sidecar, PeerPool({}, ()), seed=1)
+
+
+def request(method: str = "POST", **fields: object) -> Request:
+    """Return a request."""
+    return Request("h", method, "/x", [], b"", "c", **fields)  # type: ignore[arg-type]
+
+
+OUTCOMES: st.SearchStrategy[Outcome] = st.sampled_from(
+    [
+        Answered(200, [], b"ok"),
+        Answered(500, [], b"bad"),
+        NotRun(Reason.QUEUE_FULL),
+        NotRun(Reason.REFUSED),
+        Unknown(Reason.TIMEOUT),
+        Unknown(Reason.STREAM_LOST),
+    ]
+)
+
+
+@given(st.lists(OUTCOMES, max_size=5), st.sampled_from(["GET", "POST"]))
+def test_not_run_is_only_told_when_no_attempt_may_have_run(
+    script: list[Outcome], method: str
+) -> None:
+    """Whatever the attempts end in, "not run" means that every one of them was not run."""
+    sidecar = FakeSidecar(list(script))
+    outcome = dispatcher(sidecar).dispatch(request(method)).outcome
+    made = (script + [NotRun(Reason.QUEUE_FULL)] * 9)[: len(sidecar.attempts)]
+    if isinstance(outcome, NotRun):
+        assert all(isinstance(one, NotRun) for one in made)
+
+
+@given(st.lists(OUTCOMES, max_size=5))
+def test_not_repeatable_is_retried_only_after_not_run(script: list[Outcome]) -> None:
+    """Every attempt before the last one was proved not run, and no target is tried twice."""
+    sidecar = FakeSidecar(list(script))
+    dispatcher(sidecar).dispatch(request("POST"))
+    made = (script + [NotRun(Reason.QUEUE_FULL)] * 9)[: len(sidecar.attempts)]
+    assert all(isinstance(one, NotRun) for one in made[:-1])
+    targets = [attempt.target for attempt in sidecar.attempts]
+    assert len(targets) == len(set(targets))
+
+
+def test_retries_are_marked_and_bounded_by_the_budget() -> None:
+    """A service that refuses everything gets at most half as many retries as first attempts."""
+    sidecar = FakeSidecar([])
+    one = dispatcher(sidecar)
+    for _ in range(100):
+        one.dispatch(request("GET"))
+    retries = sum(attempt.retry for attempt in sidecar.attempts)
+    assert 40 <= retries <= 51
+    assert len(sidecar.attempts) == 100 + retries
+
+
+def test_passed_deadline_is_answered_at_once_as_not_run() -> None:
+    """A request whose deadline has passed is not sent at all."""
+    sidecar = FakeSidecar([])
+    late = request("POST", deadline=time.monotonic() - 1.0)
+    outcome = dispatcher(sidecar).dispatch(late).outcome
+    assert outcome == NotRun(Reason.EXPIRED, 500)
+    assert sidecar.attempts == []
+
+
+def test_waiting_limit_refuses_at_once() -> None:
+    """Beyond the bulkhead of a service and class a request is refused as not run."""
+    one = dispatcher(FakeSidecar([]), waiting_limit=1)
+    assert one._enter(("s", "default"), 1)
+    outcome = one.dispatch(request("GET")).outcome
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason is Reason.WAITING_LIMIT
+
+
+def test_declared_repeat_runs_only_when_all_sidecars_vouch() -> None:
+    """A sidecar that cannot vouch leaves the repeat unknown, and nothing is sent."""
+    sidecar = FakeSidecar([Answered(200, [], b"ok")])
+    sidecar.verdict = Verdict.CANNOT_VOUCH
+    one = dispatcher(sidecar)
+    repeat = request("POST", key="k", repeat=True)
+    assert isinstance(one.dispatch(repeat).outcome, Unknown)
+    assert sidecar.attempts == []
+    sidecar.verdict = Verdict.NEVER_STARTS
+    assert isinstance(one.dispatch(repeat).outcome, Answered)
+
+
+def test_no_capacity_when_no_target_is_left() -> None:
+    """A service whose targets all leave answers not run with a time to come back."""
+    one = dispatcher(FakeSidecar([]))
+    value = {
+        "services": {"s": {"floor_slots": 0}},
+        "routes": {"r": {"path": "/", "service": "s"}},
+    }
+    one._view.fleet = Fleet.from_documents([("all", json.dumps(value))], revision=2)
+    outcome = one.dispatch(request("GET")).outcome
+    assert outcome == NotRun(Reason.NO_CAPACITY, 2000)
--- /dev/null
+++ b/tests/test_revision.py
@@ -0,0 +1,111 @@
+"""Revisions: whole, valid, newer only; patches between peers."""
+
+import hashlib
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpass.audit import AuditTrail, Kind
+from roadpass.configuration import Configuration, Offer, Store
+from roadpass.errors import DocumentError
+from roadpass.fleet import Fleet
+from roadpass.patch import apply_patch, make_patch, offer, receive
+from roadpass.revision import DocumentEntry, Held, Manifest
+
+
+def document(size: int = 3, mark: str = "") -> bytes:
+    """Return a valid document."""
+    services = {f"s{n}": {"floor_slots": 0} for n in range(size)}
+    return f"// {mark}\n{json.dumps({'services': services}, indent=1)}".encode()
+
+
+def manifest(revision: int, *contents: bytes) -> Manifest:
+    """Return the manifest of some contents."""
+    entries = (
+        DocumentEntry(f"d{n}", hashlib.sha256(c).hexdigest(), len(c))
+        for n, c in enumerate(contents)
+    )
+    return Manifest(revision, tuple(entries))
+
+
+BAD = b'{"services": 7}'
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 6), st.sampled_from(["x", "y", "bad"]), st.booleans()),
+        max_size=20,
+    )
+)
+def test_revision_in_force_never_goes_down(offers: list[tuple[int, str, bool]]) -> None:
+    """Whatever is offered, in any order, with documents missing or invalid."""
+    offers = [*offers, (7, "x", True)]
+    store, trail, seen = Store(), AuditTrail(), []
+    actor = Configuration(store, trail, lambda fleet: seen.append(fleet))
+    for revision, mark, complete in offers:
+        content = BAD if mark == "bad" else document(mark=mark)
+        before = store.held.version
+        documents = (content,) if complete else ()
+        actor.handle(Offer(manifest(revision, content), documents, "test"))
+        assert store.held.version >= before
+    assert [fleet.revision for fleet in seen] == sorted(fleet.revision for fleet in seen)
+    assert seen[-1].revision == 7
+
+
+@given(st.permutations(["x", "y", "z"]))
+def test_racing_contents_settle_on_one_whatever_the_order(order: list[str]) -> None:
+    """Two contents under one number: hash order decides, and the trail says so."""
+    store, trail = Store(), AuditTrail()
+    actor = Configuration(store, trail, lambda fleet: None)
+    contents = {mark: document(mark=mark) for mark in order}
+    for mark in order:
+        actor.handle(Offer(manifest(5, contents[mark]), (contents[mark],), "test"))
+    winner = max(manifest(5, content).version for content in contents.values())
+    assert store.held.version == winner
+    assert any(event.kind is Kind.REVISION_CONFLICT for event in trail.since())
+
+
+def test_wrong_hash_and_wrong_size_are_refused() -> None:
+    """A document that is not what the manifest says."""
+    content = document()
+    with pytest.raises(DocumentError, match="does not match its hash"):
+        Held.nothing().advance(manifest(1, content), [content + b" "])
+    entry = DocumentEntry("d", hashlib.sha256(content).hexdigest(), 7)
+    with pytest.raises(DocumentError, match="bytes, not 7"):
+        Held.nothing().advance(Manifest(1, (entry,)), [content])
+
+
+def test_peer_gets_a_patch_and_ends_with_the_same_content() -> None:
+    """A small change of a large document travels in few bytes."""
+    old, new = document(3000, "old"), document(3000, "new")
+    peer, _ = Held.nothing().advance(manifest(1, old), [old])
+    server, _ = peer.advance(manifest(2, new), [new])
+    have = {e.name: e.hash for e in peer.manifest.documents} if peer.manifest else {}
+    message = offer(server, have)
+    assert len(message["documents"][0]["data"]) < len(new) / 50
+    got, contents = receive(peer, message)
+    held, fleet = peer.advance(got, contents)
+    assert held.version == server.version
+    assert isinstance(fleet, Fleet)
+
+
+@given(st.binary(max_size=200), st.binary(max_size=200), st.integers(0, 300))
+def test_broken_patch_is_a_clear_error_or_the_content(old: bytes, new: bytes, at: int) -> None:
+    """A flipped byte never gives other content unnoticed by the hash check of `receive`."""
+    patch = bytearray(make_patch(old, new))
+    assert apply_patch(old, bytes(patch)) == new
+    patch[at % len(patch)] ^= 0x40
+    message = {
+        "t": "revision",
+        "manifest": manifest(1, new).to_value(),
+        "documents": [
+            {"hash": hashlib.sha256(new).hexdigest(), "form": "whole", "data": bytes(patch)}
+        ],
+    }
+    try:
+        _, contents = receive(Held.nothing(), message)
+    except DocumentError:
+        return
+    assert contents == [new]
