Add the roadpass tool: check, explain, plan, status, targets, audit, version

(2) A pending request is evidence again at each 1.5-fold of its age, also at the sidecar, and the ingress allows for the queue, since overload is not sickness. (3) The relay of the scenarios frees its addresses.

--- a/benchmarks/_driver.py
+++ b/benchmarks/_driver.py
@@ -366,39 +366,55 @@
         started = self.now
         going = self.behave(index, request.ingress)
         health = self._healths[request.ingress]
-        counted = [False]
-        done = [False]
+        looks = [0]
+        ended, replied = [False], [False]
         timed_out = going.hangs or started + going.duration_s > give_up
         end_at = give_up if timed_out else started + going.duration_s
-        pending_s = health.pending_ms(name) / 1000.0
         reply_at = give_up if going.reply_lost else end_at
 
         def look() -> None:
-            if not done[0]:
-                counted[0] = True
-                health.record_pending(name)
+            if replied[0]:
+                return
+            looks[0] += 1
+            health.record_pending(name)
+            if not ended[0]:
+                self._detectors[name].observe_pending()
+            look_again()
+
+        def look_again() -> None:
+            pending_s = health.pending_ms(name, looks=looks[0]) / 1000.0
+            if pending_s and started + pending_s < reply_at:
+                self.at(started + pending_s, look)
 
         def end() -> None:
-            self._end_at_target(name, request, going, timed_out, (self.now - started) * 1000.0)
+            ended[0] = True
+            self._end_at_target(
+                name, request, going, timed_out, (self.now - started) * 1000.0, looks[0] > 0
+            )
 
         def reply() -> None:
-            done[0] = True
+            replied[0] = True
             failed = timed_out or going.reply_lost
             service_ms = (self.now - started) * 1000.0
-            self._reply(name, request, going, failed, service_ms, counted[0])
+            self._reply(name, request, going, failed, service_ms, looks[0] > 0)
 
-        if pending_s and started + pending_s < reply_at:
-            self.at(started + pending_s, look)
+        look_again()
         self.at(end_at, end)
         self.at(reply_at, reply)
 
     def _end_at_target(
-        self, name: str, request: Request, going: Behaviour, timed_out: bool, service_ms: float
+        self,
+        name: str,
+        request: Request,
+        going: Behaviour,
+        timed_out: bool,
+        service_ms: float,
+        counted: bool,
     ) -> None:
         slow_ms = self._healths[request.ingress].slow_ms(name)
         admission, limit = self._admissions[name], self._limits[name]
         sample = Sample(timed_out or going.failed, service_ms)
-        self._detectors[name].observe(sample, slow_ms=slow_ms)
+        self._detectors[name].observe(sample, slow_ms=slow_ms, counted_slow=counted)
         self._learnt_at[name] = self.now
         limit.observe(self.now, service_ms, slow_ms, admission.in_use)
         admission.set_limit(limit.value, limit.service_ms)
--- /dev/null
+++ b/roadpass/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `roadpass` tool; the daemon never imports it."""
--- /dev/null
+++ b/roadpass/cli/application.py
@@ -0,0 +1,50 @@
+"""Entry point of the `roadpass` tool."""
+
+import sys
+
+from cleo.application import Application
+
+from roadpass import __version__
+from roadpass.cli._command import EXIT_HELP, EXIT_OK, BaseCommand
+from roadpass.cli.check import CheckCommand
+from roadpass.cli.explain import ExplainCommand
+from roadpass.cli.plan import PlanCommand
+from roadpass.cli.watch import AuditCommand, StatusCommand, TargetsCommand
+
+
+class VersionCommand(BaseCommand):
+    """Prints the version."""
+
+    name = "version"
+    description = "The version of the tool."
+    help = "One line." + EXIT_HELP
+
+    def run_command(self) -> int:
+        """Print it."""
+        self.line(__version__)
+        return EXIT_OK
+
+
+def application() -> Application:
+    """Return the tool with all its commands."""
+    made = Application("roadpass", __version__)
+    for command in (
+        CheckCommand(),
+        ExplainCommand(),
+        PlanCommand(),
+        StatusCommand(),
+        TargetsCommand(),
+        AuditCommand(),
+        VersionCommand(),
+    ):
+        made.add(command)
+    return made
+
+
+def main() -> int:
+    """Run the tool and return its exit code."""
+    return int(application().run())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/roadpass/cli/explain.py
@@ -0,0 +1,95 @@
+"""`roadpass explain`: which targets would a request get, and why not the others?"""
+
+from typing import Any, ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from roadpass.cli._command import (
+    EXIT_FINDING,
+    EXIT_HELP,
+    EXIT_OK,
+    JSON_OPTION,
+    BaseCommand,
+    load_fleet,
+    parse_instant,
+    read_node,
+)
+from roadpass.fleet import Fleet, Target
+from roadpass.route import Route
+
+
+class ExplainCommand(BaseCommand):
+    """Shows the route of a request and what the selectors make of each target."""
+
+    name = "explain"
+    description = "Which targets a request would get, now or at a time, and why not the others."
+    arguments: ClassVar[list[Argument]] = [
+        argument("method", "HTTP method."),
+        argument("path", "Path of the request."),
+        argument("documents", "Files, or a folder of documents.", multiple=True),
+    ]
+    options: ClassVar[list[Option]] = [
+        JSON_OPTION,
+        option("host", None, "Host of the request.", flag=False, default="localhost"),
+        option("at", None, "Instant in ISO 8601; now without it.", flag=False),
+        option("node", None, "Also show the states that this node knows.", flag=False),
+    ]
+    help = "Uses the very function that the daemon routes by." + EXIT_HELP
+
+    def run_command(self) -> int:
+        """Explain."""
+        fleet = load_fleet(self.argument("documents"))
+        path, method = self.argument("path"), self.argument("method").upper()
+        route = fleet.find_route(self.option("host"), path, method)
+        if route is None:
+            self.line(f"no route takes {method} {path}")
+            return EXIT_FINDING
+        instant = parse_instant(self.option("at")).timestamp()
+        groups = fleet.groups(route, instant)
+        states = self._states()
+        rows = [
+            _row(fleet, route, target, groups, states) for target in fleet.targets_of(route.service)
+        ]
+        if not self.wants_json:
+            service = fleet.services[route.service]
+            self.line(f"route {route.name}, service {service.name}, {service.class_of(route)}")
+        value = {"route": route.name, "service": route.service, "targets": rows}
+        heads = ["target", "use", "why", "state"]
+        self.show(value, heads, [[row[head] for head in heads] for row in rows])
+        return EXIT_OK if groups else EXIT_FINDING
+
+    def _states(self) -> dict[str, str]:
+        node = self.option("node")
+        if not node:
+            return {}
+        return {
+            row["target"]: f"{row['state']} {row['reason']}".strip()
+            for row in read_node(node, "/targets")
+        }
+
+
+def _row(
+    fleet: Fleet,
+    route: Route,
+    target: Target,
+    groups: tuple[tuple[str, ...], ...],
+    states: dict[str, str],
+) -> dict[str, Any]:
+    place = next((n for n, group in enumerate(groups) if target.name in group), None)
+    speaking = [s.name for s in fleet.selectors if s.applies(route.service, route.labels)]
+    if target.leaving:
+        use, why = "no", "it is leaving"
+    elif place is None:
+        use, why = "no", f"no selector in force takes its labels (of: {', '.join(speaking)})"
+    elif not speaking:
+        use, why = "first", "no selector speaks of this route"
+    else:
+        use, why = ("first" if place == 0 else f"spill {place}"), "a selector in force takes it"
+    return {
+        "target": target.name,
+        "use": use,
+        "why": why,
+        "state": states.get(target.name, ""),
+    }
--- /dev/null
+++ b/roadpass/cli/plan.py
@@ -0,0 +1,93 @@
+"""`roadpass plan`: what changes between two sets of documents?"""
+
+from collections.abc import Mapping
+from typing import Any, ClassVar, NamedTuple
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from roadpass.cli._command import (
+    EXIT_HELP,
+    EXIT_OK,
+    JSON_OPTION,
+    BaseCommand,
+    load_fleet,
+    parse_instant,
+)
+from roadpass.fleet import Fleet
+
+
+class Difference(NamedTuple):
+    """One difference; `what` names a part of the documents, or a route's targets."""
+
+    what: str
+    name: str
+    before: str
+    after: str
+
+
+def differences(old: Fleet, new: Fleet, instant: float) -> list[Difference]:
+    """Compare two fleets part by part, and the targets that each route gets at an instant."""
+    found: list[Difference] = []
+    for what in ("services", "targets", "routes"):
+        found += _compare(what, getattr(old, what), getattr(new, what))
+    one = {rule.name: rule for rule in old.selectors}
+    other = {rule.name: rule for rule in new.selectors}
+    found += _compare("selectors", one, other)
+    for name in sorted({*old.routes, *new.routes}):
+        before, after = _targets(old, name, instant), _targets(new, name, instant)
+        if before != after:
+            found.append(Difference("route gets", name, before, after))
+    return found
+
+
+def _compare(what: str, old: Mapping[str, Any], new: Mapping[str, Any]) -> list[Difference]:
+    found = []
+    for name in sorted({*old, *new}):
+        one, other = old.get(name), new.get(name)
+        if one is None or other is None:
+            before = "there" if one is not None else "-"
+            found.append(Difference(what, name, before, "there" if other is not None else "-"))
+        elif one != other:
+            found += [
+                Difference(what, f"{name}.{field}", str(before), str(after))
+                for field, before, after in zip(one._fields, one, other, strict=True)
+                if before != after
+            ]
+    return found
+
+
+def _targets(fleet: Fleet, route_name: str, instant: float) -> str:
+    route = fleet.routes.get(route_name)
+    if route is None:
+        return "-"
+    return " | ".join(",".join(group) for group in fleet.groups(route, instant)) or "none"
+
+
+class PlanCommand(BaseCommand):
+    """Shows what a change of documents would change, routes included."""
+
+    name = "plan"
+    description = "What changes between two sets of documents."
+    arguments: ClassVar[list[Argument]] = [
+        argument("old", "File or folder in force."),
+        argument("new", "File or folder to publish."),
+    ]
+    options: ClassVar[list[Option]] = [
+        JSON_OPTION,
+        option("at", None, "Instant in ISO 8601; now without it.", flag=False),
+    ]
+    help = "Both sets must be valid." + EXIT_HELP
+
+    def run_command(self) -> int:
+        """Compare."""
+        old = load_fleet([self.argument("old")])
+        new = load_fleet([self.argument("new")])
+        found = differences(old, new, parse_instant(self.option("at")).timestamp())
+        if not found and not self.wants_json:
+            self.line("nothing changes")
+            return EXIT_OK
+        value = [difference._asdict() for difference in found]
+        self.show(value, list(Difference._fields), [list(row) for row in found])
+        return EXIT_OK
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -77,12 +77,12 @@
 
 @dataclass(slots=True)
 class Pending:
-    """An attempt under way, watched by the health actor for being slow."""
+    """An attempt under way; `looks` counts how often it was found to be pending too long."""
 
     service: str
     target: str
     since: float
-    counted_slow: bool = False
+    looks: int = 0
 
 
 @dataclass(slots=True)
@@ -382,7 +382,7 @@
                 sample,
                 scores,
                 latency_ms,
-                pending.counted_slow,
+                pending.looks > 0,
             )
         )
 
--- a/roadpass/health.py
+++ b/roadpass/health.py
@@ -13,6 +13,8 @@
 SLOW_MIN_MS = 5.0
 PENDING_FACTOR = 4.0
 """A request pending this many times longer than slow ones take is evidence of its own."""
+PENDING_GROWTH = 1.5
+"""Pending on for so many times longer is evidence again."""
 OWN_FACTOR = 3.0
 """Where no other target's latency is known, so many times the own 95th percentile is slow."""
 LATENCY_KEPT_S = 60.0
@@ -44,6 +46,11 @@
     reported_at: float = float("-inf")
 
 
+def pending_limit_ms(slow_ms: float, looks: int) -> float:
+    """Return the age at which a pending attempt is evidence for the next time."""
+    return PENDING_FACTOR * slow_ms * PENDING_GROWTH**looks
+
+
 class ServiceHealth:
     """Joins the evidence of this ingress with the sidecars' word, and ejects by it.
 
@@ -122,12 +129,18 @@
         health = self._targets.get(target)
         return health.slow_ms if health else 0.0
 
-    def pending_ms(self, target: str) -> float:
-        """Return the age at which a pending attempt is evidence, 0 if not known yet."""
+    def pending_ms(self, target: str, *, looks: int = 0) -> float:
+        """Return the age at which a pending attempt is evidence, 0 if not known yet.
+
+        Args:
+            target: Its name.
+            looks: How often the attempt was evidence before.
+        """
         health = self._targets.get(target)
         if health is None:
             return 0.0
-        return PENDING_FACTOR * (health.slow_ms or OWN_FACTOR * health.detector.latency_ms)
+        slow_ms = health.slow_ms or OWN_FACTOR * health.detector.latency_ms
+        return pending_limit_ms(slow_ms, looks)
 
     def state(self, target: str) -> State | None:
         """Return a target's state."""
--- a/roadpass/limit.py
+++ b/roadpass/limit.py
@@ -4,6 +4,8 @@
 SMOOTHING = 0.1
 FULL_SHARE = 0.8
 MIN_LIMIT = 1.0
+SUSTAINED_S = 3.0
+"""Slowness shorter than this cuts nothing: what counts as slow follows the others with a lag."""
 
 
 class AdaptiveLimit:
@@ -18,6 +20,7 @@
         self._limit = float(slots)
         self._service_ms = 0.0
         self._next_decrease = 0.0
+        self._slow_since: float | None = None
 
     @property
     def value(self) -> int:
@@ -49,11 +52,15 @@
         self._service_ms += SMOOTHING * (service_ms - self._service_ms)
         if slow_ms > 0.0 and self._service_ms > slow_ms:
             self._decrease(now)
-        elif in_use >= self._limit * FULL_SHARE:
+            return
+        self._slow_since = None
+        if in_use >= self._limit * FULL_SHARE:
             self._limit = min(float(self._slots), self._limit + 1.0 / self._limit)
 
     def _decrease(self, now: float) -> None:
-        if now < self._next_decrease:
+        if self._slow_since is None:
+            self._slow_since = now
+        if now - self._slow_since < SUSTAINED_S or now < self._next_decrease:
             return
         self._limit = max(MIN_LIMIT, self._limit * DECREASE)
         self._next_decrease = now + self._service_ms / 1000.0
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -2,12 +2,14 @@
 
 import threading
 import time
+from dataclasses import dataclass
 
 from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
 from roadpass.detect import Detector, Sample, Scores, threshold
 from roadpass.errors import TargetError, TargetRefusedError
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
+from roadpass.health import pending_limit_ms
 from roadpass.limit import AdaptiveLimit
 from roadpass.message import Attempt, LoadReport
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
@@ -22,6 +24,15 @@
 EVIDENCE_KEPT_S = 2.0
 
 
+@dataclass(slots=True)
+class _Running:
+    """A request that the target has; `looks` counts how often it was found to take too long."""
+
+    started: float
+    slow_ms: float
+    looks: int = 0
+
+
 class LocalTarget:
     """Admission, at-most-once start, limit and health of one target.
 
@@ -46,6 +57,7 @@
         )
         self._detector = Detector(threshold(service.false_ejections_per_target_week))
         self._queued: dict[str, Ticket] = {}
+        self._running: dict[str, _Running] = {}
         self._lock = threading.Lock()
         self._learnt_at = time.monotonic()
         self.leaving = target.leaving
@@ -122,6 +134,15 @@
         """Close idle connections; running requests go on."""
         self._client.close()
 
+    def scan_running(self, now: float) -> None:
+        """Count requests that the target has had for far too long as evidence against it."""
+        for running in self._running.copy().values():
+            limit_ms = pending_limit_ms(running.slow_ms, running.looks)
+            if limit_ms and (now - running.started) * 1000.0 > limit_ms:
+                running.looks += 1
+                with self._lock:
+                    self._detector.observe_pending()
+
     def forget_old_evidence(self, now: float) -> None:
         """Drop evidence once no work has come for a while: who returns is judged anew."""
         with self._lock:
@@ -182,6 +203,7 @@
 
     def _exchange(self, attempt: Attempt, deadline: float) -> Outcome:
         started = time.monotonic()
+        running = self._running[attempt.id] = _Running(started, attempt.slow_ms)
         outcome: Outcome
         try:
             outcome = self._client.send(
@@ -199,8 +221,10 @@
             outcome = Unknown(Reason.TIMEOUT)
         except TargetError:
             outcome = Unknown(Reason.TARGET_LOST)
+        finally:
+            del self._running[attempt.id]
         outcome = self._as_shed(outcome)
-        self._learn(attempt, outcome, (time.monotonic() - started) * 1000.0)
+        self._learn(attempt, outcome, running)
         return outcome
 
     def _as_shed(self, outcome: Outcome) -> Outcome:
@@ -210,7 +234,8 @@
             case _:
                 return outcome
 
-    def _learn(self, attempt: Attempt, outcome: Outcome, service_ms: float) -> None:
+    def _learn(self, attempt: Attempt, outcome: Outcome, running: "_Running") -> None:
+        service_ms = (time.monotonic() - running.started) * 1000.0
         match outcome:
             case Answered(status=status):
                 failed = status >= SERVER_ERROR
@@ -220,7 +245,11 @@
                 failed = True
         with self._lock:
             self._learnt_at = time.monotonic()
-            self._detector.observe(Sample(failed, service_ms), slow_ms=attempt.slow_ms)
+            self._detector.observe(
+                Sample(failed, service_ms),
+                slow_ms=attempt.slow_ms,
+                counted_slow=running.looks > 0,
+            )
             self._limit.observe(
                 time.monotonic(), service_ms, attempt.slow_ms, self._admission.in_use
             )
--- a/roadpass/member.py
+++ b/roadpass/member.py
@@ -14,7 +14,7 @@
 SUSPICION_S = 3.0
 """Base of the time a suspect has to refute, times the logarithm of the group's size."""
 DEAD_KEPT_S = 600.0
-REJOIN_S = 5.0
+REJOIN_S = 2.0
 """How often one dead member is probed, so that split parts find each other again."""
 TRANSMIT_FACTOR = 3
 MAX_RUMORS = 10
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -144,6 +144,8 @@
     def _on_tick(self, now: float) -> None:
         self._drain(now)
         self._scan_pending(now)
+        for local in self._sidecar.targets.values():
+            local.scan_running(now)
         for name, active in list(self._services.items()):
             age_s = now - active.stepped_at
             if age_s >= REFRESH_S or (active.dirty and age_s >= STEP_S):
@@ -181,11 +183,13 @@
     def _scan_pending(self, now: float) -> None:
         for pending in self._dispatcher.pending.copy().values():
             active = self._services.get(pending.service)
-            if active is None or pending.counted_slow:
+            if active is None:
                 continue
-            limit_ms = active.health.pending_ms(pending.target)
-            if limit_ms and (now - pending.since) * 1000.0 > limit_ms:
-                pending.counted_slow = True
+            limit_ms = active.health.pending_ms(pending.target, looks=pending.looks)
+            load = self._dispatcher.loads.load(pending.target, now)
+            queue_ms = load.utilization * load.latency_ms
+            if limit_ms and (now - pending.since) * 1000.0 > limit_ms + queue_ms:
+                pending.looks += 1
                 active.health.record_pending(pending.target)
                 active.dirty = True
 
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -27,6 +27,7 @@
         self._advertise_net = advertise_net
         self._count = count
         self._cuts: set[tuple[str, str]] = set()
+        self._listening: list[asyncio.Server | asyncio.BaseTransport] = []
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
 
@@ -36,7 +37,8 @@
         asyncio.run_coroutine_threadsafe(self._listen(), self._loop).result(10.0)
 
     def stop(self) -> None:
-        """Stop to forward."""
+        """Stop to forward and free the addresses."""
+        asyncio.run_coroutine_threadsafe(self._close(), self._loop).result(10.0)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(10.0)
 
@@ -56,11 +58,18 @@
         for number in range(1, self._count + 1):
             real = f"127.0.{self._net}.{number}"
             shown = f"127.0.{self._advertise_net}.{number}"
-            await asyncio.start_server(partial(self._stream, real), shown, PORTS["stream"])
-            await self._loop.create_datagram_endpoint(
+            server = await asyncio.start_server(partial(self._stream, real), shown, PORTS["stream"])
+            transport, _ = await self._loop.create_datagram_endpoint(
                 partial(_Datagrams, self, real), local_addr=(shown, PORTS["gossip"])
             )
 
+            self._listening += [server, transport]
+
+    async def _close(self) -> None:
+        for listening in self._listening:
+            listening.close()
+        self._listening.clear()
+
     async def _stream(
         self, real: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -34,7 +34,7 @@
 from tests.relay import Relay
 
 RELAY_OFFSET = 100
-SETTLE_S = 15.0
+SETTLE_S = 45.0
 KEY = "a key for tests only"
 CALLER_THREADS = 8
 
