--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,189 @@
+"""What control costs a node: processor, memory, bytes; idle, with changes, with full tables."""
+
+import argparse
+import importlib
+import json
+import os
+import subprocess
+import sys
+import time
+from typing import Any, NamedTuple
+
+from benchmarks._process import Usage
+from benchmarks._synthetic import documents
+from benchmarks.configuration import NET, NodesOnly
+from roadpass.admission import Admission
+from roadpass.fleet import Fleet, Service, Target, TrafficClass
+from roadpass.route import Route
+from stand_ins.launcher import Launcher
+
+SIZES = (10, 20, 40)
+IDLE_S = 20.0
+CHANGE_S = 2.0
+CHANGES = 8
+SERVICES, TARGETS, ROUTES = 4_000, 130_000, 37_000
+CUSTOMERS_A_NODE = 1_400_000 // 4_200
+
+
+class Size(NamedTuple):
+    """Figures of one node at a size of fleet: the mean over all, and the largest memory."""
+
+    idle_percent: float
+    change_percent: float
+    rss_mb: float
+    idle_bytes_per_s: float
+    change_bytes_per_s: float
+
+
+class Reading(NamedTuple):
+    """Sums over all nodes."""
+
+    at: float
+    cpu_s: float
+    rss_mb: float
+    bytes: float
+
+
+def read(fleet: Launcher) -> Reading:
+    """Read processes and counters of all nodes; asking costs them a little, which is counted."""
+    usages = [Usage.from_pid(fleet.processes[vm].pid) for vm in fleet.vms]
+    total = 0.0
+    for vm in fleet.vms:
+        counters = fleet.admin(vm, "/metrics.json")["counters"]
+        names = ("gossip_sent_bytes", "gossip_received_bytes", "pull_bytes")
+        total += sum(counters.get(name, 0) for name in names)
+    return Reading(
+        time.monotonic(),
+        sum(usage.cpu_s for usage in usages),
+        max(usage.rss_mb for usage in usages),
+        total,
+    )
+
+
+def measure(nodes: int) -> Size:
+    """Run a fleet idle, then with a change every two seconds."""
+    with NodesOnly(documents(NET, nodes), net=NET) as fleet:
+        time.sleep(5.0)
+        begin = read(fleet)
+        time.sleep(IDLE_S)
+        idle = read(fleet)
+        for number in range(CHANGES):
+            fleet.publish(documents(NET, nodes, mark=f"m{number}"))
+            time.sleep(CHANGE_S)
+        changed = read(fleet)
+    return Size(
+        idle_percent=_percent(begin, idle, nodes),
+        change_percent=_percent(idle, changed, nodes),
+        rss_mb=round(changed.rss_mb, 1),
+        idle_bytes_per_s=_rate(begin, idle, nodes),
+        change_bytes_per_s=_rate(idle, changed, nodes),
+    )
+
+
+def _percent(begin: Reading, end: Reading, nodes: int) -> float:
+    return round(100.0 * (end.cpu_s - begin.cpu_s) / (end.at - begin.at) / nodes, 2)
+
+
+def _rate(begin: Reading, end: Reading, nodes: int) -> float:
+    return round((end.bytes - begin.bytes) / (end.at - begin.at) / nodes, 1)
+
+
+def table_bytes() -> dict[str, float]:
+    """Measure what one target, route and waiting customer take, in a process of its own each."""
+    found = {}
+    for kind in ("nothing", "imports", "services", "targets", "routes", "customers"):
+        command = [sys.executable, "-m", "benchmarks.control", "--table", kind]
+        output = subprocess.run(command, check=True, capture_output=True, text=True).stdout
+        found[kind] = json.loads(output)["rss_mb"]
+    base = found["imports"]
+    mb = 1024.0 * 1024.0
+    return {
+        "interpreter_mb": found["nothing"],
+        "imports_mb": base,
+        "bytes_per_service": round((found["services"] - base) * mb / SERVICES),
+        "bytes_per_target": round((found["targets"] - found["services"]) * mb / TARGETS),
+        "bytes_per_route": round((found["routes"] - found["services"]) * mb / ROUTES),
+        "bytes_per_customer": round((found["customers"] - base) * mb / CUSTOMERS_A_NODE),
+    }
+
+
+def build_table(kind: str) -> float:
+    """Build one table and return this process's resident memory in MB."""
+    kept: list[Any] = []
+    if kind != "nothing":
+        importlib.import_module("roadpass.daemon")
+    if kind in ("services", "targets", "routes"):
+        kept.append(_fleet(kind))
+    if kind == "customers":
+        kept.append(_customers())
+    return Usage.from_pid(os.getpid()).rss_mb
+
+
+def _fleet(kind: str) -> Fleet:
+    services = {
+        f"service-{n}": Service.from_config(f"service-{n}", {"floor_slots": 1})
+        for n in range(SERVICES)
+    }
+    targets: dict[str, Target] = {}
+    routes: dict[str, Route] = {}
+    if kind == "targets":
+        for n in range(TARGETS):
+            value = {
+                "service": f"service-{n % SERVICES}",
+                "vm": f"vm-{n % 4200}",
+                "address": f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:9000",
+                "slots": 10,
+                "hall": "hall-a",
+                "labels": {"tier": "main"},
+            }
+            targets[f"target-{n}"] = Target.from_config(f"target-{n}", value)
+    if kind == "routes":
+        for n in range(ROUTES):
+            value = {"path": f"/service-{n % SERVICES}/{n}", "service": f"service-{n % SERVICES}"}
+            routes[f"route-{n}"] = Route.from_config(f"route-{n}", value)
+    return Fleet(services, targets, routes, ())
+
+
+def _customers() -> Admission:
+    admission = Admission((TrafficClass("c", 0.0),), slots=1, queue_limit=10**6)
+    for n in range(CUSTOMERS_A_NODE):
+        admission.offer(0.0, "c", f"customer-{n}", 60.0, retry=False)
+    return admission
+
+
+def main() -> None:
+    """Print the tables and the JSON line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=list(SIZES))
+    parser.add_argument("--table", help="only build this table and print the memory")
+    options = parser.parse_args()
+    if options.table:
+        print(json.dumps({"rss_mb": build_table(options.table)}))
+        return
+    sizes: dict[str, Size] = {}
+    heads = ("nodes", "idle %", "change %", "rss MB", "idle B/s", "change B/s")
+    print("{:>6} {:>7} {:>9} {:>7} {:>9} {:>11}".format(*heads))
+    for nodes in options.sizes:
+        size = sizes[str(nodes)] = measure(nodes)
+        print(
+            f"{nodes:>6} {size.idle_percent:>7.2f} {size.change_percent:>9.2f} "
+            f"{size.rss_mb:>7.1f} {size.idle_bytes_per_s:>9.1f} {size.change_bytes_per_s:>11.1f}"
+        )
+    tables = table_bytes()
+    print(f"tables: {tables}")
+    print(
+        json.dumps(
+            {
+                "core_percent": {n: [s.idle_percent, s.change_percent] for n, s in sizes.items()},
+                "rss_mb": {n: s.rss_mb for n, s in sizes.items()},
+                "bytes_per_s": {
+                    n: [s.idle_bytes_per_s, s.change_bytes_per_s] for n, s in sizes.items()
+                },
+                **tables,
+            }
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/roadpass/patch.py
+++ b/roadpass/patch.py
@@ -16,7 +16,7 @@
     """Compress content with the base as dictionary: what did not change costs next to nothing."""
     dictionary = zstandard.ZstdCompressionDict(base, dict_type=zstandard.DICT_TYPE_RAWCONTENT)
     parameters = zstandard.ZstdCompressionParameters.from_level(
-        3, source_size=len(content), dict_size=len(base), enable_ldm=True, window_log=21
+        3, source_size=len(content), dict_size=len(base), window_log=21
     )
     compressor = zstandard.ZstdCompressor(dict_data=dictionary, compression_params=parameters)
     return compressor.compress(content)
