Detect a hanging target as fast as the naive rule: overdue means full, alarms step at once, hints spread

Excluded: the threshold itself (six pending requests pass it at their second look), the floor. Change: (1) a target with an overdue attempt counts as full until the attempt ends; (2) evidence that reaches the threshold is judged at once, not at the next step; (3) a sidecar that sees its target past the threshold says so by gossip at once, and who hears it passes it on.

--- a/benchmarks/_driver.py
+++ b/benchmarks/_driver.py
@@ -20,6 +20,7 @@
 from roadpass.eject import State
 from roadpass.fleet import Service, TrafficClass
 from roadpass.health import Presence, ServiceHealth
+from roadpass.hint import SICK_SCORE
 from roadpass.limit import AdaptiveLimit
 from roadpass.load import LoadTable
 from roadpass.message import LoadReport
@@ -27,6 +28,8 @@
 from tests.naive import NaiveEjector
 
 STEP_S = 0.1
+GOSSIP_S = 0.3
+"""A sidecar's word on a sick target takes so long to the ingresses by gossip."""
 FORGET_S = 2.0
 SHARE = 0.05
 """A target counts as detected once a second passes with less than this of its fair share."""
@@ -267,7 +270,7 @@
         self._healths = [ServiceHealth(service) for _ in range(self.ingresses)]
         self._loads = [LoadTable() for _ in range(self.ingresses)]
         self._budgets = [RetryBudget(service.retry_ratio) for _ in range(self.ingresses)]
-        self._pickers: list[Picker] = []
+        self._pickers = [Picker([])] * self.ingresses
         self._admissions = {
             name: Admission(spec.classes, slots=spec.slots, queue_limit=service.queue_limit)
             for name in self.names
@@ -275,23 +278,30 @@
         self._limits = {name: AdaptiveLimit(spec.slots) for name in self.names}
         self._detectors = {name: Detector(threshold(spec.dial)) for name in self.names}
         self._learnt_at = dict.fromkeys(self.names, 0.0)
+        self._said_at = dict.fromkeys(self.names, float("-inf"))
         self._waiting: dict[Ticket, tuple[str, Request, float]] = {}
         self._present = {name: Presence(spec.slots) for name in self.names}
         self.step()
 
     def step(self) -> None:
         """Judge at every ingress and publish pickers."""
-        self._pickers = []
-        for ingress, health in enumerate(self._healths):
-            step = health.step(self.now, self._present)
-            for change in step.changes:
-                if change.new is State.EJECTED:
-                    self.note_ejection(change.target)
-            self._pickers.append(self._picker(ingress, health))
+        for ingress in range(self.ingresses):
+            self._step_ingress(ingress)
         for name, detector in self._detectors.items():
             if self.now - self._learnt_at[name] > FORGET_S and detector.samples:
                 detector.reset()
 
+    def _step_if_alarmed(self, ingress: int) -> None:
+        if self._healths[ingress].alarmed:
+            self._step_ingress(ingress)
+
+    def _step_ingress(self, ingress: int) -> None:
+        health = self._healths[ingress]
+        for change in health.step(self.now, self._present).changes:
+            if change.new is State.EJECTED:
+                self.note_ejection(change.target)
+        self._pickers[ingress] = self._picker(ingress, health)
+
     def _picker(self, ingress: int, health: ServiceHealth) -> Picker:
         candidates = []
         serving = 0
@@ -375,10 +385,14 @@
         def look() -> None:
             if replied[0]:
                 return
+            if looks[0] == 0:
+                self._loads[request.ingress].mark_overdue(name)
             looks[0] += 1
             health.record_pending(name)
+            self._step_if_alarmed(request.ingress)
             if not ended[0]:
                 self._detectors[name].observe_pending()
+                self._gossip(name)
             look_again()
 
         def look_again() -> None:
@@ -416,6 +430,7 @@
         sample = Sample(timed_out or going.failed, service_ms)
         self._detectors[name].observe(sample, slow_ms=slow_ms, counted_slow=counted)
         self._learnt_at[name] = self.now
+        self._gossip(name)
         limit.observe(self.now, service_ms, slow_ms, admission.in_use)
         admission.set_limit(limit.value, limit.service_ms)
         self._grant(admission.release(self.now, request.traffic_class))
@@ -436,8 +451,9 @@
     ) -> None:
         health, loads = self._healths[request.ingress], self._loads[request.ingress]
         failed = lost or going.failed
-        loads.end(name, None if lost else service_ms)
+        loads.end(name, None if lost else service_ms, overdue=counted)
         health.record(name, Sample(failed, service_ms), counted_slow=counted)
+        self._step_if_alarmed(request.ingress)
         if not lost:
             self._report(name, request.ingress)
         if not failed:
@@ -445,6 +461,20 @@
         elif request.repeatable:
             self._retry(request)
 
+    def _gossip(self, name: str) -> None:
+        """Spread the sidecar's word on its target, at most every other second."""
+        scores = self._detectors[name].scores
+        if scores.worst < SICK_SCORE or self.now - self._said_at[name] < FORGET_S:
+            return
+        self._said_at[name] = self.now
+
+        def hear() -> None:
+            for ingress, health in enumerate(self._healths):
+                health.hint(self.now, name, scores)
+                self._step_if_alarmed(ingress)
+
+        self.at(self.now + GOSSIP_S, hear)
+
     def _report(self, name: str, ingress: int) -> None:
         admission, scores = self._admissions[name], self._detectors[name].scores
         limit = self._limits[name].value
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -238,7 +238,7 @@
                     pass
         finally:
             del self.pending[attempt_id]
-            self._loads.end(target.name, latency_ms)
+            self._loads.end(target.name, latency_ms, overdue=pending.looks > 0)
         self._learn(trip, target, reply, pending, started)
         return reply.outcome
 
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -178,7 +178,8 @@
                 self._announcements = ANNOUNCE_REPEATS
                 self._announce()
             case Say(target=target, scores=scores):
-                self._hints.say(time.monotonic(), target, scores)
+                if self._hints.say(time.monotonic(), target, scores):
+                    self._announce()
             case _:
                 _log.error("unknown message %r", message)
         self._publish()
@@ -225,6 +226,7 @@
             hint = self._hints.hear(now, row)
             if hint is not None:
                 self._events.on_hint(hint.target, hint.scores)
+                self._announcements = max(self._announcements, 1)
         self._compare_version(message)
         for answer in answers:
             self._send(answer)
--- a/roadpass/health.py
+++ b/roadpass/health.py
@@ -66,6 +66,12 @@
         self._h = threshold(service.false_ejections_per_target_week)
         self._ejector = Ejector(floor_slots=service.floor_slots, slow_start_s=service.slow_start_s)
         self._targets: dict[str, _TargetHealth] = {}
+        self._alarmed = False
+
+    @property
+    def alarmed(self) -> bool:
+        """Whether evidence has reached the threshold since the last step."""
+        return self._alarmed
 
     @property
     def names(self) -> list[str]:
@@ -97,6 +103,7 @@
             base_failure=health.others_failure,
             counted_slow=counted_slow,
         )
+        self._alarm(health)
 
     def record_pending(self, target: str) -> None:
         """Take in that an attempt has been pending far too long; once for each attempt."""
@@ -105,6 +112,7 @@
             return
         health.bad = True
         health.detector.observe_pending()
+        self._alarm(health)
 
     def hint(self, now: float, target: str, scores: Scores, *, latency_ms: float = 0.0) -> None:
         """Take in a sidecar's word on its target.
@@ -120,6 +128,8 @@
             return
         health.hint = scores
         health.hint_at = now
+        if scores.worst >= 1.0:
+            self._alarmed = True
         if latency_ms > 0.0:
             health.reported_ms = latency_ms
             health.reported_at = now
@@ -165,6 +175,7 @@
             now: Seconds.
             present: Every target of the service.
         """
+        self._alarmed = False
         for name in [name for name in self._targets if name not in present]:
             del self._targets[name]
         for name in present:
@@ -180,6 +191,10 @@
             self._targets[name].bad = False
         return step
 
+    def _alarm(self, health: _TargetHealth) -> None:
+        if health.detector.scores.worst >= 1.0:
+            self._alarmed = True
+
     def _fact(self, name: str, presence: Presence, scores: Mapping[str, Scores]) -> Fact:
         health = self._targets[name]
         own = scores[name]
--- a/roadpass/hint.py
+++ b/roadpass/hint.py
@@ -5,8 +5,8 @@
 
 from roadpass.detect import Scores
 
-SICK_SCORE = 0.8
-"""Only targets with at least this share of evidence are spoken of."""
+SICK_SCORE = 1.0
+"""Only targets with evidence that asks for ejection are spoken of."""
 KEPT_S = 5.0
 MAX_HINTS = 4
 TRANSMISSIONS = 8
@@ -32,13 +32,19 @@
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
 
-    def say(self, now: float, target: str, scores: Scores) -> None:
-        """Add a word on a target of this VM, if it is bad enough and news."""
+    def say(self, now: float, target: str, scores: Scores) -> bool:
+        """Add a word on a target of this VM, if it is bad enough and news.
+
+        Returns:
+            Whether it was.
+        """
         known = self._entries.get(target)
         if scores.worst < SICK_SCORE:
-            return
-        if known is None or now - known.hint.at > KEPT_S / 2:
-            self._entries[target] = _Entry(Hint(target, scores, now))
+            return False
+        if known is not None and now - known.hint.at <= KEPT_S / 2:
+            return False
+        self._entries[target] = _Entry(Hint(target, scores, now))
+        return True
 
     def hear(self, now: float, row: Any) -> Hint | None:
         """Take in a checked hint of a datagram.
--- a/roadpass/load.py
+++ b/roadpass/load.py
@@ -12,11 +12,13 @@
 AVOID_S = 2.0
 AVOIDED = Load(1e6, 1e6)
 DEFAULT_LIMIT = 10
+FULL = 1.0
 
 
 @dataclass(slots=True)
 class _Entry:
     own: int = 0
+    overdue: int = 0
     latency_ms: float = 0.0
     others: int = 0
     limit: int = DEFAULT_LIMIT
@@ -44,18 +46,33 @@
         if now < entry.avoid_until:
             return AVOIDED
         fresh = max(0.0, 1.0 - (now - entry.reported_at) / REPORT_S)
-        return Load((entry.own + entry.others * fresh) / entry.limit, entry.latency_ms)
+        utilization = (entry.own + entry.others * fresh) / entry.limit
+        if entry.overdue:
+            utilization = FULL + max(utilization, float(entry.overdue))
+        return Load(utilization, entry.latency_ms)
 
     def begin(self, target: str) -> None:
         """Count an attempt that starts."""
         with self._lock:
             self._entries.setdefault(target, _Entry()).own += 1
 
-    def end(self, target: str, latency_ms: float | None) -> None:
-        """Count an attempt that ended; its latency if it had an answer."""
+    def mark_overdue(self, target: str) -> None:
+        """Count an attempt that is pending far too long: until it ends the target is full."""
+        with self._lock:
+            self._entries[target].overdue += 1
+
+    def end(self, target: str, latency_ms: float | None, *, overdue: bool = False) -> None:
+        """Count an attempt that ended.
+
+        Args:
+            target: Where it was sent.
+            latency_ms: Its service time, if it had an answer.
+            overdue: Whether it was marked so.
+        """
         with self._lock:
             entry = self._entries[target]
             entry.own -= 1
+            entry.overdue -= overdue
             if latency_ms is None:
                 return
             if entry.latency_ms == 0.0:
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -144,11 +144,14 @@
     def _on_tick(self, now: float) -> None:
         self._drain(now)
         self._scan_pending(now)
-        for local in self._sidecar.targets.values():
+        for name, local in self._sidecar.targets.items():
             local.scan_running(now)
+            if local.scores.worst >= SICK_SCORE:
+                self._say(name, local.scores)
         for name, active in list(self._services.items()):
             age_s = now - active.stepped_at
-            if age_s >= REFRESH_S or (active.dirty and age_s >= STEP_S):
+            due = age_s >= REFRESH_S or (active.dirty and age_s >= STEP_S)
+            if due or active.health.alarmed:
                 self._step(now, name, active)
         if now >= self._next_housekeeping:
             self._next_housekeeping = now + HOUSEKEEPING_S
@@ -189,6 +192,8 @@
             load = self._dispatcher.loads.load(pending.target, now)
             queue_ms = load.utilization * load.latency_ms
             if limit_ms and (now - pending.since) * 1000.0 > limit_ms + queue_ms:
+                if pending.looks == 0:
+                    self._dispatcher.loads.mark_overdue(pending.target)
                 pending.looks += 1
                 active.health.record_pending(pending.target)
                 active.dirty = True
@@ -257,8 +262,6 @@
         for name in [n for n, a in self._services.items() if now - a.used_at > ACTIVE_S]:
             del self._services[name]
             self._view.services.pop(name, None)
-        for target, local in self._sidecar.targets.items():
+        for local in self._sidecar.targets.values():
             local.forget_old_evidence(now)
-            if local.scores.worst >= SICK_SCORE:
-                self._say(target, local.scores)
         self._sidecar.expire()
