--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -34,6 +34,7 @@
 ANNOUNCE_FANOUT = 4
 ANNOUNCE_REPEATS = 2
 SYNC_PEERS = 3
+AGREEING_KEPT = 8
 UNKNOWN_AGE_S = 1e6
 
 _log = logging.getLogger("roadpass.gossip")
@@ -127,6 +128,7 @@
         self._metrics = metrics
         self._hints = HintTable()
         self._version = NO_VERSION
+        self._agreeing: set[str] = set()
         self._announcements = 0
         self._platform_seen_at = float("-inf")
         self._last_tick = time.monotonic()
@@ -139,6 +141,11 @@
         """Seconds since the platform is known to have answered anybody."""
         return min(UNKNOWN_AGE_S, time.monotonic() - self._platform_seen_at)
 
+    @property
+    def agreeing_peers(self) -> int:
+        """Peers heard since this node's version went into force that hold nothing newer."""
+        return len(self._agreeing)
+
     def on_start(self) -> None:
         """Bind the socket."""
         address = (self._settings.address, self._settings.ports.gossip)
@@ -169,6 +176,7 @@
                 self._on_seed(members, leaving)
             case InForce(version=version):
                 self._version = version
+                self._agreeing.clear()
                 self._announcements = ANNOUNCE_REPEATS
                 self._announce()
             case PlatformSeen():
@@ -234,8 +242,13 @@
     def _compare_version(self, message: Message) -> None:
         theirs = Version(message["revision"], message["digest"])
         member = self._members.get(message["sender"])
-        if member is not None and theirs > self._version:
+        if member is None:
+            return
+        if theirs > self._version:
+            self._agreeing.discard(member.vm)
             self._events.on_version(theirs, (member.address, member.stream_port))
+        elif len(self._agreeing) < AGREEING_KEPT:
+            self._agreeing.add(member.vm)
 
     def _on_seed(self, members: tuple[Member, ...], leaving: frozenset[str]) -> None:
         now = time.monotonic()
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -32,8 +32,10 @@
 from roadpass.view import Node as PeerNode
 from roadpass.view import View
 
+READY_PEERS = 2
+"""A starting node is ready once it holds what so many peers do not exceed,"""
 READY_WAIT_S = 2.0
-"""How long a starting node with a configuration waits for peers to offer a newer one."""
+"""or, with fewer peers to be heard, after this time."""
 QUIET_S = 0.5
 LEAVE_MIN_S = 1.5
 POLL_S = 0.05
@@ -68,7 +70,6 @@
         self._dispatcher = Dispatcher(self._view, self._incarnation, self._sidecar, self._peers)
         self._platform = Platform(settings.platform_url, self.metrics)
         self._readers: list[str] = []
-        self._peer_seen = False
         self._store = Store()
         self._platform_asked = threading.Event()
         self._actors: list[pykka.ActorRef[Any]] = []
@@ -189,7 +190,8 @@
         if self._view.fleet.revision == 0 or not self._platform_asked.is_set():
             return
         waited = time.monotonic() - self._started_at
-        if self._peer_seen or waited >= READY_WAIT_S:
+        agreeing = self._gossip_proxy.agreeing_peers.get()
+        if agreeing >= READY_PEERS or waited >= READY_WAIT_S:
             self._view.ready = True
             evidence = f"revision {self._view.fleet.revision} after {waited:.2f} s"
             self.audit.record(Kind.READY, self._settings.vm, evidence)
--- /dev/null
+++ b/tools/mechanism_off.py
@@ -0,0 +1,172 @@
+"""Shows that the tests of the promises see faults: each must fail with its mechanism off.
+
+A copy of the tree is changed in one place, the named test runs there, and the verdict is printed.
+A test that passes without its mechanism proves nothing; then this tool exits with 1.
+"""
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+COPIED = ("roadpass", "stand_ins", "tests", "examples", "pyproject.toml")
+LIMIT_S = 180
+
+
+class Mechanism(NamedTuple):
+    """One mechanism, how to switch it off, and the test that must notice."""
+
+    name: str
+    file: str
+    on: str
+    off: str
+    test: str
+
+
+MECHANISMS = (
+    Mechanism(
+        "floor of ejection",
+        "roadpass/eject.py",
+        "if serving - fact.slots >= self._floor:",
+        "if True:",
+        "tests/test_eject.py",
+    ),
+    Mechanism(
+        "not repeatable is not retried after unknown",
+        "roadpass/dispatch.py",
+        "        case Unknown():\n            return route.repeatable",
+        "        case Unknown():\n            return True",
+        "tests/test_scenario.py::test_scenario[gray_hang]",
+    ),
+    Mechanism(
+        "unknown is not told as not-run",
+        "roadpass/dispatch.py",
+        "            return Unknown(reason)\n        vouched",
+        "            return NotRun(reason)\n        vouched",
+        "tests/test_scenario.py::test_scenario[cut_reply]",
+    ),
+    Mechanism(
+        "fence is taken only from the table",
+        "roadpass/fence.py",
+        "if entry is not None and entry.started:\n"
+        "            return Verdict.STARTED\n        self._attempts",
+        "if False:\n            return Verdict.STARTED\n        self._attempts",
+        "tests/test_fence.py",
+    ),
+    Mechanism(
+        "an answer is whole or an error",
+        "roadpass/target.py",
+        "            raise self._translate(error, deadline) from error",
+        "            return Answered(200, [], b'{')",
+        "tests/test_scenario.py::test_scenario[gray_cut_answers]",
+    ),
+    Mechanism(
+        "a stream that was given up is closed",
+        "roadpass/dispatch.py",
+        "            stream.close()\n            return Reply(self._after_loss",
+        "            self._peers.release(address, stream)\n"
+        "            return Reply(self._after_loss",
+        "tests/test_scenario.py::test_scenario[slow_answers]",
+    ),
+    Mechanism(
+        "a leaving target refuses",
+        "roadpass/health.py",
+        "leaving=presence.leaving,",
+        "leaving=False,",
+        "tests/test_scenario.py::test_scenario[leaving_target]",
+    ),
+    Mechanism(
+        "a stop waits for work in flight",
+        "roadpass/node.py",
+        "            if now - quiet_since >= QUIET_S and now - started >= LEAVE_MIN_S:",
+        "            if True:",
+        "tests/test_scenario.py::test_scenario[stop_node]",
+    ),
+    Mechanism(
+        "an older revision is refused",
+        "roadpass/revision.py",
+        "return Order.OLDER",
+        "return Order.NEWER",
+        "tests/test_revision.py",
+    ),
+    Mechanism(
+        "racing contents settle by hash",
+        "roadpass/revision.py",
+        "return Order.CONFLICT_WINS if offered.digest > current.digest else Order.CONFLICT_LOSES",
+        "return Order.CONFLICT_WINS",
+        "tests/test_revision.py",
+    ),
+    Mechanism(
+        "a bad revision is not taken",
+        "roadpass/revision.py",
+        "if content is None:\n                raise DocumentError("
+        'entry.name, ["is missing or does not match its hash"])',
+        "if content is None:\n                continue",
+        "tests/test_revision.py",
+    ),
+    Mechanism(
+        "a dead member may refute",
+        "roadpass/member.py",
+        "self._set_own(member.incarnation + 1, self._own.state)",
+        "pass",
+        "tests/test_member.py",
+    ),
+    Mechanism(
+        "frames carry a MAC that is checked",
+        "roadpass/stream.py",
+        "if not self._authentic(payload, mac):",
+        "if False:",
+        "tests/test_stream.py",
+    ),
+)
+
+
+def fails_without(mechanism: Mechanism) -> bool:
+    """Run a mechanism's test with it off and tell whether the test fails."""
+    with tempfile.TemporaryDirectory(prefix="mechanism-off-") as folder:
+        copy = Path(folder)
+        for name in COPIED:
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, copy / name)
+            else:
+                shutil.copy(source, copy / name)
+        file = copy / mechanism.file
+        text = file.read_text()
+        if text.count(mechanism.on) != 1:
+            raise ValueError(f"{mechanism.name}: its place is not there exactly once")
+        file.write_text(text.replace(mechanism.on, mechanism.off))
+        run = subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", "-x", mechanism.test],
+            cwd=copy,
+            env={**os.environ, "PYTHONPATH": str(copy)},
+            capture_output=True,
+            timeout=LIMIT_S,
+            check=False,
+        )
+    return run.returncode == 1
+
+
+def main() -> int:
+    """Switch every mechanism off in turn; print a line each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", default="", help="only mechanisms whose name contains this")
+    options = parser.parse_args()
+    unseen = 0
+    for mechanism in MECHANISMS:
+        if options.only not in mechanism.name:
+            continue
+        seen = fails_without(mechanism)
+        unseen += not seen
+        print(f"{'fails as it should' if seen else 'PASSES WITHOUT IT'}: {mechanism.name}")
+        print(f"    {mechanism.test}", flush=True)
+    return 1 if unseen else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
