--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,11 +1,15 @@
 """What control costs a node: processor, memory, bytes; idle, with changes, with full tables."""
 
 import argparse
+import contextlib
 import importlib
 import json
 import os
+import random
+import socket
 import subprocess
 import sys
+import threading
 import time
 from typing import Any, NamedTuple
 
@@ -13,16 +17,25 @@
 from benchmarks._synthetic import documents
 from benchmarks.configuration import NET, NodesOnly
 from roadpass.admission import Admission
+from roadpass.errors import StreamError
 from roadpass.fleet import Fleet, Service, Target, TrafficClass
+from roadpass.member import Member, Members, MemberState
 from roadpass.route import Route
+from roadpass.stream import Stream
+from roadpass.view import Node
 from stand_ins.launcher import Launcher
 
 SIZES = (10, 20, 40)
+TABLES = ("imports", "services", "targets", "routes", "customers", "members", "streams")
 IDLE_S = 20.0
 CHANGE_S = 2.0
 CHANGES = 8
 SERVICES, TARGETS, ROUTES = 4_000, 130_000, 37_000
 CUSTOMERS_A_NODE = 1_400_000 // 4_200
+MEMBERS = 4_200
+STREAMS = 200
+PARSED = 20_000
+"""Targets in the documents whose parsing is timed; more would not fit a megabyte each."""
 
 
 class Size(NamedTuple):
@@ -91,31 +104,56 @@
 def table_bytes() -> dict[str, float]:
     """Measure what one target, route and waiting customer take, in a process of its own each."""
     found = {}
-    for kind in ("nothing", "imports", "services", "targets", "routes", "customers"):
+    for kind in TABLES:
         command = [sys.executable, "-m", "benchmarks.control", "--table", kind]
         output = subprocess.run(command, check=True, capture_output=True, text=True).stdout
         found[kind] = json.loads(output)["rss_mb"]
     base = found["imports"]
     mb = 1024.0 * 1024.0
     return {
-        "interpreter_mb": found["nothing"],
-        "imports_mb": base,
+        "interpreter_mb": round(bare_rss_mb(), 1),
+        "imports_mb": round(base, 1),
         "bytes_per_service": round((found["services"] - base) * mb / SERVICES),
         "bytes_per_target": round((found["targets"] - found["services"]) * mb / TARGETS),
         "bytes_per_route": round((found["routes"] - found["services"]) * mb / ROUTES),
         "bytes_per_customer": round((found["customers"] - base) * mb / CUSTOMERS_A_NODE),
+        "bytes_per_member": round((found["members"] - base) * mb / MEMBERS),
+        "bytes_per_stream": round((found["streams"] - base) * mb / STREAMS),
     }
 
 
+def bare_rss_mb() -> float:
+    """Return the resident memory of an interpreter that has imported nothing, in MB."""
+    code = "print(next(l for l in open('/proc/self/status') if l.startswith('VmRSS')).split()[1])"
+    output = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True).stdout
+    return int(output) / 1024.0
+
+
+def parse_us_per_target() -> float:
+    """Return the microseconds that a revision's parsing and checking takes per target."""
+    texts = []
+    for part in range(0, PARSED, 4000):
+        targets = {f"t{n}": _target(n) for n in range(part, part + 4000)}
+        texts.append((f"targets-{part}", json.dumps({"targets": targets})))
+    services = {f"service-{n}": {"floor_slots": 1} for n in range(SERVICES)}
+    texts.append(("services", json.dumps({"services": services})))
+    begin = time.perf_counter()
+    Fleet.from_documents(texts)
+    return (time.perf_counter() - begin) / PARSED * 1e6
+
+
 def build_table(kind: str) -> float:
     """Build one table and return this process's resident memory in MB."""
     kept: list[Any] = []
-    if kind != "nothing":
-        importlib.import_module("roadpass.daemon")
+    importlib.import_module("roadpass.daemon")
     if kind in ("services", "targets", "routes"):
         kept.append(_fleet(kind))
     if kind == "customers":
         kept.append(_customers())
+    if kind == "members":
+        kept.append(_members())
+    if kind == "streams":
+        kept.append(_streams())
     return Usage.from_pid(os.getpid()).rss_mb
 
 
@@ -128,15 +166,7 @@
     routes: dict[str, Route] = {}
     if kind == "targets":
         for n in range(TARGETS):
-            value = {
-                "service": f"service-{n % SERVICES}",
-                "vm": f"vm-{n % 4200}",
-                "address": f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:9000",
-                "slots": 10,
-                "hall": "hall-a",
-                "labels": {"tier": "main"},
-            }
-            targets[f"target-{n}"] = Target.from_config(f"target-{n}", value)
+            targets[f"target-{n}"] = Target.from_config(f"target-{n}", _target(n))
     if kind == "routes":
         for n in range(ROUTES):
             value = {"path": f"/service-{n % SERVICES}/{n}", "service": f"service-{n % SERVICES}"}
@@ -144,6 +174,46 @@
     return Fleet(services, targets, routes, ())
 
 
+def _target(number: int) -> dict[str, Any]:
+    return {
+        "service": f"service-{number % SERVICES}",
+        "vm": f"vm-{number % MEMBERS}",
+        "address": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:9000",
+        "slots": 10,
+        "hall": "hall-a",
+        "labels": {"tier": "main"},
+    }
+
+
+def _member(number: int) -> Member:
+    address = f"10.0.{number >> 8}.{number & 255}"
+    return Member(f"vm-{number}", 1, MemberState.ALIVE, address, 1, 1, "hall-a", "region")
+
+
+def _members() -> tuple[Members, dict[str, Node]]:
+    members = Members(_member(0), random.Random(1))
+    members.seed(0.0, (_member(number) for number in range(1, MEMBERS)))
+    nodes = {m.vm: Node(m.vm, m.address, m.stream_port, m.hall, m.region) for m in members.all()}
+    return members, nodes
+
+
+def _streams() -> list[Stream]:
+    """Open streams to a server in this process, so that both ends are counted."""
+    hello = {"t": "hello", "vm": "vm-1", "incarnation": 1}
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        with contextlib.suppress(StreamError):
+            Stream.accept(sock, (), hello).receive(60.0)
+
+    streams = []
+    for _ in range(STREAMS):
+        threading.Thread(target=serve, daemon=True).start()
+        streams.append(Stream.connect(listener.getsockname(), (), hello))
+    return streams
+
+
 def _customers() -> Admission:
     admission = Admission((TrafficClass("c", 0.0),), slots=1, queue_limit=10**6)
     for n in range(CUSTOMERS_A_NODE):
@@ -169,7 +239,7 @@
             f"{nodes:>6} {size.idle_percent:>7.2f} {size.change_percent:>9.2f} "
             f"{size.rss_mb:>7.1f} {size.idle_bytes_per_s:>9.1f} {size.change_bytes_per_s:>11.1f}"
         )
-    tables = table_bytes()
+    tables = {**table_bytes(), "parse_us_per_target": round(parse_us_per_target(), 1)}
     print(f"tables: {tables}")
     print(
         json.dumps(
--- a/roadpass/daemon.py
+++ b/roadpass/daemon.py
@@ -14,7 +14,7 @@
 from roadpass.settings import Settings
 
 SWITCH_INTERVAL_S = 0.0005
-TICK_S = 0.1
+TICK_S = 0.25
 EXIT_OK = 0
 EXIT_CUT = 1
 EXIT_SETTINGS = 2
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -324,7 +324,8 @@
             return Unknown(reason)
         vouched = word["t"] == "fenced" and word["verdict"] == Verdict.NEVER_STARTS.value
         if vouched and word["incarnation"] == incarnation:
-            return NotRun(Reason.FENCED, RETRY_SOON_MS)
+            why = Reason.CANCELLED if reason is Reason.CANCELLED else Reason.FENCED
+            return NotRun(why, RETRY_SOON_MS)
         return Unknown(reason)
 
     def _fence_key(self, trip: _Trip, attempt_id: str) -> Outcome | None:
@@ -414,7 +415,7 @@
         case Answered(status=status):
             return status >= SERVER_ERROR and route.repeatable
         case NotRun(reason=reason):
-            return reason is not Reason.EXPIRED
+            return reason not in (Reason.EXPIRED, Reason.CANCELLED)
         case Unknown(reason=Reason.CANCELLED):
             return False
         case Unknown():
--- a/roadpass/fleet.py
+++ b/roadpass/fleet.py
@@ -1,6 +1,7 @@
 """The fleet as one configuration revision describes it."""
 
 import threading
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from datetime import UTC, datetime
 from typing import Any, NamedTuple
@@ -238,8 +239,11 @@
                 problems.append(f"$.{part}.{key}.service: no service '{entry['service']}'")
     for key, entry in merged["routes"].items():
         problems += _check_class(key, entry, services.get(entry["service"]))
+    slots: Counter[str] = Counter()
+    for entry in merged["targets"].values():
+        slots[entry["service"]] += entry["slots"]
     for key, service in services.items():
-        problems += _check_service(key, service, merged["targets"])
+        problems += _check_service(key, service, slots[key])
     for index, rule in enumerate(merged["selectors"]):
         problems += _check_selector(index, rule, services)
     return problems
@@ -254,9 +258,8 @@
     return [f"$.routes.{key}.class: no class '{route['class']}' (known: {', '.join(known)})"]
 
 
-def _check_service(key: str, service: Any, targets: Mapping[str, Any]) -> list[str]:
+def _check_service(key: str, service: Any, slots: int) -> list[str]:
     problems = []
-    slots = sum(t["slots"] for t in targets.values() if t["service"] == key)
     if service["floor_slots"] > slots:
         problems.append(
             f"$.services.{key}.floor_slots: {service['floor_slots']} is more than "
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -68,7 +68,13 @@
 
     @classmethod
     def from_message(cls, message: Message) -> "Attempt":
-        """Build an attempt from a checked message."""
+        """Build an attempt from a checked message.
+
+        Raises:
+            FrameError: Its body is not bytes.
+        """
+        if not isinstance(message["body"], bytes):
+            raise FrameError("The attempt's body is not bytes.")
         fields = {name: message[name] for name in cls._fields if name in message}
         fields["headers"] = [(name, value) for name, value in message["headers"]]
         return cls(**fields)
--- a/roadpass/pause.py
+++ b/roadpass/pause.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-TICK_S = 0.05
+TICK_S = 0.1
 PAUSE_S = 0.5
 """A tick this late means that the process did not run, or could not."""
 SETTLE_S = 0.1
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -182,6 +182,7 @@
         self._settings = settings
         self._sidecar = sidecar
         self._listener: socket.socket | None = None
+        self._closed = threading.Event()
         self._slots = threading.Semaphore(MAX_STREAMS)
 
     def on_start(self) -> None:
@@ -194,6 +195,7 @@
 
     def on_stop(self) -> None:
         """Stop to accept; open streams end with the process."""
+        self._closed.set()
         if self._listener is not None:
             self._listener.close()
 
@@ -205,8 +207,12 @@
                 sock, _ = listener.accept()
             except TimeoutError:
                 continue
-            except OSError:
-                return
+            except OSError as error:
+                if self._closed.is_set():
+                    return
+                _log.error("cannot accept: %s", error)
+                time.sleep(ACCEPT_POLL_S)
+                continue
             if not self._slots.acquire(blocking=False):
                 sock.close()
                 continue
--- a/roadpass/web.py
+++ b/roadpass/web.py
@@ -14,7 +14,7 @@
 KEEP_ALIVE_CONNECTIONS = 2000
 REQUEST_QUEUE = 512
 SOCKET_TIMEOUT_S = 30
-POLL_S = 0.02
+POLL_S = 0.5
 
 
 class WebServer(HTTPServer):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -140,6 +140,13 @@
     assert isinstance(one.dispatch(repeat).outcome, Answered)
 
 
+def test_a_cancelled_request_is_not_tried_again() -> None:
+    """Nobody waits for it any more."""
+    sidecar = FakeSidecar([NotRun(Reason.CANCELLED)])
+    dispatcher(sidecar).dispatch(request("GET"))
+    assert len(sidecar.attempts) == 1
+
+
 def test_no_capacity_when_no_target_is_left() -> None:
     """A service whose targets all leave answers not run with a time to come back."""
     one = dispatcher(FakeSidecar([]))
