--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -9,7 +9,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from benchmarks._driver import Driver, Fault, NaiveDriver, RoadpassDriver, Spec, Tally
+from benchmarks._driver import Driver, Fault, Spec, Tally
+from benchmarks._naive_driver import NaiveDriver
+from benchmarks._roadpass_driver import RoadpassDriver
 from roadpass.admission import Admission
 from roadpass.balance import Candidate, Load, Picker
 from roadpass.detect import (
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -2,12 +2,10 @@
 
 import itertools
 import random
-import socket
 import threading
 import time
 from collections import deque
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from roadpass.balance import Load
 from roadpass.detect import Sample, Scores
@@ -17,8 +15,9 @@
 from roadpass.load import LoadTable
 from roadpass.local import SERVER_ERROR
 from roadpass.message import Attempt, LoadReport, Reply
-from roadpass.outcome import Answered, Headers, NotRun, Outcome, Reason, Unknown
+from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.peer import Address, PeerPool
+from roadpass.request import Observation, Pending, Request, Served
 from roadpass.retry import RetryBudget
 from roadpass.route import Route
 from roadpass.sidecar import Sidecar
@@ -34,57 +33,6 @@
 RETRY_LATER_MS = 2000
 
 
-class Request(NamedTuple):
-    """A caller's request.
-
-    Args:
-        deadline: Monotonic seconds by which the caller wants an answer, `None` for the route's.
-        key: The caller's idempotency key, empty for none.
-        repeat: Whether the caller says that it sent this request before.
-        sock: The caller's socket, watched for its closing.
-    """
-
-    host: str
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    caller: str
-    deadline: float | None = None
-    key: str = ""
-    repeat: bool = False
-    sock: socket.socket | None = None
-
-
-class Served(NamedTuple):
-    """An outcome with the service and class it is counted under, empty without a route."""
-
-    outcome: Outcome
-    service: str = ""
-    traffic_class: str = ""
-
-
-class Observation(NamedTuple):
-    """What an attempt showed, for the health actor."""
-
-    service: str
-    target: str
-    sample: Sample | None
-    scores: Scores | None
-    latency_ms: float = 0.0
-    counted_slow: bool = False
-
-
-@dataclass(slots=True)
-class Pending:
-    """An attempt under way; `looks` counts how often it was found to be pending too long."""
-
-    service: str
-    target: str
-    since: float
-    looks: int = 0
-
-
 @dataclass(slots=True)
 class _Trip:
     """The state of one request on its way through attempts."""
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -6,7 +6,7 @@
 from cheroot.errors import MaxSizeExceeded
 
 from roadpass._actor import Actor
-from roadpass.dispatch import Dispatcher, Request, Served
+from roadpass.dispatch import Dispatcher
 from roadpass.metric import Metrics, OutcomeKey
 from roadpass.outcome import (
     Answered,
@@ -18,6 +18,7 @@
     caller_headers,
     status_of,
 )
+from roadpass.request import Request, Served
 from roadpass.settings import Settings
 from roadpass.view import View
 from roadpass.web import WebGateway, WebServer
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -10,11 +10,12 @@
 from roadpass.audit import AuditTrail, Kind
 from roadpass.balance import Candidate
 from roadpass.detect import Scores
-from roadpass.dispatch import Dispatcher, Observation
+from roadpass.dispatch import Dispatcher
 from roadpass.eject import State, Step
 from roadpass.fleet import Fleet
 from roadpass.health import Presence, ServiceHealth
 from roadpass.hint import SICK_SCORE
+from roadpass.request import Observation
 from roadpass.sidecar import Sidecar
 from roadpass.view import ServiceView, View
 
--- a/stand_ins/target.py
+++ b/stand_ins/target.py
@@ -156,6 +156,7 @@
                     "begun": dict(state.begun),
                     "finished": dict(state.finished),
                     "served": state.served,
+                    "cut": state.cut,
                 }
             self.reply(200, [], json.dumps(ledger).encode())
         else:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -16,7 +16,6 @@
 """
 
 import json
-import re
 import signal
 import threading
 import time
@@ -28,6 +27,8 @@
 
 import jsonyx
 import jsonyx.allow
+from testtools.assertions import assert_that
+from testtools.matchers import AnyMatch, Equals, GreaterThan, HasLength, LessThan, MatchesRegex, Not
 
 from stand_ins.caller import Caller, Load, Result
 from stand_ins.launcher import Launcher
@@ -251,18 +252,18 @@
             case ("answered", ">=", percent):
                 answered = sum(result.outcome == "answered" for result in self._results)
                 share = 100.0 * answered / len(self._results)
-                assert share >= float(percent), f"{share:.1f}% answered: {self._outcomes()}"
+                assert_that(share, Not(LessThan(float(percent))), str(self._outcomes()))
             case ("lost", count):
                 lost = sum(result.outcome == "lost" for result in self._results)
-                assert lost == int(count), self._outcomes()
+                assert_that(lost, Equals(int(count)), str(self._outcomes()))
             case ("outcome", name, "<=", count):
                 found = sum(result.outcome == name for result in self._results)
-                assert found <= int(count), self._outcomes()
+                assert_that(found, Not(GreaterThan(int(count))), str(self._outcomes()))
             case ("outcome", name, ">=", count):
                 found = sum(result.outcome == name for result in self._results)
-                assert found >= int(count), self._outcomes()
+                assert_that(found, Not(LessThan(int(count))), str(self._outcomes()))
             case ("exit", vm, code):
-                assert self._exits[vm] == int(code), self._fleet.log(vm)[-2000:]
+                assert_that(self._exits[vm], Equals(int(code)), self._fleet.log(vm)[-2000:])
             case ("revision", number):
                 self._eventually(lambda: self._revisions() == {int(number)}, self._revisions)
             case ("one-digest",):
@@ -273,14 +274,14 @@
             case ("quiet", name, "after", seconds):
                 after = self._started + float(seconds)
                 late = [r for r in self._results if r.target == name and r.started > after]
-                assert not late, f"{len(late)} requests reached {name} late"
+                assert_that(late, HasLength(0), f"{len(late)} requests reached {name} late")
             case ("share", name, "<=", percent, "after", seconds):
                 self._check_share(name, float(percent), self._started + float(seconds))
             case ("audit", vm, kind, *words):
-                pattern = re.compile(" ".join(words))
+                pattern = " ".join(words)
                 events = self._fleet.admin(vm, "/audit")
                 lines = [f"{e['subject']} {e['evidence']}" for e in events if e["kind"] == kind]
-                assert any(pattern.search(line) for line in lines), lines
+                assert_that(lines, AnyMatch(MatchesRegex(f".*{pattern}")))
             case _:
                 raise ValueError(f"no such check: {' '.join(check)}")
 
@@ -291,12 +292,12 @@
                 begun.update(self._fleet.ledger(name)["begun"])
         methods = {load.path: load.method for load in self._scenario.loads}
         twice = [r for r in self._results if methods[r.path] == "POST" and begun[r.id] > 1]
-        assert not twice, f"run twice: {twice[:3]}"
+        assert_that(twice, HasLength(0), "not repeatable, and run twice")
         ran = [r for r in self._results if r.outcome == "not-run" and begun[r.id]]
-        assert not ran, f"run after not-run: {ran[:3]}"
+        assert_that(ran, HasLength(0), "told as not run, and run")
         wrong = [result for result in self._results if result.wrong]
-        assert not wrong, f"wrong answers: {wrong[:3]}"
-        assert self._results, "no traffic"
+        assert_that(wrong, HasLength(0), "wrong answers")
+        assert_that(self._results, Not(HasLength(0)), "no traffic")
 
     def _check_share(self, name: str, percent: float, after: float) -> None:
         fleet = self._fleet.fleet
@@ -304,7 +305,7 @@
         peers = {target.name for target in fleet.targets_of(service)}
         late = [r for r in self._results if r.started > after and r.target in peers]
         share = 100.0 * sum(r.target == name for r in late) / max(1, len(late))
-        assert share <= percent, f"{name} still had {share:.1f}% of {len(late)}"
+        assert_that(share, Not(GreaterThan(percent)), f"share of {name} in {len(late)} answers")
 
     def _eventually(self, condition: Callable[[], bool], found: Callable[[], Any]) -> None:
         deadline = time.monotonic() + SETTLE_S
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,12 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from roadpass.dispatch import Dispatcher, Request
+from roadpass.dispatch import Dispatcher
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
 from roadpass.message import Attempt, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.peer import PeerPool
+from roadpass.request import Request
 from roadpass.sidecar import Sidecar
 from roadpass.view import View
 
