Take a revision that first came in part once it is whole; losers of a race are refused in one place

Cause: a document that was missing or did not match its hash marked its revision as bad for good, so a node that read the platform in the middle of a publication would never have taken it, not even from its peers. Test first (fails with revision 0 in force), then IncompleteError, which is not remembered. Second: with the hash order of racing contents switched off the tests still passed, because the loser was also marked by another comparison; now it is marked only where the order says so, and the same switch fails as it should.

--- a/roadpass/configuration.py
+++ b/roadpass/configuration.py
@@ -6,9 +6,9 @@
 
 from roadpass._actor import Actor
 from roadpass.audit import AuditTrail, Kind
-from roadpass.errors import DocumentError
+from roadpass.errors import DocumentError, IncompleteError
 from roadpass.fleet import Fleet
-from roadpass.revision import Held, Manifest, Order, Version, compare
+from roadpass.revision import NO_VERSION, Held, Manifest, Order, Version, compare
 
 MAX_REFUSED = 64
 
@@ -49,6 +49,7 @@
         self._store = store
         self._audit = audit
         self._on_fleet = on_fleet
+        self._incomplete = NO_VERSION
 
     def handle(self, message: Any) -> None:
         """Handle one message."""
@@ -67,16 +68,19 @@
                 self._refuse(version, offer.source, "is older than the one in force")
                 return
             case Order.CONFLICT_LOSES:
-                self._conflict(version, "kept the one in force")
+                self._lose(version)
                 return
             case Order.CONFLICT_WINS:
-                self._conflict(version, "the other content goes into force")
+                self._report_conflict(version, "the other content goes into force")
             case Order.NEWER:
                 pass
         if version in self._store.refused:
             return
         try:
             held, fleet = self._store.held.advance(offer.manifest, offer.documents)
+        except IncompleteError as error:
+            self._report_incomplete(version, offer.source, str(error))
+            return
         except DocumentError as error:
             self._refuse(version, offer.source, str(error))
             return
@@ -89,27 +93,39 @@
         )
 
     def _refuse(self, version: Version, source: str, why: str) -> None:
-        if version in self._store.refused:
-            return
-        while len(self._store.refused) >= MAX_REFUSED:
-            del self._store.refused[next(iter(self._store.refused))]
-        self._store.refused[version] = why
-        self._audit.record(Kind.REVISION_REFUSED, _name(version), f"from {source}: {why}")
-
-    def _conflict(self, version: Version, what: str) -> None:
-        if version in self._store.refused:
-            return
-        self._refused_as_loser(version)
+        if self._remember(version, why):
+            self._audit.record(Kind.REVISION_REFUSED, _name(version), f"from {source}: {why}")
+
+    def _lose(self, version: Version) -> None:
+        if self._remember(version, "lost against another content of the same number"):
+            self._report_conflict(version, "kept the one in force")
+
+    def _remember(self, version: Version, why: str) -> bool:
+        """Note that a version is never to be taken.
+
+        Returns:
+            Whether that is news.
+        """
+        refused = self._store.refused
+        if version in refused:
+            return False
+        while len(refused) >= MAX_REFUSED:
+            del refused[next(iter(refused))]
+        refused[version] = why
+        return True
+
+    def _report_incomplete(self, version: Version, source: str, why: str) -> None:
+        if version != self._incomplete:
+            self._incomplete = version
+            self._audit.record(Kind.REVISION_REFUSED, _name(version), f"from {source}: {why}")
+
+    def _report_conflict(self, version: Version, what: str) -> None:
         evidence = (
             f"two contents under one number: {self._store.held.version.digest[:12]} in force, "
             f"{version.digest[:12]} offered; {what}"
         )
         self._audit.record(Kind.REVISION_CONFLICT, _name(version), evidence)
 
-    def _refused_as_loser(self, version: Version) -> None:
-        if version < self._store.held.version:
-            self._store.refused[version] = "lost against another content of the same number"
-
 
 def _name(version: Version) -> str:
     return f"revision {version.revision}"
--- a/roadpass/errors.py
+++ b/roadpass/errors.py
@@ -25,6 +25,10 @@
         super().__init__(f"{source}: " + "; ".join(self.problems))
 
 
+class IncompleteError(DocumentError):
+    """A revision came without all of its documents; it may come whole another time."""
+
+
 class StreamError(RoadpassError):
     """A peer stream failed; it is closed and never reused."""
 
--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -26,6 +26,7 @@
 SELF_TRY_PER_NODE_S = 1.0
 """The mean time between own tries grows with the fleet: about one a second in all."""
 PULL_S = 2.0
+VERDICT_S = 1.0
 PULLS_BYTES = "pull_bytes"
 
 _log = logging.getLogger("roadpass.reader")
@@ -171,12 +172,13 @@
 
     def _remember_unless_taken(self, version: Version) -> None:
         """Wait shortly for the verdict, so that a bad revision is not watched over and over."""
-        deadline = time.monotonic() + 1.0
+        deadline = time.monotonic() + VERDICT_S
         while time.monotonic() < deadline:
             if self._store.held.version >= version:
                 return
             time.sleep(0.02)
-        self._bad.add(version)
+        if self._store.is_refused(version):
+            self._bad.add(version)
 
     def _newest_bad(self) -> int:
         return max((version.revision for version in self._bad), default=0)
--- a/roadpass/revision.py
+++ b/roadpass/revision.py
@@ -9,7 +9,7 @@
 
 from roadpass import jsonc
 from roadpass._generated.check_manifest import validate
-from roadpass.errors import DocumentError
+from roadpass.errors import DocumentError, IncompleteError
 from roadpass.fleet import Fleet
 
 MAX_DOCUMENT_BYTES = 1024 * 1024
@@ -126,7 +126,8 @@
             fetched: Documents that were missing, in any order.
 
         Raises:
-            DocumentError: A document is missing, does not match its hash, or is not valid.
+            IncompleteError: A document is missing or does not match its hash.
+            DocumentError: A document is not valid.
         """
         by_hash = {hashlib.sha256(content).hexdigest(): content for content in fetched}
         documents: dict[str, bytes] = {}
@@ -134,7 +135,7 @@
         for entry in manifest.documents:
             content = by_hash.get(entry.hash) or self.find(entry.hash)
             if content is None:
-                raise DocumentError(entry.name, ["is missing or does not match its hash"])
+                raise IncompleteError(entry.name, ["is missing or does not match its hash"])
             if len(content) > MAX_DOCUMENT_BYTES or len(content) != entry.size:
                 raise DocumentError(entry.name, [f"has {len(content)} bytes, not {entry.size}"])
             documents[entry.hash] = content
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -54,6 +54,18 @@
     assert seen[-1].revision == 7
 
 
+def test_a_revision_that_came_in_part_is_taken_once_it_is_whole() -> None:
+    """A document that could not be read the first time does not spoil its revision."""
+    store, trail = Store(), AuditTrail()
+    actor = Configuration(store, trail, lambda fleet: None)
+    content = document()
+    for documents in ((), (content + b" ",), (content,)):
+        actor.handle(Offer(manifest(3, content), documents, "test"))
+    assert store.held.version.revision == 3
+    refused = [event for event in trail.since() if event.kind is Kind.REVISION_REFUSED]
+    assert len(refused) == 1
+
+
 @given(st.permutations(["x", "y", "z"]))
 def test_racing_contents_settle_on_one_whatever_the_order(order: list[str]) -> None:
     """Two contents under one number: hash order decides, and the trail says so."""
--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -104,7 +104,7 @@
     Mechanism(
         "a bad revision is not taken",
         "roadpass/revision.py",
-        "if content is None:\n                raise DocumentError("
+        "if content is None:\n                raise IncompleteError("
         'entry.name, ["is missing or does not match its hash"])',
         "if content is None:\n                continue",
         "tests/test_revision.py",
