Measure the plumbing alone beside the path

Cause: the added latency misses its target (p50 2.29, p99 3.06 ms in the quieter of two runs at 450/s), and nothing told how much of it the decisions take. The benchmark now sends a third way, through the same libraries and hops without any decision.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -2,8 +2,9 @@
 
 One caller process sends to one node's ingress, whose service has its target beside another node:
 both hops are always taken. With `--both-roles` a second caller does the same the other way round,
-so that each node is ingress and sidecar at the rate. In turns of a second direct and through
-roadpass; latencies count from the intended time of sending.
+so that each node is ingress and sidecar at the rate. In turns of a second direct, through the
+plumbing alone (`benchmarks/_plumbing.py`) and through roadpass; latencies count from the intended
+time of sending.
 """
 
 import argparse
@@ -23,7 +24,9 @@
 THREADS = 8
 HIGHEST_US = 60_000_000
 SERVICE_MS = 2.0
-WAYS = (("vm-1", "near-2"), ("vm-2", "near-1"))
+PAIRS = (("vm-1", "near-2"), ("vm-2", "near-1"))
+WAYS = ("direct", "plumbing", "through")
+FRONT_PORT, BACK_PORT = 8090, 8091
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -49,18 +52,21 @@
     return {"all": json.dumps(whole)}
 
 
-def worker(ingress: str, target: str, path: str, rate: float, turns: int) -> None:
-    """Send in turns direct and through roadpass; print both histograms' figures."""
-    through, direct = Caller([ingress], threads=THREADS), Caller([target], threads=THREADS)
+def worker(ingress: str, plumbing: str, target: str, path: str, rate: float, turns: int) -> None:
+    """Send in turns every way; print the histograms' figures."""
+    callers = {
+        way: Caller([address], threads=THREADS)
+        for way, address in zip(WAYS, (target, plumbing, ingress), strict=True)
+    }
     load = Load("GET", path, rate)
-    for caller in (through, direct):
+    for caller in callers.values():
         caller.run([load], TURN_S)
         caller.results.clear()
     for _ in range(turns):
-        direct.run([load], TURN_S)
-        through.run([load], TURN_S)
+        for caller in callers.values():
+            caller.run([load], TURN_S)
     figures = {}
-    for name, caller in (("direct", direct), ("through", through)):
+    for name, caller in callers.items():
         histogram = HdrHistogram(1, HIGHEST_US, 3)
         for result in caller.results:
             histogram.record_value(max(1, int(result.latency_s * 1e6)))
@@ -82,26 +88,32 @@
     Returns:
         Histograms by way, and usage of the nodes.
     """
+    pairs = PAIRS if both_roles else PAIRS[:1]
     with Launcher(documents(), net=NET) as fleet:
         for name in fleet.fleet.targets:
             fleet.target_control(name, median_ms=SERVICE_MS, spread=0.0)
+        plumbing = [_start_plumbing(fleet, vm, name) for vm, name in pairs]
         before = {vm: Usage.from_pid(fleet.processes[vm].pid) for vm in fleet.vms}
         workers = [
             subprocess.Popen(
                 [
                     *(sys.executable, "-m", "benchmarks.path", "--worker"),
-                    *(fleet.ingress(vm), fleet.fleet.targets[name].address, f"/{name}"),
+                    *(fleet.ingress(vm), f"{fleet.address(vm)}:{FRONT_PORT}"),
+                    *(fleet.fleet.targets[name].address, f"/{name}"),
                     *(f"--rate={rate}", f"--turns={turns}"),
                 ],
                 stdout=subprocess.PIPE,
                 cwd=ROOT,
             )
-            for vm, name in (WAYS if both_roles else WAYS[:1])
+            for vm, name in pairs
         ]
         outputs = [json.loads(process.communicate()[0]) for process in workers]
+        for process in (process for pair in plumbing for process in pair):
+            process.kill()
+            process.wait()
         after = {vm: Usage.from_pid(fleet.processes[vm].pid) for vm in fleet.vms}
     histograms = {}
-    for way in ("direct", "through"):
+    for way in WAYS:
         histograms[way] = HdrHistogram(1, HIGHEST_US, 3)
         for output in outputs:
             histograms[way].decode_and_add(output[way]["histogram"])
@@ -114,32 +126,48 @@
     }
 
 
+def _start_plumbing(fleet: Launcher, vm: str, target: str) -> list[subprocess.Popen[bytes]]:
+    """Start both sides of the plumbing on the addresses of the nodes that roadpass uses."""
+    entry = fleet.fleet.targets[target]
+    front, back = f"{fleet.address(vm)}:{FRONT_PORT}", f"{fleet.address(entry.vm)}:{BACK_PORT}"
+    module = [sys.executable, "-m", "benchmarks._plumbing"]
+    return [
+        subprocess.Popen([*module, "back", back], cwd=ROOT),
+        subprocess.Popen([*module, "front", front, back, entry.address], cwd=ROOT),
+    ]
+
+
 def main() -> None:
     """Print the table and the JSON line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rate", type=float, default=450.0, help="requests/s a node")
     parser.add_argument("--turns", type=int, default=10, help="turns of a second each way")
     parser.add_argument("--both-roles", action="store_true", help="each node in both roles")
-    parser.add_argument("--worker", nargs=3, metavar=("INGRESS", "TARGET", "PATH"))
+    parser.add_argument("--worker", nargs=4, metavar=("INGRESS", "PLUMBING", "TARGET", "PATH"))
     options = parser.parse_args()
     if options.worker:
-        ingress, target, path = options.worker
-        worker(ingress, target, path, options.rate, options.turns)
+        ingress, plumbing, target, path = options.worker
+        worker(ingress, plumbing, target, path, options.rate, options.turns)
         return
     measured = measure(options.rate, options.turns, both_roles=options.both_roles)
-    through, direct = measured["histograms"]["through"], measured["histograms"]["direct"]
-    print(f"{'percentile':>10} {'direct ms':>10} {'through ms':>10} {'added ms':>10}")
-    added = {}
+    histograms = measured["histograms"]
+    print("{:>10} {:>10} {:>12} {:>11} {:>14}".format("percentile", *WAYS, "added, of this"))
+    added, floor = {}, {}
     for percentile in PERCENTILES:
-        one = direct.get_value_at_percentile(percentile) / 1e3
-        other = through.get_value_at_percentile(percentile) / 1e3
-        added[percentile] = round(other - one, 3)
-        print(f"{percentile:>10g} {one:>10.3f} {other:>10.3f} {other - one:>10.3f}")
-    requests = through.get_total_count()
+        values = [histograms[way].get_value_at_percentile(percentile) / 1e3 for way in WAYS]
+        floor[percentile] = round(values[1] - values[0], 3)
+        added[percentile] = round(values[2] - values[0], 3)
+        print(
+            f"{percentile:>10g} {values[0]:>10.3f} {values[1]:>12.3f} {values[2]:>11.3f} "
+            f"{added[percentile]:>6.3f} {floor[percentile]:>7.3f}"
+        )
+    requests = histograms["through"].get_total_count()
     print(f"{requests} requests through roadpass, {measured['bad']} not answered with 200")
     result = {
         "added_p50_ms": added[50.0],
         "added_p99_ms": added[99.0],
+        "plumbing_p50_ms": floor[50.0],
+        "plumbing_p99_ms": floor[99.0],
         "rate": options.rate,
         "rps_per_core": round(requests / measured["cpu_s"], 1),
         "rss_mb": round(measured["rss_mb"], 1),
