Turn a target's malformed status line into an error of the sidecar's own

Cause: urllib3 leaves http.client's BadStatusLine as it is, so the stream's thread died and the ingress saw a lost stream instead of the sidecar's word. Answers with a length are read in one call, not by parts.

--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Iterable
+from http.client import HTTPException
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -14,6 +15,7 @@
 
 CONNECT_LIMIT_S = 1.0
 MAX_IDLE = 32
+CHUNK_BYTES = 65536
 MAX_ANSWER_BYTES = 15 * 1024 * 1024
 REQUEST_ID_HEADER = "Roadpass-Request-Id"
 DEADLINE_HEADER = "Roadpass-Deadline-Ms"
@@ -94,7 +96,7 @@
         try:
             response = self._exchange(connection, attempt_id, method, path, headers, body, deadline)
             answer = _whole(response, method, deadline)
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, HTTPException, OSError, ValueError) as error:
             connection.close()
             raise self._translate(error, deadline) from error
         except TargetError:
@@ -205,21 +207,29 @@
     framed = "Content-Length" in response.headers or response.chunked
     if not framed and method != "HEAD" and response.status not in _BODILESS:
         raise TargetError("The answer has no length, so it cannot be proved whole.")
+    if int(response.headers.get("Content-Length", 0)) > MAX_ANSWER_BYTES:
+        raise TargetError("The answer is too long.")
+    if not response.chunked:
+        return Answered(response.status, _kept(response), response.read(decode_content=False))
     parts: list[bytes] = []
     size = 0
-    for part in response.stream(65536, decode_content=False):
+    for part in response.stream(CHUNK_BYTES, decode_content=False):
         parts.append(part)
         size += len(part)
         if size > MAX_ANSWER_BYTES:
             raise TargetError("The answer is too long.")
         if time.monotonic() > deadline:
             raise TargetTimeoutError("The target did not answer in time.")
-    headers: Headers = [
+    return Answered(response.status, _kept(response), b"".join(parts))
+
+
+def _kept(response: urllib3.response.HTTPResponse) -> Headers:
+    """Return the headers that go on to the caller."""
+    return [
         (name, value)
         for name, value in response.headers.items()
         if name.lower() not in HOP_BY_HOP and not name.lower().startswith("roadpass-")
     ]
-    return Answered(response.status, headers, b"".join(parts))
 
 
 def _shutdown(sock: socket.socket) -> None:
