--- a/stand_ins/target.py
+++ b/stand_ins/target.py
@@ -72,10 +72,11 @@
             self.finished[request_id] += 1
 
 
-class _TargetGateway(WebGateway):
+class TargetGateway(WebGateway):
     """Runs requests as the behaviour says."""
 
     def answer(self) -> None:
+        """Run one request, or a control call of the test."""
         state: TargetState = self.req.server.owner
         path = urlsplit(self.uri).path
         if path.startswith("/_"):
@@ -175,7 +176,7 @@
     host, _, port = options.address.rpartition(":")
     state = TargetState(options.name, options.slots, options.cold_s)
     state.behaviour.median_ms = options.median_ms
-    WebServer((host, int(port)), _TargetGateway, state, threads=THREADS).safe_start()
+    WebServer((host, int(port)), TargetGateway, state, threads=THREADS).safe_start()
 
 
 if __name__ == "__main__":
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,20 +1,25 @@
 """Outcomes at the ingress, with a fake sidecar in place of this VM's own."""
 
 import json
+import socket
 import time
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from roadpass.dispatch import Dispatcher
+from roadpass.errors import ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
-from roadpass.message import Attempt, Reply
+from roadpass.message import Attempt, Message, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
-from roadpass.peer import PeerPool
+from roadpass.peer import Address, PeerPool
 from roadpass.request import Request
+from roadpass.retry import RetryBudget
 from roadpass.sidecar import Sidecar
-from roadpass.view import View
+from roadpass.stream import Received, Stream
+from roadpass.view import Node, View
 
 VM = "vm-1"
 
@@ -158,3 +163,75 @@
     one._view.fleet = Fleet.from_documents([("all", json.dumps(value))], revision=2)
     outcome = one.dispatch(request("GET")).outcome
     assert outcome == NotRun(Reason.NO_CAPACITY, 2000)
+
+
+class FakeStream(Stream):
+    """Loses every reply; notes whether it was closed."""
+
+    def __init__(self, error: StreamError) -> None:
+        self.error = error
+        self.closed = False
+        self.peer_incarnation = 7
+
+    def send(self, message: Message) -> None:
+        pass
+
+    def receive(self, timeout_s: float, *, caller: socket.socket | None = None) -> Received:
+        raise self.error
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class FakePeers(PeerPool):
+    """Lends streams that lose their replies; fences get one word, or none."""
+
+    def __init__(self, word: Message | None, error: StreamError) -> None:
+        self.word = word
+        self.error = error
+        self.lent: list[FakeStream] = []
+        self.returned: list[Stream] = []
+
+    def acquire(self, address: Address, *, timeout_s: float) -> Stream:
+        self.lent.append(FakeStream(self.error))
+        return self.lent[-1]
+
+    def release(self, address: Address, stream: Stream) -> None:
+        self.returned.append(stream)
+
+    def exchange(self, address: Address, message: Message, *, timeout_s: float) -> Message:
+        if self.word is None:
+            raise ReplyTimeoutError("The peer did not reply in time.")
+        return self.word
+
+
+def fenced(verdict: Verdict, incarnation: int = 7) -> Message:
+    """Return a sidecar's word on a fence."""
+    return {"t": "fenced", "verdict": verdict.value, "incarnation": incarnation}
+
+
+@pytest.mark.parametrize(
+    ("word", "outcome"),
+    [
+        (fenced(Verdict.NEVER_STARTS), NotRun),
+        (fenced(Verdict.STARTED), Unknown),
+        (fenced(Verdict.CANNOT_VOUCH), Unknown),
+        (fenced(Verdict.NEVER_STARTS, incarnation=8), Unknown),
+        (None, Unknown),
+    ],
+)
+@pytest.mark.parametrize("error", [ReplyTimeoutError("late"), StreamError("lost")])
+def test_a_lost_reply_is_not_run_only_on_the_word_of_the_same_sidecar(
+    word: Message | None, outcome: type[Outcome], error: StreamError
+) -> None:
+    """A fence by the process that got the attempt; a restarted one cannot vouch for it."""
+    peers = FakePeers(word, error)
+    one = dispatcher(FakeSidecar([]), retry_ratio=0.0)
+    one._peers = peers
+    one._view = View("vm-2", "hall", "region")
+    one._view.fleet, one._view.ready = fleet(retry_ratio=0.0), True
+    one._view.nodes[VM] = Node(VM, "127.0.0.1", 1, "hall", "region")
+    one._budgets["s"] = RetryBudget(0.0, burst=0.0)
+    assert isinstance(one.dispatch(request("POST")).outcome, outcome)
+    assert [stream.closed for stream in peers.lent] == [True]
+    assert peers.returned == []
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,95 @@
+"""The gossip actor on real datagrams: malformed ones are counted, and it lives on."""
+
+import random
+import socket
+import time
+from collections.abc import Callable
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pykka import ActorRef
+
+from roadpass.audit import AuditTrail
+from roadpass.gossip import Begin, Events, Gossip
+from roadpass.member import Member, MemberState
+from roadpass.message import check_gossip
+from roadpass.metric import Metrics
+from roadpass.settings import Ports, Settings
+
+ADDRESS = "127.0.41.1"
+PORTS = Ports(8080, 8081, 8082, 8083)
+LIMIT_S = 10.0
+
+
+def start(metrics: Metrics, nodes: list[str]) -> ActorRef[Gossip]:
+    """Start an actor that notes the nodes it hears of."""
+    own = Member("vm-1", 1, MemberState.ALIVE, ADDRESS, 8081, 8082, "hall", "region")
+    config = Settings("vm-1", "hall", "region", ADDRESS, ADDRESS, PORTS, "http://127.0.0.1:1")
+    events = Events(
+        on_node=lambda node: nodes.append(node.vm),
+        on_version=lambda version, address: None,
+        on_hint=lambda target, scores: None,
+        on_leave=lambda: None,
+    )
+    return Gossip.start(config, own, events, AuditTrail(), metrics, random.Random(1))
+
+
+def eventually(condition: Callable[[], bool]) -> bool:
+    """Wait for a condition."""
+    deadline = time.monotonic() + LIMIT_S
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(0.01)
+    return False
+
+
+def datagram(vm: str) -> bytes:
+    """Return a good datagram of a node that was not known."""
+    rumor = [vm, 1, 0, "127.0.41.2", 8081, 8082, "hall", "region"]
+    message = {"t": "ping", "sender": vm, "n": 1, "revision": 0, "digest": "", "news": [rumor]}
+    packed: bytes = msgpack.packb(check_gossip(message))
+    return packed
+
+
+def test_malformed_datagrams_are_counted_and_the_actor_lives_on() -> None:
+    """Noise, wrong types, absurd values; then a good one is understood."""
+    metrics = Metrics()
+    nodes: list[str] = []
+    ref = start(metrics, nodes)
+    ref.tell(Begin())
+    good = msgpack.unpackb(datagram("vm-2"))
+    bad = [
+        b"",
+        b"\xff" * 50,
+        msgpack.packb([1, 2]),
+        msgpack.packb({**good, "n": "x"}),
+        msgpack.packb({**good, "news": [["vm-2", 1, 9, "a", 1, 1, "h", "r"]]}),
+        msgpack.packb({**good, "hints": [["t", "x", 0.0, 0.0]]}),
+        datagram("vm-2")[:-7],
+    ]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for content in bad:
+            sock.sendto(content, (ADDRESS, PORTS.gossip))
+        assert eventually(lambda: metrics.get("gossip_dropped") == len(bad))
+        sock.sendto(datagram("vm-3"), (ADDRESS, PORTS.gossip))
+        assert eventually(lambda: "vm-3" in nodes)
+    ref.stop()
+
+
+@settings(max_examples=30)
+@given(st.binary(max_size=100), st.integers(0, 100))
+def test_spoilt_datagrams_never_raise_anything_but_their_own_error(noise: bytes, at: int) -> None:
+    """A good datagram with bytes overwritten; handled as the actor does, without its thread."""
+    whole = bytearray(datagram("vm-2"))
+    whole[at : at + len(noise)] = noise
+    metrics = Metrics()
+    actor = Gossip.__new__(Gossip)
+    actor._settings = Settings(
+        "vm-1", "hall", "region", ADDRESS, ADDRESS, PORTS, "http://127.0.0.1:1"
+    )
+    actor._metrics = metrics
+    actor._take = lambda message: None  # type: ignore[method-assign]
+    actor._on_datagram(bytes(whole))
+    assert metrics.get("gossip_dropped") <= 1
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,176 @@
+"""The sidecar before a real target: what it refuses is never run, what it starts runs once."""
+
+import json
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from roadpass.fence import Verdict
+from roadpass.fleet import Fleet
+from roadpass.message import Attempt
+from roadpass.outcome import Answered, NotRun, Reason, Unknown
+from roadpass.pause import PauseWatch
+from roadpass.sidecar import Sidecar
+from roadpass.web import WebServer
+from stand_ins.target import TargetGateway, TargetState
+
+ADDRESS = ("127.0.42.1", 9000)
+
+
+class Bench:
+    """A sidecar and its target."""
+
+    def __init__(self) -> None:
+        self.state = TargetState("t", 4, 0.0)
+        self.state.behaviour.median_ms = 1.0
+        self.server = WebServer(ADDRESS, TargetGateway, self.state, threads=8)
+        self.behind: list[int] = []
+        self.sidecar = Sidecar(
+            "vm-1", 1, PauseWatch(), pull=lambda message: message, behind=self.behind.append
+        )
+        self.configure()
+
+    def configure(self, *, revision: int = 2, leaving: bool = False, path: str = "/") -> None:
+        """Put a fleet of one target in force."""
+        target = {
+            "service": "s",
+            "vm": "vm-1",
+            "address": f"{ADDRESS[0]}:{ADDRESS[1]}",
+            "slots": 2,
+            "leaving": leaving,
+            "labels": {"tier": "main"},
+        }
+        value = {
+            "services": {"s": {"floor_slots": 1, "queue_limit": 2, "shed_status": 503}},
+            "targets": {"t": target},
+            "routes": {"r": {"path": path, "service": "s"}, "old": {"path": "/o", "service": "s"}},
+            "selectors": [
+                {"name": "none", "routes": {"kind": "other"}, "targets": {"tier": "spare"}}
+            ],
+        }
+        self.sidecar.configure(
+            Fleet.from_documents([("all", json.dumps(value))], revision=revision, digest="d")
+        )
+
+    @property
+    def runs(self) -> int:
+        """Requests that the target was given."""
+        return sum(self.state.begun.values())
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    """Start a target."""
+    made = Bench()
+    made.server.start_thread()
+    yield made
+    made.server.stop()
+
+
+def attempt(number: int = 1, **changes: object) -> Attempt:
+    """Return an attempt at the target."""
+    made = Attempt(
+        id=f"vm-2/1/{number}",
+        target="t",
+        route="r",
+        method="POST",
+        path="/x",
+        headers=[],
+        body=b"",
+        remaining_ms=2000.0,
+        traffic_class="default",
+        caller="c",
+        repeatable=False,
+        retry=False,
+        revision=2,
+        slow_ms=0.0,
+    )
+    return made._replace(**changes)  # type: ignore[arg-type]
+
+
+def reason(bench: Bench, one: Attempt, age_s: float = 0.0) -> Reason | None:
+    """Run an attempt and return why it was not run; nothing if it was answered."""
+    outcome = bench.sidecar.run(one, age_s).outcome
+    match outcome:
+        case NotRun(reason=why) | Unknown(reason=why):
+            return why
+        case Answered():
+            return None
+
+
+def test_an_attempt_runs_once(bench: Bench) -> None:
+    """A second frame with its id does not start it again."""
+    assert reason(bench, attempt()) is None
+    assert reason(bench, attempt()) is Reason.DUPLICATE
+    assert bench.runs == 1
+
+
+def test_a_fenced_attempt_never_runs(bench: Bench) -> None:
+    """It may arrive long after its fence."""
+    assert bench.sidecar.fence("vm-2/1/1") is Verdict.NEVER_STARTS
+    assert reason(bench, attempt()) is Reason.FENCED
+    assert bench.runs == 0
+    assert reason(bench, attempt(2)) is None
+    assert bench.sidecar.fence("vm-2/1/2") is Verdict.STARTED
+
+
+def test_an_attempt_that_lay_unread_is_refused(bench: Bench) -> None:
+    """A frozen sidecar wakes and finds frames whose time has passed."""
+    assert reason(bench, attempt(), age_s=3.0) is Reason.EXPIRED
+    assert bench.runs == 0
+
+
+def test_a_leaving_node_or_target_refuses(bench: Bench) -> None:
+    """From that instant, whatever the ingress believes."""
+    bench.configure(leaving=True)
+    assert reason(bench, attempt()) is Reason.LEAVING
+    bench.configure(leaving=False)
+    bench.sidecar.leaving = True
+    assert reason(bench, attempt(2)) is Reason.LEAVING
+    assert bench.runs == 0
+
+
+def test_an_ingress_with_an_older_revision_is_refused_where_the_change_matters(
+    bench: Bench,
+) -> None:
+    """A route or target that is gone, or labels that no longer match."""
+    assert reason(bench, attempt(1, route="gone", revision=1)) is Reason.STALE_ROUTE
+    assert reason(bench, attempt(2, target="gone", revision=1)) is Reason.STALE_ROUTE
+    assert reason(bench, attempt(3, route="gone", revision=3)) is None
+    assert bench.behind == [3]
+    assert bench.runs == 1
+
+
+def test_slots_and_queue_are_bounded(bench: Bench) -> None:
+    """Of many at once some run, few wait, the others are refused at once and never run."""
+    bench.state.behaviour.median_ms = 200.0
+    bench.state.behaviour.spread = 0.0
+    reasons: list[Reason | None] = []
+    threads = [
+        threading.Thread(
+            target=lambda n=n: reasons.append(reason(bench, attempt(n, caller=f"c{n}")))
+        )
+        for n in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert reasons.count(None) == bench.runs == 4
+    assert reasons.count(Reason.QUEUE_FULL) == 4
+
+
+def test_shedding_is_not_run_and_no_sign_of_sickness(bench: Bench) -> None:
+    """The service's shed status is the target's promise."""
+    bench.state.behaviour.shed = True
+    for number in range(20):
+        assert reason(bench, attempt(number)) is Reason.SHED
+    assert bench.sidecar.targets["t"].scores.worst == 0.0
+
+
+def test_a_key_runs_once(bench: Bench) -> None:
+    """Another attempt with the same idempotency key is not started."""
+    assert reason(bench, attempt(1, key="s:k")) is None
+    assert reason(bench, attempt(2, key="s:k")) is Reason.KEY_USED
+    assert bench.runs == 1
