--- a/benchmarks/_plumbing.py
+++ b/benchmarks/_plumbing.py
@@ -9,7 +9,7 @@
 import threading
 from typing import NamedTuple
 
-from roadpass.message import Attempt, Reply
+from roadpass.message import Attempt, LoadReport, Reply
 from roadpass.outcome import Answered
 from roadpass.peer import Address, PeerPool
 from roadpass.stream import Stream
@@ -19,6 +19,7 @@
 THREADS = 48
 TIMEOUT_S = 10.0
 SWITCH_INTERVAL_S = 0.0005
+NO_LOAD = LoadReport(0, 0, 1, 0.0, 0.0, 0.0, 1)
 HELLO = {"t": "hello", "vm": "plumbing", "incarnation": 1}
 
 
@@ -88,7 +89,7 @@
             timeout_s=TIMEOUT_S,
             fresh=False,
         )
-        stream.send(Reply(answer).to_message())
+        stream.send(Reply(answer, NO_LOAD).to_message())
 
 
 def _address(text: str) -> Address:
