--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -149,6 +149,7 @@
             local.scan_running(now)
             if local.scores.worst >= SICK_SCORE:
                 self._say(name, local.scores)
+                self._on_hint(name, local.scores)
         for name, active in list(self._services.items()):
             age_s = now - active.stepped_at
             due = age_s >= REFRESH_S or (active.dirty and age_s >= STEP_S)
