Take nothing as evidence that was measured while this process stood still

Excluded by looking at trails: the hint path, the floor. Test first: fifteen slow answers at a sidecar whose watch says that it just stood still made it suspect its target; now they do not.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -16,6 +16,7 @@
 from roadpass.local import SERVER_ERROR
 from roadpass.message import Attempt, LoadReport, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
 from roadpass.request import Observation, Pending, Request, Served
 from roadpass.retry import RetryBudget
@@ -63,6 +64,7 @@
         incarnation: Of this process, part of attempt ids.
         sidecar: This VM's own.
         peers: Streams to the other sidecars.
+        pause: Tells when this process stood still.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         incarnation: int,
         sidecar: Sidecar,
         peers: PeerPool,
+        pause: PauseWatch,
         *,
         seed: int | None = None,
     ) -> None:
@@ -78,6 +81,7 @@
         self._prefix = f"{view.vm}/{incarnation}/"
         self._sidecar = sidecar
         self._peers = peers
+        self._pause = pause
         self._loads = LoadTable()
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
@@ -324,6 +328,8 @@
                 sample = Sample(True, (now - started) * 1000.0)
             case _:
                 pass
+        if self._pause.last_stall >= started:
+            sample = None
         self.observations.append(
             Observation(
                 trip.service.name,
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -138,7 +138,8 @@
         """Count requests that the target has had for far too long as evidence against it."""
         for running in self._running.copy().values():
             limit_ms = pending_limit_ms(running.slow_ms, running.looks)
-            if limit_ms and (now - running.started) * 1000.0 > limit_ms:
+            seen_since = max(running.started, self._pause.last_stall)
+            if limit_ms and (now - seen_since) * 1000.0 > limit_ms:
                 running.looks += 1
                 with self._lock:
                     self._detector.observe_pending()
@@ -243,6 +244,8 @@
                 return
             case _:
                 failed = True
+        if self._pause.last_stall >= running.started:
+            return
         with self._lock:
             self._learnt_at = time.monotonic()
             self._detector.observe(
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -15,6 +15,7 @@
 from roadpass.fleet import Fleet
 from roadpass.health import Presence, ServiceHealth
 from roadpass.hint import SICK_SCORE
+from roadpass.pause import PauseWatch
 from roadpass.request import Observation
 from roadpass.sidecar import Sidecar
 from roadpass.view import ServiceView, View
@@ -76,6 +77,7 @@
         view: Where service views are published.
         dispatcher: Source of observations and pending attempts.
         sidecar: Source of the own targets' scores.
+        pause: Tells when this process stood still.
         say: Spreads a word on an own target.
         audit: The audit trail.
     """
@@ -85,6 +87,7 @@
         view: View,
         dispatcher: Dispatcher,
         sidecar: Sidecar,
+        pause: PauseWatch,
         say: Callable[[str, Scores], None],
         audit: AuditTrail,
     ) -> None:
@@ -92,6 +95,7 @@
         self._view = view
         self._dispatcher = dispatcher
         self._sidecar = sidecar
+        self._pause = pause
         self._say = say
         self._audit = audit
         self._services: dict[str, _Active] = {}
@@ -193,7 +197,8 @@
             limit_ms = active.health.pending_ms(pending.target, looks=pending.looks)
             load = self._dispatcher.loads.load(pending.target, now)
             queue_ms = load.utilization * load.latency_ms
-            if limit_ms and (now - pending.since) * 1000.0 > limit_ms + queue_ms:
+            seen_since = max(pending.since, self._pause.last_stall)
+            if limit_ms and (now - seen_since) * 1000.0 > limit_ms + queue_ms:
                 if pending.looks == 0:
                     self._dispatcher.loads.mark_overdue(pending.target)
                 pending.looks += 1
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -67,7 +67,9 @@
             behind=self._on_behind,
         )
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
-        self._dispatcher = Dispatcher(self._view, self._incarnation, self._sidecar, self._peers)
+        self._dispatcher = Dispatcher(
+            self._view, self._incarnation, self._sidecar, self._peers, self._pause
+        )
         self._platform = Platform(settings.platform_url, self.metrics)
         self._readers: list[str] = []
         self._store = Store()
@@ -95,7 +97,13 @@
         )
         self._gossip_proxy = self._gossip.proxy()
         self._monitor = self._start(
-            HealthMonitor, self._view, self._dispatcher, self._sidecar, self._say, self.audit
+            HealthMonitor,
+            self._view,
+            self._dispatcher,
+            self._sidecar,
+            self._pause,
+            self._say,
+            self.audit,
         )
         self._puller = self._start(
             Puller,
--- a/roadpass/pause.py
+++ b/roadpass/pause.py
@@ -6,6 +6,8 @@
 TICK_S = 0.1
 PAUSE_S = 0.5
 """A tick this late means that the process did not run, or could not."""
+STALL_S = 0.25
+"""A tick this late, and what is measured across it says nothing about others."""
 SETTLE_S = 0.1
 """Time given to readers after a pause, for fences and news that wait in socket buffers."""
 
@@ -17,6 +19,7 @@
         self._last_tick = time.monotonic()
         self._settle_until = 0.0
         self._pauses = 0
+        self._last_stall = float("-inf")
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="pause-watch", daemon=True)
 
@@ -25,6 +28,11 @@
         """Pauses noticed so far."""
         return self._pauses
 
+    @property
+    def last_stall(self) -> float:
+        """When this process last began to run again after standing still, monotonic seconds."""
+        return self._last_stall
+
     def start(self) -> None:
         """Start to tick."""
         self._last_tick = time.monotonic()
@@ -52,6 +60,8 @@
     def _run(self) -> None:
         while not self._stopped.wait(TICK_S):
             now = time.monotonic()
+            if now - self._last_tick > STALL_S:
+                self._last_stall = now
             if now - self._last_tick > PAUSE_S:
                 self._note(now)
             self._last_tick = now
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -14,6 +14,7 @@
 from roadpass.fleet import Fleet
 from roadpass.message import Attempt, Message, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
 from roadpass.request import Request
 from roadpass.retry import RetryBudget
@@ -62,7 +63,7 @@
     view = View(VM, "hall", "region")
     view.fleet = fleet(**service)
     view.ready = True
-    return Dispatcher(view, 1, sidecar, PeerPool({}, ()), seed=1)
+    return Dispatcher(view, 1, sidecar, PeerPool({}, ()), PauseWatch(), seed=1)
 
 
 def request(method: str = "POST", **fields: object) -> Request:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -169,6 +170,26 @@
     assert bench.sidecar.targets["t"].scores.worst == 0.0
 
 
+class StalledWatch(PauseWatch):
+    """Says that this process stood still until just now."""
+
+    @property
+    def last_stall(self) -> float:
+        return time.monotonic()
+
+
+@pytest.mark.parametrize(("watch", "sick"), [(PauseWatch(), True), (StalledWatch(), False)])
+def test_what_took_long_because_this_process_stood_still_is_no_evidence(
+    bench: Bench, watch: PauseWatch, sick: bool
+) -> None:
+    """Slow answers count against a target, but not those of a time when nobody was measuring."""
+    bench.sidecar.targets["t"]._pause = watch
+    bench.state.behaviour.median_ms = 20.0
+    for number in range(15):
+        assert reason(bench, attempt(number, slow_ms=1.0)) is None
+    assert (bench.sidecar.targets["t"].scores.slow >= 1.0) is sick
+
+
 def test_a_key_runs_once(bench: Bench) -> None:
     """Another attempt with the same idempotency key is not started."""
     assert reason(bench, attempt(1, key="s:k")) is None
