Send each request of the caller stand-in through an address chosen by chance

The loads of 60, 20 and 40 requests a second take the four addresses in turn, and the pattern repeats: each load kept to some of them.

--- a/stand_ins/caller.py
+++ b/stand_ins/caller.py
@@ -3,6 +3,7 @@
 import argparse
 import itertools
 import json
+import random
 import threading
 import time
 from collections import Counter
@@ -42,7 +43,9 @@
 
 
 class Caller:
-    """Sends requests at intended times through several addresses in turn.
+    """Sends requests at intended times through several addresses, each by chance.
+
+    Taking turns would not do: loads of commensurable rates then keep to some addresses each.
 
     Args:
         addresses: `ip:port` of ingresses.
@@ -56,7 +59,7 @@
             )
             for address in addresses
         ]
-        self._turns = itertools.cycle(range(len(self._pools)))
+        self._rng = random.Random(1)
         self._threads = threads
         self._numbers = itertools.count()
         self._prefix = f"r{time.time_ns()}-"
@@ -79,7 +82,7 @@
     def send(self, load: Load, *, intended: float | None = None) -> Result:
         """Send one request."""
         request_id = f"{self._prefix}{next(self._numbers)}"
-        pool = self._pools[next(self._turns)]
+        pool = self._rng.choice(self._pools)
         started = intended if intended is not None else time.monotonic()
         headers = {"X-Request": request_id, **dict(load.headers)}
         body = b"payload" if load.method == "POST" else None
