Pull at once from a node that is seen to hold a newer revision; one place for shared constants

Cause (read in the code): a sidecar that got an attempt with a newer revision only logged it, and an ingress ignored the revision in load reports, where the design has both pull at once. Also: the gossip reader no longer keeps the address in use after its socket is closed (seen as a failing test when two runs overlapped); PeerNode is named apart from Node; constants that stood twice moved to outcome.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -22,7 +22,7 @@
 from roadpass.member import Member, Members, MemberState
 from roadpass.route import Route
 from roadpass.stream import Stream
-from roadpass.view import Node
+from roadpass.view import PeerNode
 from stand_ins.launcher import Launcher
 
 SIZES = (10, 20, 40)
@@ -190,10 +190,12 @@
     return Member(f"vm-{number}", 1, MemberState.ALIVE, address, 1, 1, "hall-a", "region")
 
 
-def _members() -> tuple[Members, dict[str, Node]]:
+def _members() -> tuple[Members, dict[str, PeerNode]]:
     members = Members(_member(0), random.Random(1))
     members.seed(0.0, (_member(number) for number in range(1, MEMBERS)))
-    nodes = {m.vm: Node(m.vm, m.address, m.stream_port, m.hall, m.region) for m in members.all()}
+    nodes = {
+        m.vm: PeerNode(m.vm, m.address, m.stream_port, m.hall, m.region) for m in members.all()
+    }
     return members, nodes
 
 
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from roadpass.balance import Load
@@ -13,9 +14,17 @@
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
 from roadpass.load import LoadTable
-from roadpass.local import SERVER_ERROR
 from roadpass.message import Attempt, LoadReport, Reply
-from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.outcome import (
+    RETRY_LATER_MS,
+    RETRY_SOON_MS,
+    SERVER_ERROR,
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
 from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
 from roadpass.request import Observation, Pending, Request, Served
@@ -30,8 +39,6 @@
 REPLY_GRACE_S = 0.02
 MIN_ATTEMPT_S = 0.005
 CONNECT_S = 0.25
-RETRY_SOON_MS = 500
-RETRY_LATER_MS = 2000
 
 
 @dataclass(slots=True)
@@ -65,6 +72,7 @@
         sidecar: This VM's own.
         peers: Streams to the other sidecars.
         pause: Tells when this process stood still.
+        behind: Called with a VM and its revision when that is newer than the own one.
     """
 
     def __init__(
@@ -75,6 +83,7 @@
         peers: PeerPool,
         pause: PauseWatch,
         *,
+        behind: Callable[[str, int], None],
         seed: int | None = None,
     ) -> None:
         self._view = view
@@ -82,6 +91,7 @@
         self._sidecar = sidecar
         self._peers = peers
         self._pause = pause
+        self._behind = behind
         self._loads = LoadTable()
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
@@ -313,6 +323,8 @@
         scores, latency_ms = None, 0.0
         if reply.load is not None:
             self._loads.report(now, target.name, reply.load)
+            if reply.load.revision > self._view.fleet.revision:
+                self._behind(target.vm, reply.load.revision)
             scores, latency_ms = _scores(reply.load), reply.load.latency_ms
         sample: Sample | None = None
         match reply.outcome:
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -24,13 +24,15 @@
 from roadpass.revision import NO_VERSION, Version
 from roadpass.settings import Settings
 from roadpass.stream import MAC_BYTES
-from roadpass.view import Node
+from roadpass.view import PeerNode
 
 TICK_S = 0.1
 PAUSE_S = 1.0
 """A tick this late means that the process was paused."""
 MAX_DATAGRAM = 1200
 RECEIVE_BYTES = 2048
+READ_POLL_S = 1.0
+"""A reader that waits for ever would keep the address in use after the socket was closed."""
 ANNOUNCE_FANOUT = 4
 ANNOUNCE_REPEATS = 2
 SYNC_PEERS = 3
@@ -93,7 +95,7 @@
         on_leave: This node was told that it is leaving.
     """
 
-    on_node: Callable[[Node], None]
+    on_node: Callable[[PeerNode], None]
     on_version: Callable[[Version, tuple[str, int]], None]
     on_hint: Callable[[str, Scores], None]
     on_leave: Callable[[], None]
@@ -150,6 +152,7 @@
         """Bind the socket."""
         address = (self._settings.address, self._settings.ports.gossip)
         self._socket.bind(address)
+        self._socket.settimeout(READ_POLL_S)
         _log.info("gossiping on %s:%d", *address)
 
     def _begin(self) -> None:
@@ -328,6 +331,8 @@
         while True:
             try:
                 content, source = self._socket.recvfrom(RECEIVE_BYTES)
+            except TimeoutError:
+                continue
             except OSError:
                 return
             self._metrics.count("gossip_received_bytes", len(content))
@@ -341,8 +346,8 @@
     return hmac.digest(key, payload, "sha256")[:MAC_BYTES]
 
 
-def _node(member: Member) -> Node:
-    return Node(
+def _node(member: Member) -> PeerNode:
+    return PeerNode(
         member.vm,
         member.address,
         member.stream_port,
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -12,15 +12,21 @@
 from roadpass.health import pending_limit_ms
 from roadpass.limit import AdaptiveLimit
 from roadpass.message import Attempt, LoadReport
-from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.outcome import (
+    RETRY_LATER_MS,
+    RETRY_SOON_MS,
+    SERVER_ERROR,
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
 from roadpass.pause import PauseWatch
 from roadpass.target import TargetClient, TargetTimeoutError
 
 MIN_START_MS = 2.0
 """With less time left an attempt is not started."""
-RETRY_SOON_MS = 500
-RETRY_LATER_MS = 2000
-SERVER_ERROR = 500
 EVIDENCE_KEPT_S = 2.0
 
 
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -66,6 +66,11 @@
     key: str = ""
     repeat: bool = False
 
+    @property
+    def ingress(self) -> str:
+        """VM of the ingress that made it."""
+        return self.id.split("/", 1)[0]
+
     @classmethod
     def from_message(cls, message: Message) -> "Attempt":
         """Build an attempt from a checked message.
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -29,8 +29,7 @@
 from roadpass.revision import Version
 from roadpass.settings import Settings
 from roadpass.sidecar import Sidecar, StreamServer
-from roadpass.view import Node as PeerNode
-from roadpass.view import View
+from roadpass.view import PeerNode, View
 
 READY_PEERS = 2
 """A starting node is ready once it holds what so many peers do not exceed,"""
@@ -68,7 +67,12 @@
         )
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         self._dispatcher = Dispatcher(
-            self._view, self._incarnation, self._sidecar, self._peers, self._pause
+            self._view,
+            self._incarnation,
+            self._sidecar,
+            self._peers,
+            self._pause,
+            behind=self._on_behind,
         )
         self._platform = Platform(settings.platform_url, self.metrics)
         self._readers: list[str] = []
@@ -219,8 +223,11 @@
     def _on_version(self, version: Version, address: Address) -> None:
         self._puller.tell(News(version, address))
 
-    def _on_behind(self, revision: int) -> None:
-        _log.info("an attempt names revision %d, which is newer than the one in force", revision)
+    def _on_behind(self, vm: str, revision: int) -> None:
+        """Pull from a node that was seen to hold a newer revision."""
+        peer = self._view.nodes.get(vm)
+        if peer is not None:
+            self._puller.tell(News(Version(revision, ""), (peer.address, peer.stream_port)))
 
     def _on_hint(self, target: str, scores: Scores) -> None:
         self._monitor.tell(HintHeard(target, scores))
--- a/roadpass/outcome.py
+++ b/roadpass/outcome.py
@@ -6,6 +6,11 @@
 
 Headers: TypeAlias = list[tuple[str, str]]
 
+SERVER_ERROR = 500
+"""From this status on an answer counts as a failure of its target."""
+RETRY_SOON_MS = 500
+RETRY_LATER_MS = 2000
+"""When to come back: where another node or moment may do, and where capacity must return."""
 OUTCOME_HEADER = "Roadpass-Outcome"
 REASON_HEADER = "Roadpass-Reason"
 
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -10,9 +10,9 @@
 from roadpass.errors import StreamError
 from roadpass.fence import FenceTable, Verdict
 from roadpass.fleet import Fleet
-from roadpass.local import RETRY_SOON_MS, LocalTarget
+from roadpass.local import LocalTarget
 from roadpass.message import Attempt, Message, Reply
-from roadpass.outcome import NotRun, Outcome, Reason
+from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
 from roadpass.settings import Settings
 from roadpass.stream import Stream
@@ -34,7 +34,7 @@
         incarnation: Number of this process, higher than those before it on the VM.
         pause: The node's pause watch.
         pull: Answers a peer's pull of the configuration.
-        behind: Called when an attempt shows that a newer revision exists.
+        behind: Called with an ingress's VM and its revision when that is newer than the own one.
     """
 
     def __init__(
@@ -44,7 +44,7 @@
         pause: PauseWatch,
         *,
         pull: Callable[[Message], Message],
-        behind: Callable[[int], None],
+        behind: Callable[[str, int], None],
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
@@ -152,7 +152,7 @@
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
         fleet = self._fleet
         if attempt.revision > fleet.revision:
-            self._behind(attempt.revision)
+            self._behind(attempt.ingress, attempt.revision)
             return None if local is not None else NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
         if local is None or not self._selected(fleet, attempt):
             return NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -9,7 +9,7 @@
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
 
 
-class Node(NamedTuple):
+class PeerNode(NamedTuple):
     """How to reach a node; `alive` is false if it is believed dead, `leaving` if it said so."""
 
     vm: str
@@ -68,7 +68,7 @@
         self._hall = hall
         self._region = region
         self.fleet = Fleet.empty()
-        self.nodes: dict[str, Node] = {}
+        self.nodes: dict[str, PeerNode] = {}
         self.services: dict[str, ServiceView] = {}
         self.ready = False
         self.leaving = False
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -12,7 +12,7 @@
 from roadpass.errors import ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
-from roadpass.message import Attempt, Message, Reply
+from roadpass.message import Attempt, LoadReport, Message, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
@@ -20,9 +20,11 @@
 from roadpass.retry import RetryBudget
 from roadpass.sidecar import Sidecar
 from roadpass.stream import Received, Stream
-from roadpass.view import Node, View
+from roadpass.view import PeerNode, View
 
 VM = "vm-1"
+BEHIND: dict[str, int] = {}
+"""VMs that were reported to hold a newer revision."""
 
 
 class FakeSidecar(Sidecar):
@@ -32,11 +34,12 @@
         self.script = script
         self.attempts: list[Attempt] = []
         self.verdict = Verdict.NEVER_STARTS
+        self.load: LoadReport | None = None
 
     def run(self, attempt: Attempt, age_s: float = 0.0) -> Reply:
         self.attempts.append(attempt)
         refused = NotRun(Reason.QUEUE_FULL)
-        return Reply(self.script.pop(0) if self.script else refused)
+        return Reply(self.script.pop(0) if self.script else refused, self.load)
 
     def fence_key(self, key: str, token: str) -> Verdict:
         return self.verdict
@@ -63,7 +66,9 @@
     view = View(VM, "hall", "region")
     view.fleet = fleet(**service)
     view.ready = True
-    return Dispatcher(view, 1, sidecar, PeerPool({}, ()), PauseWatch(), seed=1)
+    return Dispatcher(
+        view, 1, sidecar, PeerPool({}, ()), PauseWatch(), behind=BEHIND.__setitem__, seed=1
+    )
 
 
 def request(method: str = "POST", **fields: object) -> Request:
@@ -147,6 +152,15 @@
     assert isinstance(one.dispatch(repeat).outcome, Answered)
 
 
+def test_a_sidecar_with_a_newer_revision_makes_the_ingress_pull() -> None:
+    """Its load report names the revision that is in force there."""
+    sidecar = FakeSidecar([])
+    sidecar.load = LoadReport(0, 0, 1, 0.0, 0.0, 0.0, revision=9)
+    BEHIND.clear()
+    dispatcher(sidecar).dispatch(request("POST"))
+    assert BEHIND == {VM: 9}
+
+
 def test_a_cancelled_request_is_not_tried_again() -> None:
     """Nobody waits for it any more."""
     sidecar = FakeSidecar([NotRun(Reason.CANCELLED)])
@@ -231,7 +245,7 @@
     one._peers = peers
     one._view = View("vm-2", "hall", "region")
     one._view.fleet, one._view.ready = fleet(retry_ratio=0.0), True
-    one._view.nodes[VM] = Node(VM, "127.0.0.1", 1, "hall", "region")
+    one._view.nodes[VM] = PeerNode(VM, "127.0.0.1", 1, "hall", "region")
     one._budgets["s"] = RetryBudget(0.0, burst=0.0)
     assert isinstance(one.dispatch(request("POST")).outcome, outcome)
     assert [stream.closed for stream in peers.lent] == [True]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -26,9 +26,13 @@
         self.state = TargetState("t", 4, 0.0)
         self.state.behaviour.median_ms = 1.0
         self.server = WebServer(ADDRESS, TargetGateway, self.state, threads=8)
-        self.behind: list[int] = []
+        self.behind: list[tuple[str, int]] = []
         self.sidecar = Sidecar(
-            "vm-1", 1, PauseWatch(), pull=lambda message: message, behind=self.behind.append
+            "vm-1",
+            1,
+            PauseWatch(),
+            pull=lambda message: message,
+            behind=lambda vm, revision: self.behind.append((vm, revision)),
         )
         self.configure()
 
@@ -139,7 +143,7 @@
     assert reason(bench, attempt(1, route="gone", revision=1)) is Reason.STALE_ROUTE
     assert reason(bench, attempt(2, target="gone", revision=1)) is Reason.STALE_ROUTE
     assert reason(bench, attempt(3, route="gone", revision=3)) is None
-    assert bench.behind == [3]
+    assert bench.behind == [("vm-2", 3)]
     assert bench.runs == 1
 
 
