Decide claims and fences under one lock, in the table itself

Cause (found by reading): the sidecar fenced under its own lock, a target claimed under another, and the table is shared by all targets of a VM. Between the look-up and the entry of a fence an attempt could start, and the fence was still promised: 'not run' for a request that runs. Test first: a look-up that lets the other thread run for 0.3 s; fence promised and attempt run before, never both after. The lock is in the table now, so nobody can forget it. Expiry stops at the first entry that is kept, since entries stand in order of time.

--- a/roadpass/fence.py
+++ b/roadpass/fence.py
@@ -5,6 +5,7 @@
 agreement between nodes.
 """
 
+import threading
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -32,12 +33,15 @@
 class FenceTable:
     """Decides starts and fences by attempt id and by the caller's idempotency key.
 
+    Each decision is atomic: the threads of all targets and streams share one table.
+
     Args:
         started_at: When this process began to take attempts, seconds on the caller's clock.
         window_s: How long entries are kept.
     """
 
     def __init__(self, *, started_at: float, window_s: float = DEFAULT_WINDOW_S) -> None:
+        self._lock = threading.Lock()
         self._started_at = started_at
         self._window_s = window_s
         self._attempts: dict[str, _Entry] = {}
@@ -62,38 +66,41 @@
         Returns:
             `None` if the attempt may start, otherwise the reason why it must not.
         """
-        entry = self._attempts.get(attempt_id)
-        if entry is not None:
-            return Reason.DUPLICATE if entry.started else Reason.FENCED
-        refusal = self._key_refusal(attempt_id, key, repeat)
-        if refusal is not None:
-            return refusal
-        kept_until = now + self._window_s
-        self._attempts[attempt_id] = _Entry(True, kept_until)
-        if key:
-            self._keys[key] = _Entry(True, kept_until, attempt_id)
-        return None
+        with self._lock:
+            entry = self._attempts.get(attempt_id)
+            if entry is not None:
+                return Reason.DUPLICATE if entry.started else Reason.FENCED
+            refusal = self._key_refusal(attempt_id, key, repeat)
+            if refusal is not None:
+                return refusal
+            kept_until = now + self._window_s
+            self._attempts[attempt_id] = _Entry(True, kept_until)
+            if key:
+                self._keys[key] = _Entry(True, kept_until, attempt_id)
+            return None
 
     def fence(self, now: float, attempt_id: str) -> Verdict:
         """Promise that an attempt never starts here, if it has not started."""
-        entry = self._attempts.get(attempt_id)
-        if entry is not None and entry.started:
-            return Verdict.STARTED
-        self._attempts[attempt_id] = _Entry(False, now + self._window_s)
-        return Verdict.NEVER_STARTS
+        with self._lock:
+            entry = self._attempts.get(attempt_id)
+            if entry is not None and entry.started:
+                return Verdict.STARTED
+            self._attempts[attempt_id] = _Entry(False, now + self._window_s)
+            return Verdict.NEVER_STARTS
 
     def fence_key(self, now: float, key: str, token: str) -> Verdict:
         """Promise that no attempt of a key starts here but the one whose id is `token`.
 
         A later fence replaces the token, so of two repeats at once at most one can start.
         """
-        entry = self._keys.get(key)
-        if entry is not None and entry.started:
-            return Verdict.STARTED
-        if now - self._started_at < self._window_s:
-            return Verdict.CANNOT_VOUCH
-        self._keys[key] = _Entry(False, now + self._window_s, token)
-        return Verdict.NEVER_STARTS
+        with self._lock:
+            entry = self._keys.get(key)
+            if entry is not None and entry.started:
+                return Verdict.STARTED
+            if now - self._started_at < self._window_s:
+                return Verdict.CANNOT_VOUCH
+            self._keys[key] = _Entry(False, now + self._window_s, token)
+            return Verdict.NEVER_STARTS
 
     def expire(self, now: float) -> int:
         """Drop entries that are older than the window.
@@ -101,10 +108,11 @@
         Returns:
             How many were dropped.
         """
-        before = self.size
-        self._attempts = {k: e for k, e in self._attempts.items() if e.kept_until > now}
-        self._keys = {k: e for k, e in self._keys.items() if e.kept_until > now}
-        return before - self.size
+        with self._lock:
+            before = self.size
+            _drop_old(self._attempts, now)
+            _drop_old(self._keys, now)
+            return before - self.size
 
     def _key_refusal(self, attempt_id: str, key: str, repeat: bool) -> Reason | None:
         entry = self._keys.get(key) if key else None
@@ -115,3 +123,11 @@
         if repeat and entry.token == attempt_id:
             return None
         return Reason.FENCED
+
+
+def _drop_old(entries: dict[str, _Entry], now: float) -> None:
+    """Remove what is older than the window from the front: entries stand in order of time."""
+    for name in list(entries):
+        if entries[name].kept_until > now:
+            return
+        del entries[name]
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -198,8 +198,7 @@
             return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
         if self.leaving:
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
-        with self._lock:
-            reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
+        reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
         match reason:
             case None:
                 return None
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -89,8 +89,7 @@
 
     def expire(self) -> None:
         """Drop old fences."""
-        with self._lock:
-            self._fences.expire(time.monotonic())
+        self._fences.expire(time.monotonic())
 
     def run(self, attempt: Attempt, age_s: float = 0.0) -> Reply:
         """See one attempt to its end.
@@ -111,16 +110,14 @@
 
     def fence(self, attempt_id: str) -> Verdict:
         """Promise that an attempt never starts here, or cancel it if it runs."""
-        with self._lock:
-            verdict = self._fences.fence(time.monotonic(), attempt_id)
+        verdict = self._fences.fence(time.monotonic(), attempt_id)
         for local in self._targets.values():
             local.cancel(attempt_id)
         return verdict
 
     def fence_key(self, key: str, token: str) -> Verdict:
         """Promise that only the attempt `token` may still start with a key."""
-        with self._lock:
-            return self._fences.fence_key(time.monotonic(), key, token)
+        return self._fences.fence_key(time.monotonic(), key, token)
 
     def hello(self) -> Message:
         """Return this node's hello message."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,7 +3,8 @@
 import json
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import Any
 
 import pytest
 
@@ -120,6 +121,31 @@
     assert bench.sidecar.fence("vm-2/1/2") is Verdict.STARTED
 
 
+class Interleaved(dict[str, Any]):
+    """Lets another thread run for a while within the first look-up."""
+
+    def __init__(self, other: Callable[[], object]) -> None:
+        super().__init__()
+        self._threads = [threading.Thread(target=other)]
+
+    def get(self, key: str, default: Any = None) -> Any:
+        found = super().get(key, default)
+        if self._threads:
+            thread = self._threads.pop()
+            thread.start()
+            thread.join(0.3)
+        return found
+
+
+def test_a_fence_and_a_start_at_the_same_moment(bench: Bench) -> None:
+    """Either the fence is refused or the attempt never runs, whoever is first."""
+    fences = bench.sidecar._fences
+    fences._attempts = Interleaved(lambda: bench.sidecar.run(attempt()))
+    verdict = bench.sidecar.fence("vm-2/1/1")
+    time.sleep(0.3)
+    assert (verdict is Verdict.NEVER_STARTS) == (bench.runs == 0)
+
+
 def test_an_attempt_that_lay_unread_is_refused(bench: Bench) -> None:
     """A frozen sidecar wakes and finds frames whose time has passed."""
     assert reason(bench, attempt(), age_s=3.0) is Reason.EXPIRED
--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -54,10 +54,17 @@
         "fence is taken only from the table",
         "roadpass/fence.py",
         "if entry is not None and entry.started:\n"
-        "            return Verdict.STARTED\n        self._attempts",
-        "if False:\n            return Verdict.STARTED\n        self._attempts",
+        "                return Verdict.STARTED\n            self._attempts",
+        "if False:\n                return Verdict.STARTED\n            self._attempts",
         "tests/test_fence.py",
     ),
+    Mechanism(
+        "claims and fences are atomic",
+        "roadpass/fence.py",
+        "        self._lock = threading.Lock()\n",
+        "        import contextlib\n\n        self._lock = contextlib.nullcontext()\n",
+        "tests/test_sidecar.py",
+    ),
     Mechanism(
         "an answer is whole or an error",
         "roadpass/target.py",
