Let the reader go on after any error; say a lasting bad manifest once

Cause (found by reading): each round asks for the next as its last act, so one unforeseen exception ended reading on that node for good, silently but for one log line; and a manifest that stays bad was written to the trail every two seconds.

--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -101,6 +101,7 @@
         self._next_vms = 0.0
         self._next_try = 0.0
         self._reachable = True
+        self._refused_manifest = ""
         self._was_reader = False
         self._bad: set[Version] = set()
         self._asked = asked
@@ -113,10 +114,12 @@
         """Handle one message; each poll asks for the next."""
         match message:
             case Poll():
-                pause = self._poll()
-                if pause > 0.0:
+                pause = RETRY_S
+                try:
+                    pause = self._poll()
+                finally:
                     time.sleep(pause)
-                self.actor_ref.tell(Poll())
+                    self.actor_ref.tell(Poll())
             case _:
                 _log.error("unknown message %r", message)
 
@@ -138,8 +141,7 @@
             self._note_reachable(False, str(error))
             return RETRY_S * self._rng.uniform(0.5, 1.5)
         except DocumentError as error:
-            _log.warning("manifest refused: %s", error)
-            self._audit.record(Kind.REVISION_REFUSED, "manifest", str(error))
+            self._note_refused_manifest(str(error))
             return RETRY_S * self._rng.uniform(0.5, 1.5)
         finally:
             self._asked.set()
@@ -195,6 +197,11 @@
         self._next_try = now + mean * self._rng.uniform(0.5, 1.5)
         return True
 
+    def _note_refused_manifest(self, why: str) -> None:
+        if why != self._refused_manifest:
+            self._refused_manifest = why
+            self._audit.record(Kind.REVISION_REFUSED, "manifest", why)
+
     def _note_reachable(self, reachable: bool, why: str) -> None:
         if reachable is not self._reachable:
             self._reachable = reachable
