Use the generated forms of messages where they are made and read

Cause (read as a newcomer): the schema's typed dictionaries were generated and unused, while messages went about as bare dictionaries. Messages with bytes keep the general form, since a JSON Schema has no bytes. Gossip's own message to its actor is now an Arrival, apart from the Datagram on the wire.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from roadpass._generated.message_types import Fence, FenceKey
 from roadpass.balance import Load
 from roadpass.detect import Sample, Scores
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
@@ -278,7 +279,7 @@
                 reason = Reason.STREAM_LOST
         if trip.route.repeatable and reason is not Reason.CANCELLED:
             return Unknown(reason)
-        message = {"t": "fence", "id": attempt.id}
+        message: Fence = {"t": "fence", "id": attempt.id}
         left = min(FENCE_S, max(MIN_ATTEMPT_S, trip.deadline - time.monotonic()))
         try:
             word = self._peers.exchange(address, message, timeout_s=left)
@@ -308,7 +309,7 @@
         node = self._view.nodes.get(vm)
         if node is None:
             return Verdict.CANNOT_VOUCH
-        message = {"t": "fence_key", "key": key, "id": token}
+        message: FenceKey = {"t": "fence_key", "key": key, "id": token}
         address = (node.address, node.stream_port)
         try:
             word = self._peers.exchange(address, message, timeout_s=timeout_s)
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -13,13 +13,14 @@
 import pykka
 
 from roadpass._actor import Actor
+from roadpass._generated.message_types import Datagram
 from roadpass._ticker import Ticker
 from roadpass.audit import AuditTrail, Kind
 from roadpass.detect import Scores
 from roadpass.errors import FrameError
 from roadpass.hint import HintTable
 from roadpass.member import Member, Members, MemberState, Send
-from roadpass.message import Message, check_gossip
+from roadpass.message import check_gossip
 from roadpass.metric import Metrics
 from roadpass.revision import NO_VERSION, Version
 from roadpass.settings import Settings
@@ -50,7 +51,7 @@
     """Time passes."""
 
 
-class Datagram(NamedTuple):
+class Arrival(NamedTuple):
     """A datagram came in."""
 
     content: bytes
@@ -173,7 +174,7 @@
                 self._begin()
             case Tick():
                 self._on_tick()
-            case Datagram(content=content):
+            case Arrival(content=content):
                 self._on_datagram(content)
             case Seed(members=members, leaving=leaving):
                 self._on_seed(members, leaving)
@@ -221,7 +222,7 @@
             self._metrics.count("gossip_dropped")
             _log.debug("datagram dropped: %s", error)
 
-    def _take(self, message: Message) -> None:
+    def _take(self, message: Datagram) -> None:
         now = time.monotonic()
         answers = self._members.receive(
             now,
@@ -242,7 +243,7 @@
         for answer in answers:
             self._send(answer)
 
-    def _compare_version(self, message: Message) -> None:
+    def _compare_version(self, message: Datagram) -> None:
         theirs = Version(message["revision"], message["digest"])
         member = self._members.get(message["sender"])
         if member is None:
@@ -318,7 +319,7 @@
             return payload
         return payload + _mac(self._settings.keys[0], payload)
 
-    def _open(self, content: bytes) -> Message:
+    def _open(self, content: bytes) -> Datagram:
         payload = content
         if self._settings.keys:
             payload, mac = content[:-MAC_BYTES], content[-MAC_BYTES:]
@@ -337,7 +338,7 @@
                 return
             self._metrics.count("gossip_received_bytes", len(content))
             try:
-                self.actor_ref.tell(Datagram(content, source))
+                self.actor_ref.tell(Arrival(content, source))
             except pykka.ActorDeadError:
                 return
 
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -18,10 +18,12 @@
     check_revision,
     check_unknown,
 )
+from roadpass._generated.message_types import Datagram
 from roadpass.errors import FrameError
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 
-Message: TypeAlias = dict[str, Any]
+Message: TypeAlias = Mapping[str, Any]
+"""A checked message; the generated typed dictionaries are its forms."""
 
 _CHECKS: Mapping[str, Callable[[Any], Any]] = {
     "hello": check_hello.validate,
@@ -127,9 +129,9 @@
     def to_message(self) -> Message:
         """Return the written form."""
         message = _outcome_to_message(self.outcome)
-        if self.load is not None:
-            message["load"] = self.load._asdict()
-        return message
+        if self.load is None:
+            return message
+        return {**message, "load": self.load._asdict()}
 
 
 def check(message: Any) -> Message:
@@ -147,14 +149,14 @@
     return message
 
 
-def check_gossip(message: Any) -> Message:
+def check_gossip(message: Any) -> Datagram:
     """Check a datagram's content against its schema.
 
     Raises:
         FrameError: It is malformed.
     """
     _run(check_datagram.validate, message)
-    checked: Message = message
+    checked: Datagram = message
     return checked
 
 
--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from roadpass._actor import Actor
+from roadpass._generated.message_types import Pull
 from roadpass.audit import AuditTrail, Kind
 from roadpass.configuration import Offer, Store
 from roadpass.errors import DocumentError, PlatformError, StreamError
@@ -274,7 +275,7 @@
 
     def _pull(self, held: Held, address: Address, *, patches: bool) -> tuple[Manifest, list[bytes]]:
         entries = held.manifest.documents if held.manifest and patches else ()
-        message = {"t": "pull", "have": {entry.name: entry.hash for entry in entries}}
+        message: Pull = {"t": "pull", "have": {entry.name: entry.hash for entry in entries}}
         reply = self._peers.exchange(address, message, timeout_s=PULL_S)
         if reply["t"] != "revision":
             raise StreamError("The peer did not send a revision.")
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from roadpass._actor import Actor
+from roadpass._generated.message_types import Fenced, Hello
 from roadpass.errors import StreamError
 from roadpass.fence import FenceTable, Verdict
 from roadpass.fleet import Fleet
@@ -119,7 +120,7 @@
         """Promise that only the attempt `token` may still start with a key."""
         return self._fences.fence_key(time.monotonic(), key, token)
 
-    def hello(self) -> Message:
+    def hello(self) -> Hello:
         """Return this node's hello message."""
         return {"t": "hello", "vm": self._vm, "incarnation": self._incarnation}
 
@@ -137,7 +138,7 @@
             case other:
                 raise StreamError(f"The peer sent '{other}', which is no request.")
 
-    def _fenced(self, verdict: Verdict) -> Message:
+    def _fenced(self, verdict: Verdict) -> Fenced:
         return {"t": "fenced", "verdict": verdict.value, "incarnation": self._incarnation}
 
     def _refusal(
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -11,6 +11,7 @@
 from roadpass.configuration import Configuration, Offer, Store
 from roadpass.errors import DocumentError
 from roadpass.fleet import Fleet
+from roadpass.message import Message
 from roadpass.patch import apply_patch, make_patch, offer, receive
 from roadpass.revision import DocumentEntry, Held, Manifest
 
@@ -95,7 +96,7 @@
     peer, _ = Held.nothing().advance(manifest(1, old), [old])
     server, _ = peer.advance(manifest(2, new), [new])
     have = {e.name: e.hash for e in peer.manifest.documents} if peer.manifest else {}
-    message = offer(server, have)
+    message: Message = offer(server, have)
     assert len(message["documents"][0]["data"]) < len(new) / 50
     got, contents = receive(peer, message)
     held, fleet = peer.advance(got, contents)
