Weigh slow samples that ran at the same time as one event

The sequential test takes samples as independent; one stall of 100 ms makes all ten requests of a target slow at once, and eight suffice. Excluded: the hints (same without), the node's own stalls (discounted before). Change: a slow sample that began before the last counted one had ended weighs a quarter; pending requests, which must be four times slower, keep their weight. Test first: ten slow at once ejected, now do not; ten in turn do.

--- a/benchmarks/_roadpass_driver.py
+++ b/benchmarks/_roadpass_driver.py
@@ -186,7 +186,7 @@
         slow_ms = self._healths[request.ingress].slow_ms(name)
         admission, limit = self._admissions[name], self._limits[name]
         sample = Sample(timed_out or going.failed, service_ms)
-        self._detectors[name].observe(sample, slow_ms=slow_ms, counted_slow=counted)
+        self._detectors[name].observe(sample, slow_ms=slow_ms, counted_slow=counted, at=self.now)
         self._learnt_at[name] = self.now
         self._gossip(name)
         limit.observe(self.now, service_ms, slow_ms, admission.in_use)
@@ -210,7 +210,7 @@
         health, loads = self._healths[request.ingress], self._loads[request.ingress]
         failed = lost or going.failed
         loads.end(name, None if lost else service_ms, overdue=counted)
-        health.record(name, Sample(failed, service_ms), counted_slow=counted)
+        health.record(name, Sample(failed, service_ms), counted_slow=counted, at=self.now)
         self._step_if_alarmed(request.ingress)
         if not lost:
             self._report(name, request.ingress)
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -18,6 +18,7 @@
 from benchmarks.configuration import NET, NodesOnly
 from roadpass.admission import Admission
 from roadpass.errors import StreamError
+from roadpass.fence import FenceTable
 from roadpass.fleet import Fleet, Service, Target, TrafficClass
 from roadpass.member import Member, Members, MemberState
 from roadpass.route import Route
@@ -26,7 +27,7 @@
 from stand_ins.launcher import Launcher
 
 SIZES = (10, 20, 40)
-TABLES = ("imports", "services", "targets", "routes", "customers", "members", "streams")
+TABLES = ("imports", "services", "targets", "routes", "customers", "members", "streams", "fences")
 IDLE_S = 20.0
 CHANGE_S = 2.0
 CHANGES = 8
@@ -34,6 +35,8 @@
 CUSTOMERS_A_NODE = 1_400_000 // 4_200
 MEMBERS = 4_200
 STREAMS = 200
+FENCES = 180 * 452
+"""Attempts that a sidecar remembers at the target's size: the window times the rate."""
 PARSED = 20_000
 """Targets in the documents whose parsing is timed; more would not fit a megabyte each."""
 
@@ -118,6 +121,7 @@
         "bytes_per_route": round((found["routes"] - found["services"]) * mb / ROUTES),
         "bytes_per_customer": round((found["customers"] - base) * mb / CUSTOMERS_A_NODE),
         "bytes_per_member": round((found["members"] - base) * mb / MEMBERS),
+        "bytes_per_fence": round((found["fences"] - base) * mb / FENCES),
         "bytes_per_stream": round((found["streams"] - base) * mb / STREAMS),
     }
 
@@ -152,6 +156,8 @@
         kept.append(_customers())
     if kind == "members":
         kept.append(_members())
+    if kind == "fences":
+        kept.append(_fences())
     if kind == "streams":
         kept.append(_streams())
     return Usage.from_pid(os.getpid()).rss_mb
@@ -199,6 +205,13 @@
     return members, nodes
 
 
+def _fences() -> FenceTable:
+    table = FenceTable(started_at=0.0)
+    for n in range(FENCES):
+        table.claim(0.0, f"vm-{n % MEMBERS}/1796213467315/{n}")
+    return table
+
+
 def _streams() -> list[Stream]:
     """Open streams to a server in this process, so that both ends are counted."""
     hello = {"t": "hello", "vm": "vm-1", "incarnation": 1}
--- a/roadpass/detect.py
+++ b/roadpass/detect.py
@@ -24,6 +24,8 @@
 QUANTILE_MIN = 30
 """With fewer values an estimate is not used."""
 RATE_SMOOTHING = 0.002
+OVERLAP_WEIGHT = 0.25
+"""Slow samples that ran at the same time share a cause, such as one short stall."""
 SCORE_CAP = 1.5
 """Evidence is kept up to this share of the threshold, so that recovery shows soon."""
 
@@ -112,8 +114,8 @@
         if abs(base - self._base) > 0.1 * self._base:
             self._set(base)
 
-    def add(self, bad: bool) -> None:
-        score = self.score + (self._bad if bad else self._good)
+    def add(self, bad: bool, *, weight: float = 1.0) -> None:
+        score = self.score + weight * (self._bad if bad else self._good)
         self.score = min(self._cap, max(0.0, score))
 
     def _set(self, base: float) -> None:
@@ -140,6 +142,7 @@
         self._latency = Quantile()
         self._samples = 0
         self._good_run = 0
+        self._slow_until = float("-inf")
 
     @property
     def scores(self) -> Scores:
@@ -174,6 +177,7 @@
         slow_ms: float = 0.0,
         base_failure: float = FAILURE_BASE,
         counted_slow: bool = False,
+        at: float | None = None,
     ) -> None:
         """Take in one finished request.
 
@@ -182,6 +186,7 @@
             slow_ms: Service time that counts as slow for this service, 0 if unknown.
             base_failure: Failure rate of the service's other targets.
             counted_slow: Whether `observe_pending` already counted it as slow.
+            at: When it ended, in seconds; without it nothing overlaps.
         """
         base = min(FAILURE_BASE_MAX, max(FAILURE_BASE, base_failure))
         self._partial.rebase(base)
@@ -196,13 +201,22 @@
             return
         self._latency.add(sample.service_ms)
         if slow_ms > 0.0 and not counted_slow:
-            self._slow.add(slow)
+            self._slow.add(slow, weight=self._slow_weight(sample, at) if slow else 1.0)
 
     def observe_pending(self) -> None:
         """Take in that a request has been pending for far longer than slow ones take."""
         self._slow.add(True)
         self._good_run = 0
 
+    def _slow_weight(self, sample: Sample, at: float | None) -> float:
+        """Return the weight of a slow sample: less if it ran while another slow one did."""
+        if at is None:
+            return 1.0
+        if at - sample.service_ms / 1000.0 < self._slow_until:
+            return OVERLAP_WEIGHT
+        self._slow_until = at
+        return 1.0
+
     def reset(self) -> None:
         """Forget the evidence, keep what was learnt of latency and failure rate."""
         for test in (self._partial, self._full, self._slow):
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -350,6 +350,7 @@
                 sample,
                 scores,
                 latency_ms,
+                now,
                 pending.looks > 0,
             )
         )
--- a/roadpass/health.py
+++ b/roadpass/health.py
@@ -89,8 +89,15 @@
         self._service = service
         self._ejector.configure(floor_slots=service.floor_slots, slow_start_s=service.slow_start_s)
 
-    def record(self, target: str, sample: Sample, *, counted_slow: bool = False) -> None:
-        """Take in the outcome of one attempt."""
+    def record(
+        self,
+        target: str,
+        sample: Sample,
+        *,
+        counted_slow: bool = False,
+        at: float | None = None,
+    ) -> None:
+        """Take in the outcome of one attempt, and when it ended, in seconds."""
         health = self._targets.get(target)
         if health is None:
             return
@@ -102,6 +109,7 @@
             slow_ms=health.slow_ms,
             base_failure=health.others_failure,
             counted_slow=counted_slow,
+            at=at,
         )
         self._alarm(health)
 
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -257,6 +257,7 @@
                 Sample(failed, service_ms),
                 slow_ms=attempt.slow_ms,
                 counted_slow=running.looks > 0,
+                at=self._learnt_at,
             )
             self._limit.observe(
                 time.monotonic(), service_ms, attempt.slow_ms, self._admission.in_use
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -173,7 +173,9 @@
         if active is None:
             return
         if seen.sample is not None:
-            active.health.record(seen.target, seen.sample, counted_slow=seen.counted_slow)
+            active.health.record(
+                seen.target, seen.sample, counted_slow=seen.counted_slow, at=seen.at
+            )
         if seen.scores is not None:
             active.health.hint(now, seen.target, seen.scores, latency_ms=seen.latency_ms)
         active.dirty = True
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -46,6 +46,7 @@
     sample: Sample | None
     scores: Scores | None
     latency_ms: float = 0.0
+    at: float = 0.0
     counted_slow: bool = False
 
 
--- a/tests/test_detect.py
+++ b/tests/test_detect.py
@@ -98,6 +98,19 @@
     assert {all_.state(name) for name in "abcd"} == {State.IN_SERVICE}
 
 
+def test_one_short_stall_ejects_nobody() -> None:
+    """Ten requests that ran at once and were all slow are one event, not ten."""
+    detector = Detector(threshold(1.0))
+    for second in range(200):
+        detector.observe(Sample(False, 5.0), slow_ms=20.0, at=float(second))
+    for _ in range(10):
+        detector.observe(Sample(False, 120.0), slow_ms=20.0, at=200.1)
+    assert detector.scores.slow < 1.0
+    for second in range(10):
+        detector.observe(Sample(False, 120.0), slow_ms=20.0, at=201.0 + second)
+    assert detector.scores.slow >= 1.0
+
+
 def test_pending_requests_are_evidence_before_they_time_out() -> None:
     """A target that hangs is ejected without a single finished request."""
     health = service_health()
