Read as a newcomer: unused names gone, constants explained, a leaving node does not read

No change of behaviour but one: a leaving node stops to read the platform for its data hall, as its peers already assumed when they choose readers.

--- a/roadpass/health.py
+++ b/roadpass/health.py
@@ -18,11 +18,11 @@
 OWN_FACTOR = 3.0
 """Where no other target's latency is known, so many times the own 95th percentile is slow."""
 LATENCY_KEPT_S = 60.0
+"""How long a sidecar's figure of its target's latency counts."""
 HINT_S = 5.0
 """How long a sidecar's word on its target counts."""
-
-
 GONE_SCORE = 2.0
+"""Evidence against a target whose node seems dead: above that of any sick one."""
 _NO_EVIDENCE = Scores(0.0, 0.0)
 
 
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -9,7 +9,7 @@
 import pykka
 
 from roadpass import __version__
-from roadpass.admin import Admin, Handler, Page, Query
+from roadpass.admin import TEXT, Admin, Handler, Page, Query
 from roadpass.audit import AuditTrail, Kind
 from roadpass.configuration import Configuration, Offer, Store
 from roadpass.detect import Scores
@@ -263,10 +263,10 @@
 
     def _status(self) -> Status:
         return Status(
-            is_reader=self._settings.vm in self._readers or not self._readers,
+            is_reader=not self._view.leaving
+            and (self._settings.vm in self._readers or not self._readers),
             platform_age_s=self._gossip_proxy.platform_age_s.get(),
             fleet_size=len(self._view.nodes) + 1,
-            leaving=self._view.leaving,
         )
 
     def _pages(self) -> dict[str, Handler]:
@@ -313,7 +313,7 @@
         return Page.from_value([event._asdict() for event in self.audit.since(after)])
 
     def _page_metrics(self, _: Query) -> Page:
-        return Page(200, "text/plain; version=0.0.4", self.metrics.prometheus().encode())
+        return Page(200, TEXT, self.metrics.prometheus().encode())
 
     def _page_ready(self, _: Query) -> Page:
         return Page.from_value({"ready": self.ready}, status=200 if self.ready else 503)
--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -46,16 +46,14 @@
     """What the reader needs to know of its node.
 
     Args:
-        is_reader: Whether this node reads for its data hall.
+        is_reader: Whether this node reads for its data hall; a leaving one does not.
         platform_age_s: Seconds since the platform is known to have answered anybody.
         fleet_size: Nodes known.
-        leaving: Whether this node is leaving.
     """
 
     is_reader: bool
     platform_age_s: float
     fleet_size: int
-    leaving: bool
 
 
 class ReaderEvents(NamedTuple):
--- a/roadpass/selector.py
+++ b/roadpass/selector.py
@@ -9,7 +9,6 @@
 from roadpass.label import Labels, Match, match_from_config, matches
 
 DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
-MINUTES_A_DAY = 24 * 60
 
 
 class Window(NamedTuple):
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -44,7 +44,7 @@
         Settings.from_config(EXAMPLE),
         platform,
         Store(),
-        lambda: Status(True, 0.0, 1, False),
+        lambda: Status(True, 0.0, 1),
         events,
         audit,
         random.Random(1),
