Name what callers and targets are spoken to with, and how a caller's leaving is told

Cause: the header names were spread over the ingress and the target client, and a request carried a bare socket to see whether its caller left; another way of speaking needs both as typed values. A sketch of interfaces; their users follow. No behaviour is measured here.

--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -1,13 +1,26 @@
 """A caller's request at the ingress, and what is noted of it on its way."""
 
-import socket
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from roadpass.detect import Sample, Scores
 from roadpass.outcome import Headers, Outcome
 
 
+class CallerWatch(Protocol):
+    """Tells whether the caller of a request has left; used by one thread at a time."""
+
+    @property
+    def watchable(self) -> bool:
+        """Whether polling `fileno` for input can still tell anything new."""
+
+    def fileno(self) -> int:
+        """Return the descriptor of the caller's connection."""
+
+    def gone(self) -> bool:
+        """Take in what has come, without waiting, and tell whether the caller has closed."""
+
+
 class Request(NamedTuple):
     """A caller's request.
 
@@ -15,7 +28,9 @@
         deadline: Monotonic seconds by which the caller wants an answer, `None` for the route's.
         key: The caller's idempotency key, empty for none.
         repeat: Whether the caller says that it sent this request before.
-        sock: The caller's socket, watched for its closing.
+        watch: Tells when the caller has left, `None` if nobody can.
+        id: The caller's name for this request, empty for none.
+        origin: Service of the VM at which the request began, empty if unknown.
     """
 
     host: str
@@ -27,7 +42,9 @@
     deadline: float | None = None
     key: str = ""
     repeat: bool = False
-    sock: socket.socket | None = None
+    watch: CallerWatch | None = None
+    id: str = ""
+    origin: str = ""
 
 
 class Served(NamedTuple):
