Keep a failing target's door shut until two trials in a row are good, with growing waits

Now waits grow to 1.5 s, two good trials open, no repeat goes to a trial, and a refusing sidecar says when to ask again.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -38,8 +38,8 @@
 """With less time left no attempt is made."""
 FREE_MOVES = 16
 """Refusals before the first byte reached a target after which a request is given up."""
-SICK_AVOID_S = 0.3
-"""How long an ingress keeps away from a target whose door is shut: about two trials there."""
+UNREACHABLE_AVOID_S = 1.0
+"""How long an ingress keeps away from a target to which its way is cut; trying costs 0.1 s."""
 
 
 @dataclass(slots=True)
@@ -285,10 +285,11 @@
                 sample = Sample(status >= SERVER_ERROR, service_ms)
             case NotRun(reason=Reason.LEAVING | Reason.STALE_ROUTE):
                 self._loads.avoid(now, target.name)
-            case NotRun(reason=Reason.SICK):
-                self._loads.avoid(now, target.name, for_s=SICK_AVOID_S)
+            case NotRun(reason=Reason.SICK, retry_after_ms=wait_ms):
+                self._loads.avoid(now, target.name, for_s=wait_ms / 1000.0)
             case NotRun(reason=Reason.REFUSED | Reason.UNREACHABLE | Reason.FENCED):
                 sample = Sample(True, (now - started) * 1000.0)
+                self._loads.avoid(now, target.name, for_s=UNREACHABLE_AVOID_S)
             case Unknown(
                 reason=Reason.CANCELLED | Reason.KEY_USED | Reason.DUPLICATE | Reason.TARGET_LOST
             ):
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -6,12 +6,16 @@
 may be repeated opens the door again, one request at a time.
 """
 
-HOLD_S = 0.15
+HOLD_S = 0.2
 """After a loss nothing is tried for so long: about the time that one request takes."""
-STARVED_S = 2.5
+HOLD_GROWTH = 1.8
+HOLD_MAX_S = 1.5
+"""A lost trial makes the next wait longer, up to this: spells last for seconds, and a trial in
+one is lost six times in seven and costs its request an attempt."""
+STARVED_S = 4.0
 """Shut for so long without any repeatable work to try, it opens for all: no evidence is left."""
-GOODS_TO_OPEN = 1
-"""Good trials in a row that open the door."""
+GOODS_TO_OPEN = 2
+"""Good trials in a row that open the door: in a spell one in seven is good by luck."""
 
 
 class Door:
@@ -19,6 +23,7 @@
 
     def __init__(self) -> None:
         self._shut = False
+        self._hold_s = HOLD_S
         self._hold_until = float("-inf")
         self._tried_at = float("-inf")
         self._trials = 0
@@ -29,6 +34,10 @@
         """Whether only trials are let in."""
         return self._shut
 
+    def wait_s(self, now: float) -> float:
+        """Return the seconds until another trial may start."""
+        return max(0.0, self._hold_until - now)
+
     def admits(self, now: float, *, repeatable: bool) -> bool:
         """Tell whether a request may start now.
 
@@ -71,7 +80,8 @@
         if lost:
             was_shut, self._shut = self._shut, True
             self._goods = 0
-            self._hold_until = now + HOLD_S
+            self._hold_s = min(HOLD_MAX_S, self._hold_s * HOLD_GROWTH) if trial else HOLD_S
+            self._hold_until = now + self._hold_s
             self._tried_at = now
             return not was_shut
         if not (self._shut and trial and good):
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -8,7 +8,7 @@
 from roadpass.decision import decided
 from roadpass.detect import Detector, Sample, Scores, threshold
 from roadpass.dialect import OWN, Dialect
-from roadpass.door import HOLD_S, Door
+from roadpass.door import Door
 from roadpass.errors import TargetError, TargetRefusedError
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
@@ -38,6 +38,8 @@
 MIN_START_MS = 2.0
 """With less time left an attempt is not started."""
 EVIDENCE_KEPT_S = 2.0
+SICK_RETRY_MS = 300
+"""When to ask again at a shut door, at the least: about two trials there."""
 
 
 @dataclass(slots=True)
@@ -131,13 +133,19 @@
         )
 
     def refusal(self, *, repeatable: bool) -> NotRun | None:
-        """Return why an attempt would be refused now, `None` if it would be taken."""
+        """Return why an attempt would be refused now, `None` if it would be taken.
+
+        Args:
+            repeatable: Whether it may serve as a trial: it can be repeated and has yet to be.
+        """
         if self.leaving:
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
+        now = time.monotonic()
         with self._lock:
-            if self._door.admits(time.monotonic(), repeatable=repeatable):
+            if self._door.admits(now, repeatable=repeatable):
                 return None
-        return NotRun(Reason.SICK, int(HOLD_S * 1000.0))
+            wait_s = self._door.wait_s(now)
+        return NotRun(Reason.SICK, max(SICK_RETRY_MS, int(wait_s * 1000.0)))
 
     def run(self, attempt: Attempt, deadline: float, watch: CallerWatch | None = None) -> Outcome:
         """Admit, start at most once, and see to the end of one attempt.
@@ -147,7 +155,7 @@
             deadline: Monotonic seconds.
             watch: Tells when the caller has left, where this node is also its ingress.
         """
-        refusal = self.refusal(repeatable=attempt.repeatable) or self._admit(attempt, deadline)
+        refusal = self.refusal(repeatable=attempt.may_be_trial) or self._admit(attempt, deadline)
         if refusal is not None:
             return refusal
         try:
@@ -232,7 +240,7 @@
             return NotRun(Reason.CANCELLED, RETRY_SOON_MS)
         if (deadline - now) * 1000.0 < MIN_START_MS:
             return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
-        refusal = self.refusal(repeatable=attempt.repeatable)
+        refusal = self.refusal(repeatable=attempt.may_be_trial)
         if refusal is not None:
             return refusal
         reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -76,6 +76,11 @@
     request_id: str = ""
     origin: str = ""
 
+    @property
+    def may_be_trial(self) -> bool:
+        """Whether it may go where it will probably fail: it can be repeated and has yet to be."""
+        return self.repeatable and not self.retry
+
     @property
     def ingress(self) -> str:
         """VM of the ingress that made it."""
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -81,7 +81,7 @@
         costs a moment, and the request is free to go elsewhere.
         """
         limit = min(CONNECT_S, attempt.remaining_ms / 1000.0)
-        question: Check = {"t": "check", "target": target.name, "repeatable": attempt.repeatable}
+        question: Check = {"t": "check", "target": target.name, "repeatable": attempt.may_be_trial}
         try:
             stream = self._peers.acquire(address, timeout_s=limit)
         except ConnectError:
