--- a/benchmarks/_driver.py
+++ b/benchmarks/_driver.py
@@ -51,6 +51,7 @@
             queue_limit=20,
             waiting_limit=100,
             retry_ratio=0.1,
+            retry_burst=10.0,
             slow_start_s=0.0,
             shed_status=None,
             classes=self.classes,
--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -123,6 +123,8 @@
     origin: str
     r""" maxLength: 256 """
 
+    may_wait: bool
+    pressing: bool
 
 
 class Check(TypedDict, total=False):
@@ -141,6 +143,15 @@
     repeatable: Required[bool]
     r""" Required property """
 
+    may_wait: Required[bool]
+    r""" Required property """
+
+    pressing: Required[bool]
+    r""" Required property """
+
+    traffic_class: Required[str]
+    r""" Required property """
+
 
 
 class Datagram(TypedDict, total=False):
--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -154,6 +154,13 @@
         state.push(ticket)
         return Queued(ticket, displaced)
 
+    def expected_wait_ms(self, traffic_class: str) -> float:
+        """Return how long a new request of a class would probably wait, 0 if a slot is free."""
+        name = traffic_class if traffic_class in self._classes else self._last_class
+        if self.waiting == 0 and self._may_run(name):
+            return 0.0
+        return max(1.0, self._expected_wait_ms(name))
+
     def release(self, now: float, traffic_class: str) -> list[Ticket]:
         """Give a slot back.
 
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from roadpass.fleet import Fleet, Service, Target, TrafficClass
+from roadpass.fleet import Fleet, Judgement, Service, Target, TrafficClass
 from roadpass.route import Route
 from roadpass.source import (
     Changes,
@@ -33,6 +33,12 @@
 """Requests of one service and class that may wait at an ingress: a thread each, 0.1 MB."""
 QUEUE_LIMIT = 24
 """Requests that may wait at a target's sidecar; the expected wait bounds them before that."""
+RETRY_SHARE = 0.7
+"""Share of the allowed repeats that is used: nodes see arrivals that others lose sight of, and the
+calls that a repeated run makes count as repeats too."""
+JUDGEMENT = Judgement(slow_margin=3.0, trial_weight=0.15, trial_successes=3)
+"""Targets run at different speeds and their requests at different lengths, so only three times the
+others' is slow; an ingress sends a target about one request in two seconds, so a trial is short."""
 SLOW_START_S = 2.0
 """Ramp of a new target: published targets tell their own warm-up, a few seconds."""
 
@@ -170,8 +176,9 @@
         for entry in entries
         if entry.service in config.services
     }
+    nodes = len({target.vm for target in targets.values()})
     services = {
-        name: _service(name, _slots(targets.values(), name), config.routes, policy)
+        name: _service(name, _slots(targets.values(), name), nodes, config.routes, policy)
         for name in config.services
     }
     routes = {route.name: route for route in config.routes}
@@ -197,7 +204,7 @@
     )
 
 
-def _service(name: str, slots: int, routes: Iterable[Route], policy: Policy) -> Service:
+def _service(name: str, slots: int, nodes: int, routes: Iterable[Route], policy: Policy) -> Service:
     classes = {
         route.traffic_class or ""
         for route in routes
@@ -205,14 +212,16 @@
     }
     return Service(
         name=name,
+        retry_burst=max(1.0, policy.retry_slack * RETRY_SHARE / max(1, nodes)),
         floor_slots=math.ceil(slots * policy.floor_share),
         false_ejections_per_target_week=DETECTION_DIAL,
         timeout_ms=ATTEMPT_TIMEOUT_MS,
         attempt_timeout_ms=ATTEMPT_TIMEOUT_MS,
         queue_limit=QUEUE_LIMIT,
         waiting_limit=WAITING_LIMIT,
-        retry_ratio=policy.retry_ratio,
+        retry_ratio=policy.retry_ratio * RETRY_SHARE,
         slow_start_s=SLOW_START_S,
         shed_status=None,
         classes=tuple(TrafficClass(c, 0.0) for c in sorted(classes)) or (TrafficClass("", 0.0),),
+        judgement=JUDGEMENT,
     )
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -6,9 +6,9 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from roadpass.balance import Load
+from roadpass.balance import Load, LoadOf, Picker
 from roadpass.decision import decided
 from roadpass.detect import Sample, Scores
 from roadpass.fence import Verdict
@@ -36,8 +36,11 @@
 
 MIN_ATTEMPT_S = 0.005
 """With less time left no attempt is made."""
-FREE_MOVES = 16
+FREE_MOVES = 40
 """Refusals before the first byte reached a target after which a request is given up."""
+ASKS = 6
+"""Targets asked for a free slot before a request waits at one: a way there and back takes 0.4 to
+3 ms, one request ahead in a queue some 100 ms."""
 UNREACHABLE_AVOID_S = 1.0
 """How long an ingress keeps away from a target to which its way is cut; trying costs 0.1 s."""
 
@@ -46,7 +49,9 @@
 class _Trip:
     """The state of one request on its way through attempts.
 
-    `arrivals` counts attempts that reached a target, `moves` those refused before that.
+    `arrivals` counts attempts that reached a target, `moves` those refused before that; `busy`
+    holds the expected wait, in milliseconds, of targets that had no free slot when asked. Once all
+    targets have refused it the request is `pressing`: those that might yet take it are asked again.
     """
 
     request: Request
@@ -55,8 +60,12 @@
     deadline: float
     key: str
     tried: set[str]
+    busy: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, Reason] = field(default_factory=dict)
     arrivals: int = 0
     moves: int = 0
+    may_wait: bool = False
+    pressing: bool = False
     may_have_run: Outcome | None = None
 
     @property
@@ -65,6 +74,22 @@
         most = self.route.max_attempts
         return most is None or self.arrivals < most
 
+    def press(self) -> bool:
+        """Let targets that refused for failing, or were out of reach, be asked once more.
+
+        Returns:
+            Whether there are any.
+        """
+        if self.pressing:
+            return False
+        again = {Reason.UNREACHABLE}
+        if self.route.repeatable and self.arrivals == 0:
+            again.add(Reason.SICK)
+        names = {name for name, reason in self.refused.items() if reason in again}
+        self.pressing = True
+        self.tried -= names
+        return bool(names)
+
     def final(self, outcome: Outcome) -> Outcome:
         """Return what to tell the caller: "not run" only if no attempt may have run."""
         match outcome:
@@ -158,13 +183,21 @@
             if trip.deadline - time.monotonic() < MIN_ATTEMPT_S:
                 return trip.final(NotRun(Reason.EXPIRED, RETRY_SOON_MS))
             target = self._pick(trip)
+            if target is None and trip.press():
+                continue
             if target is None:
                 return trip.final(outcome)
             outcome = self._attempt(trip, target)
-            trip.tried.add(target.name)
+            match outcome:
+                case NotRun(reason=Reason.BUSY, retry_after_ms=wait_ms):
+                    trip.busy[target.name] = wait_ms
+                    continue
+                case _:
+                    trip.tried.add(target.name)
             match outcome:
                 case NotRun(reason=reason) if reason is not Reason.SHED:
                     trip.moves += 1
+                    trip.refused[target.name] = reason
                     if reason in _FINAL_REASONS or trip.moves >= FREE_MOVES:
                         return trip.final(outcome)
                     continue
@@ -186,9 +219,7 @@
             return self._loads.load(name, now)
 
         while True:
-            name = picker.pick(
-                load_of, self._rng, repeatable=trip.route.repeatable, excluded=trip.tried
-            )
+            name = self._pick_name(trip, picker, load_of)
             if name is None:
                 return None
             target = view.fleet.targets.get(name)
@@ -196,6 +227,25 @@
                 return target
             trip.tried.add(name)
 
+    def _pick_name(self, trip: _Trip, picker: Picker, load_of: LoadOf) -> str | None:
+        """Pick a target to ask for a free slot, or the one with the shortest wait to wait at."""
+        if not trip.may_wait and len(trip.busy) < ASKS:
+            name = picker.pick(
+                load_of,
+                self._rng,
+                repeatable=trip.route.repeatable,
+                excluded=trip.tried | trip.busy.keys(),
+            )
+            if name is not None:
+                return name
+        trip.may_wait = True
+        left = [name for name in trip.busy if name not in trip.tried]
+        if left:
+            return min(left, key=trip.busy.__getitem__)
+        return picker.pick(
+            load_of, self._rng, repeatable=trip.route.repeatable, excluded=trip.tried
+        )
+
     def _attempt(self, trip: _Trip, target: Target) -> Outcome:
         attempt_id = f"{self._prefix}{next(self._numbers)}"
         if trip.key and trip.request.repeat:
@@ -255,6 +305,8 @@
             repeat=bool(trip.key) and trip.request.repeat,
             request_id=trip.request.id,
             origin=trip.request.origin,
+            may_wait=trip.may_wait,
+            pressing=trip.pressing,
         )
 
     def _fence_key(self, trip: _Trip, attempt_id: str) -> Outcome | None:
@@ -285,7 +337,7 @@
                 sample = Sample(status >= SERVER_ERROR, service_ms)
             case NotRun(reason=Reason.LEAVING | Reason.STALE_ROUTE):
                 self._loads.avoid(now, target.name)
-            case NotRun(reason=Reason.SICK, retry_after_ms=wait_ms):
+            case NotRun(reason=Reason.SICK | Reason.SHED_LATELY, retry_after_ms=wait_ms):
                 self._loads.avoid(now, target.name, for_s=wait_ms / 1000.0)
             case NotRun(reason=Reason.REFUSED | Reason.UNREACHABLE | Reason.FENCED):
                 sample = Sample(True, (now - started) * 1000.0)
@@ -353,8 +405,9 @@
 
     def _budget(self, service: Service) -> RetryBudget:
         budget = self._budgets.get(service.name)
-        if budget is None or budget.ratio != service.retry_ratio:
-            budget = self._budgets[service.name] = RetryBudget(service.retry_ratio)
+        if budget is None or not budget.allows_as(service.retry_ratio, service.retry_burst):
+            budget = RetryBudget(service.retry_ratio, burst=service.retry_burst)
+            self._budgets[service.name] = budget
         return budget
 
     def _enter(self, slot: tuple[str, str], limit: int) -> bool:
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -38,19 +38,22 @@
         """Return the seconds until another trial may start."""
         return max(0.0, self._hold_until - now)
 
-    def admits(self, now: float, *, repeatable: bool) -> bool:
+    def admits(self, now: float, *, repeatable: bool, pressing: bool = False) -> bool:
         """Tell whether a request may start now.
 
         Args:
             now: Seconds.
             repeatable: Whether it may serve as a trial.
+            pressing: Whether no other target would take it: it need not wait for its turn.
         """
         if not self._shut:
             return True
         if now - self._tried_at >= STARVED_S:
             self._shut = False
             return True
-        return repeatable and self._trials == 0 and now >= self._hold_until
+        if not repeatable:
+            return False
+        return pressing or (self._trials == 0 and now >= self._hold_until)
 
     def begin(self, now: float) -> bool:
         """Note that an admitted request starts.
--- a/roadpass/eject.py
+++ b/roadpass/eject.py
@@ -91,9 +91,20 @@
     Args:
         floor_slots: Slots that stay in service whatever the evidence.
         slow_start_s: Length of the ramp of a new or returning target.
+        trial_weight: Share of traffic of a target on trial.
+        trial_successes: Good answers in a row that end a trial.
     """
 
-    def __init__(self, *, floor_slots: int, slow_start_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        floor_slots: int,
+        slow_start_s: float,
+        trial_weight: float = TRIAL_WEIGHT,
+        trial_successes: int = TRIAL_SUCCESSES,
+    ) -> None:
+        self._trial_weight = trial_weight
+        self._trial_successes = trial_successes
         self._floor = floor_slots
         self._slow_start_s = slow_start_s
         self._records: dict[str, _Record] = {}
@@ -122,7 +133,7 @@
                 passed = (now - record.since) / max(0.001, self._slow_start_s)
                 return min(1.0, RAMP_START + (1.0 - RAMP_START) * passed)
             case State.TRIAL:
-                return TRIAL_WEIGHT
+                return self._trial_weight
             case _:
                 return 0.0
 
@@ -182,7 +193,7 @@
                 self._move(now, name, State.TRIAL, "ejection time over", changes)
             case State.TRIAL if fact.bad or fact.score >= 1.0:
                 self._start_ejection(now, name, f"trial failed: {fact.evidence}", changes)
-            case State.TRIAL if fact.good_run >= TRIAL_SUCCESSES:
+            case State.TRIAL if fact.good_run >= self._trial_successes:
                 self._move(now, name, State.RAMPING, f"{fact.good_run} good in trial", changes)
             case _:
                 pass
--- a/roadpass/fleet.py
+++ b/roadpass/fleet.py
@@ -12,6 +12,7 @@
 from roadpass._generated.check_document import validate
 from roadpass.errors import DocumentError
 from roadpass.label import Labels
+from roadpass.retry import BURST
 from roadpass.route import Route, RouteTable
 from roadpass.selector import Labelled, Selector, known_zone, select
 
@@ -26,6 +27,20 @@
     reserved: float
 
 
+class Judgement(NamedTuple):
+    """How strictly a service's targets are judged.
+
+    Args:
+        slow_margin: A request is slow that took so many times the others' 95th percentile.
+        trial_weight: Share of traffic of a target on trial.
+        trial_successes: Good answers in a row that end a trial.
+    """
+
+    slow_margin: float = 1.5
+    trial_weight: float = 0.02
+    trial_successes: int = 8
+
+
 class Service(NamedTuple):
     """What the operators set for a service."""
 
@@ -37,9 +52,11 @@
     queue_limit: int
     waiting_limit: int
     retry_ratio: float
+    retry_burst: float
     slow_start_s: float
     shed_status: int | None
     classes: tuple[TrafficClass, ...]
+    judgement: Judgement = Judgement()
 
     @classmethod
     def from_config(cls, name: str, value: Any) -> "Service":
@@ -54,6 +71,7 @@
             queue_limit=value.get("queue_limit", 20),
             waiting_limit=value.get("waiting_limit", 24),
             retry_ratio=value.get("retry_ratio", 0.1),
+            retry_burst=BURST,
             slow_start_s=value.get("slow_start_s", 5.0),
             shed_status=value.get("shed_status"),
             classes=tuple(TrafficClass(c["name"], c.get("reserved", 0.0)) for c in classes),
--- a/roadpass/health.py
+++ b/roadpass/health.py
@@ -9,7 +9,6 @@
 from roadpass.eject import Ejector, Fact, State, Step
 from roadpass.fleet import Service
 
-SLOW_MARGIN = 1.5
 SLOW_MIN_MS = 5.0
 PENDING_FACTOR = 4.0
 """A request pending this many times longer than slow ones take is evidence of its own."""
@@ -64,7 +63,12 @@
     def __init__(self, service: Service) -> None:
         self._service = service
         self._h = threshold(service.false_ejections_per_target_week)
-        self._ejector = Ejector(floor_slots=service.floor_slots, slow_start_s=service.slow_start_s)
+        self._ejector = Ejector(
+            floor_slots=service.floor_slots,
+            slow_start_s=service.slow_start_s,
+            trial_weight=service.judgement.trial_weight,
+            trial_successes=service.judgement.trial_successes,
+        )
         self._targets: dict[str, _TargetHealth] = {}
         self._alarmed = False
 
@@ -231,6 +235,7 @@
             health.hint = _NO_EVIDENCE
 
     def _update_references(self, now: float) -> None:
+        margin = self._service.judgement.slow_margin
         latencies = {}
         for name, health in self._targets.items():
             reported = now - health.reported_at <= LATENCY_KEPT_S
@@ -241,6 +246,6 @@
         for name, health in self._targets.items():
             others = [value for key, value in latencies.items() if key != name]
             if others:
-                health.slow_ms = max(SLOW_MIN_MS, SLOW_MARGIN * median_low(others))
+                health.slow_ms = max(SLOW_MIN_MS, margin * median_low(others))
             failures = [value for key, value in rates.items() if key != name]
             health.others_failure = median_low(failures) if failures else FAILURE_BASE
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -14,7 +14,7 @@
 from roadpass.fleet import Service, Target
 from roadpass.health import pending_limit_ms
 from roadpass.limit import AdaptiveLimit
-from roadpass.message import Attempt, LoadReport
+from roadpass.message import Attempt, LoadReport, Question
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
@@ -38,8 +38,12 @@
 MIN_START_MS = 2.0
 """With less time left an attempt is not started."""
 EVIDENCE_KEPT_S = 2.0
-SICK_RETRY_MS = 300
-"""When to ask again at a shut door, at the least: about two trials there."""
+SHED_HOLD_S = 0.2
+SHED_HOLD_MAX_S = 0.8
+"""A target that sheds has work that this node does not know of; it is left alone for about one
+request's time, doubled up to the latter while it sheds on. Each request it sheds is a repeat."""
+SICK_RETRY_MS = 1000
+"""When to ask again at a shut door, at the least: every ingress asks, and spells last seconds."""
 
 
 @dataclass(slots=True)
@@ -79,6 +83,8 @@
             target.address, max_connections=target.connections, dialect=dialect
         )
         self._door = Door()
+        self._shed_hold_s = SHED_HOLD_S
+        self._shed_until = float("-inf")
         self._limit = AdaptiveLimit(target.slots)
         self._admission = Admission(
             service.classes, slots=target.slots, queue_limit=service.queue_limit
@@ -132,17 +138,35 @@
             revision=revision,
         )
 
-    def refusal(self, *, repeatable: bool) -> NotRun | None:
-        """Return why an attempt would be refused now, `None` if it would be taken.
+    def refusal(self, question: Question) -> NotRun | None:
+        """Return why an attempt would be refused now, `None` if it would be taken."""
+        refusal = self._door_refusal(question) or self._shed_refusal()
+        if refusal is not None or question.may_wait:
+            return refusal
+        with self._lock:
+            wait_ms = self._admission.expected_wait_ms(question.traffic_class)
+        return NotRun(Reason.BUSY, int(wait_ms)) if wait_ms > 0.0 else None
 
-        Args:
-            repeatable: Whether it may serve as a trial: it can be repeated and has yet to be.
-        """
+    def _shed_refusal(self) -> NotRun | None:
+        left_s = self._shed_until - time.monotonic()
+        return NotRun(Reason.SHED_LATELY, int(left_s * 1000.0) + 1) if left_s > 0.0 else None
+
+    def _note_shed(self, outcome: Outcome) -> None:
+        match outcome:
+            case NotRun(reason=Reason.SHED):
+                self._shed_until = time.monotonic() + self._shed_hold_s
+                self._shed_hold_s = min(SHED_HOLD_MAX_S, 2.0 * self._shed_hold_s)
+            case Answered():
+                self._shed_hold_s = SHED_HOLD_S
+            case _:
+                pass
+
+    def _door_refusal(self, question: Question) -> NotRun | None:
         if self.leaving:
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
         now = time.monotonic()
         with self._lock:
-            if self._door.admits(now, repeatable=repeatable):
+            if self._door.admits(now, repeatable=question.may_be_trial, pressing=question.pressing):
                 return None
             wait_s = self._door.wait_s(now)
         return NotRun(Reason.SICK, max(SICK_RETRY_MS, int(wait_s * 1000.0)))
@@ -155,7 +179,7 @@
             deadline: Monotonic seconds.
             watch: Tells when the caller has left, where this node is also its ingress.
         """
-        refusal = self.refusal(repeatable=attempt.may_be_trial) or self._admit(attempt, deadline)
+        refusal = self.refusal(Question.of(attempt)) or self._admit(attempt, deadline)
         if refusal is not None:
             return refusal
         try:
@@ -240,7 +264,7 @@
             return NotRun(Reason.CANCELLED, RETRY_SOON_MS)
         if (deadline - now) * 1000.0 < MIN_START_MS:
             return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
-        refusal = self.refusal(repeatable=attempt.may_be_trial)
+        refusal = self._door_refusal(Question.of(attempt)) or self._shed_refusal()
         if refusal is not None:
             return refusal
         reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
@@ -273,6 +297,7 @@
             self._log_loss(attempt, error)
         finally:
             del self._running[attempt.id]
+            self._note_shed(outcome)
             self._note_door(attempt, outcome, trial=trial, lost=lost)
         self._learn(attempt, outcome, running)
         return outcome
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -55,6 +55,8 @@
         repeat: Whether the caller declared a repeat of that key.
         request_id: The caller's name for its request, empty for none.
         origin: Service of the VM at which the request began, empty if unknown.
+        may_wait: Whether it may queue at the target; otherwise it wants a free slot or a refusal.
+        pressing: Whether every target refused it before: a failing one is better than none.
     """
 
     id: str
@@ -75,6 +77,8 @@
     repeat: bool = False
     request_id: str = ""
     origin: str = ""
+    may_wait: bool = True
+    pressing: bool = False
 
     @property
     def may_be_trial(self) -> bool:
@@ -104,6 +108,55 @@
         return {"t": "attempt", **self._asdict()}
 
 
+class Question(NamedTuple):
+    """What a sidecar needs to know to tell whether it would take an attempt.
+
+    Args:
+        may_be_trial: Whether it may go where it will probably fail.
+        may_wait: Whether it may queue there.
+        pressing: Whether every target refused it before.
+    """
+
+    target: str
+    traffic_class: str
+    may_be_trial: bool
+    may_wait: bool
+    pressing: bool
+
+    @classmethod
+    def of(cls, attempt: Attempt) -> "Question":
+        """Build the question of an attempt."""
+        return cls(
+            attempt.target,
+            attempt.traffic_class,
+            attempt.may_be_trial,
+            attempt.may_wait,
+            attempt.pressing,
+        )
+
+    @classmethod
+    def from_message(cls, message: Message) -> "Question":
+        """Build a question from a checked message."""
+        return cls(
+            message["target"],
+            message["traffic_class"],
+            message["repeatable"],
+            message["may_wait"],
+            message["pressing"],
+        )
+
+    def to_message(self) -> Message:
+        """Return the written form."""
+        return {
+            "t": "check",
+            "target": self.target,
+            "traffic_class": self.traffic_class,
+            "repeatable": self.may_be_trial,
+            "may_wait": self.may_wait,
+            "pressing": self.pressing,
+        }
+
+
 class LoadReport(NamedTuple):
     """What a sidecar says of one of its targets with every answer.
 
--- a/roadpass/retry.py
+++ b/roadpass/retry.py
@@ -1,6 +1,7 @@
 """The retry budget of a service at one ingress."""
 
 BURST = 10.0
+"""Most repeats at once where nobody sets it: a moment's work of one node."""
 
 
 class RetryBudget:
@@ -16,10 +17,9 @@
         self._burst = burst
         self._tokens = 1.0
 
-    @property
-    def ratio(self) -> float:
-        """Tokens a first attempt adds."""
-        return self._ratio
+    def allows_as(self, ratio: float, burst: float) -> bool:
+        """Tell whether the budget has these settings."""
+        return (ratio, burst) == (self._ratio, self._burst)
 
     @property
     def tokens(self) -> float:
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -13,7 +13,7 @@
 from roadpass.fence import FenceTable, Verdict
 from roadpass.fleet import Fleet
 from roadpass.local import LocalTarget
-from roadpass.message import Attempt, Message, Reply
+from roadpass.message import Attempt, Message, Question, Reply
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
 from roadpass.request import CallerWatch
@@ -99,13 +99,13 @@
         """Drop old fences."""
         self._fences.expire(time.monotonic())
 
-    def check(self, target: str, *, repeatable: bool) -> Message:
-        """Tell whether an attempt at a target would be taken; nothing runs."""
-        local = self._targets.get(target)
+    def check(self, question: Question) -> Message:
+        """Tell whether an attempt would be taken; nothing runs."""
+        local = self._targets.get(question.target)
         if local is None:
             return Reply(NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)).to_message()
         load = local.report(self._fleet.revision)
-        refusal = local.refusal(repeatable=repeatable)
+        refusal = local.refusal(question)
         if refusal is not None:
             return Reply(refusal, load).to_message()
         return {"t": "accepted", "load": load._asdict()}
@@ -149,7 +149,7 @@
             case "attempt":
                 return self.run(Attempt.from_message(message), age_s).to_message()
             case "check":
-                return self.check(message["target"], repeatable=message["repeatable"])
+                return self.check(Question.from_message(message))
             case "fence":
                 return self._fenced(self.fence(message["id"]))
             case "fence_key":
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -2,11 +2,11 @@
 
 import time
 
-from roadpass._generated.message_types import Check, Fence, FenceKey
+from roadpass._generated.message_types import Fence, FenceKey
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
 from roadpass.fleet import Target
-from roadpass.message import Attempt, Reply
+from roadpass.message import Attempt, Question, Reply
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
 from roadpass.peer import Address, PeerPool
 from roadpass.request import CallerWatch
@@ -19,10 +19,12 @@
 REPLY_GRACE_S = 0.02
 """The sidecar's answer at its own deadline is awaited so much longer."""
 MIN_WAIT_S = 0.005
-CONNECT_S = 0.25
+CONNECT_S = 0.12
 """A connection within a region takes 3 ms; one whose first packet was lost takes a second."""
-CHECK_S = 0.12
+CHECK_S = 0.09
 """The way there and back takes 3 ms within a region: no word by then means a cut or a loss."""
+PRESSING_S = 0.6
+"""Wait for a connection or a word where no other target is left: two losses are made good by then."""
 
 
 class Transport:
@@ -53,7 +55,7 @@
         if address is None:
             return Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
         started = time.monotonic()
-        opened = self._open(address, target, attempt)
+        opened = self._open(address, attempt)
         if isinstance(opened, Reply):
             return opened
         spent_ms = (time.monotonic() - started) * 1000.0
@@ -74,21 +76,22 @@
         except (StreamError, ValueError):
             return Verdict.CANNOT_VOUCH
 
-    def _open(self, address: Address, target: Target, attempt: Attempt) -> Stream | Reply:
+    def _open(self, address: Address, attempt: Attempt) -> Stream | Reply:
         """Return a stream on which the sidecar has just agreed, or why there is none.
 
         Until here nothing of the attempt was sent: a way that is cut, be it in one direction,
         costs a moment, and the request is free to go elsewhere.
         """
-        limit = min(CONNECT_S, attempt.remaining_ms / 1000.0)
-        question: Check = {"t": "check", "target": target.name, "repeatable": attempt.may_be_trial}
+        left_s = attempt.remaining_ms / 1000.0
+        connect_s = min(PRESSING_S if attempt.pressing else CONNECT_S, left_s)
+        check_s = min(PRESSING_S if attempt.pressing else CHECK_S, left_s)
         try:
-            stream = self._peers.acquire(address, timeout_s=limit)
+            stream = self._peers.acquire(address, timeout_s=connect_s)
         except ConnectError:
             return Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
         try:
-            stream.send(question)
-            word = stream.receive(min(CHECK_S, limit)).message
+            stream.send(Question.of(attempt).to_message())
+            word = stream.receive(check_s).message
             if word["t"] == "accepted":
                 return stream
             refusal = Reply.from_message(word)
