--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -39,8 +39,9 @@
 FREE_MOVES = 40
 """Refusals before the first byte reached a target after which a request is given up."""
 ASKS = 6
-"""Targets asked for a free slot before a request waits at one: a way there and back takes 0.4 to
-3 ms, one request ahead in a queue some 100 ms."""
+FAR_ASKS = 3
+"""Targets, and those in other data halls, asked for a free slot before a request waits at one: a
+way there and back takes 0.4 to 3 ms, one request ahead in a queue 100 ms; far bytes cost."""
 UNREACHABLE_AVOID_S = 1.0
 """How long an ingress keeps away from a target to which its way is cut; trying costs 0.1 s."""
 
@@ -64,6 +65,7 @@
     refused: dict[str, Reason] = field(default_factory=dict)
     arrivals: int = 0
     moves: int = 0
+    far_asks: int = 0
     may_wait: bool = False
     pressing: bool = False
     may_have_run: Outcome | None = None
@@ -191,6 +193,7 @@
             match outcome:
                 case NotRun(reason=Reason.BUSY, retry_after_ms=wait_ms):
                     trip.busy[target.name] = wait_ms
+                    trip.far_asks += self._view.tier(target) > 0
                     continue
                 case _:
                     trip.tried.add(target.name)
@@ -229,7 +232,7 @@
 
     def _pick_name(self, trip: _Trip, picker: Picker, load_of: LoadOf) -> str | None:
         """Pick a target to ask for a free slot, or the one with the shortest wait to wait at."""
-        if not trip.may_wait and len(trip.busy) < ASKS:
+        if not trip.may_wait and len(trip.busy) < ASKS and trip.far_asks < FAR_ASKS:
             name = picker.pick(
                 load_of,
                 self._rng,
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -42,7 +42,7 @@
 SHED_HOLD_MAX_S = 0.8
 """A target that sheds has work that this node does not know of; it is left alone for about one
 request's time, doubled up to the latter while it sheds on. Each request it sheds is a repeat."""
-SICK_RETRY_MS = 1000
+SICK_RETRY_MS = 1500
 """When to ask again at a shut door, at the least: every ingress asks, and spells last seconds."""
 
 
--- a/roadpass/metric.py
+++ b/roadpass/metric.py
@@ -50,6 +50,11 @@
         """Return a plain counter."""
         return self._counters[name]
 
+    def counters(self) -> dict[str, int]:
+        """Return all plain counters."""
+        with self._lock:
+            return dict(self._counters)
+
     def summary(self) -> dict[str, Any]:
         """Return all metrics as plain values; latencies in milliseconds."""
         with self._lock:
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -13,6 +13,7 @@
 from roadpass.audit import AuditTrail, Kind
 from roadpass.catalogue import Catalogue, Policy
 from roadpass.configuration import Configuration, Offer, Store
+from roadpass.decision import decided
 from roadpass.detect import Scores
 from roadpass.dialect import OWN
 from roadpass.dispatch import Dispatcher
@@ -48,6 +49,8 @@
 STOP_MARGIN_S = 0.7
 """Kept of the stop limit for the stop itself."""
 POLL_S = 0.05
+COUNTERS_S = 10.0
+"""How often the plain counters are logged, for whoever has only logs."""
 
 _log = logging.getLogger("roadpass.node")
 
@@ -91,6 +94,7 @@
         self._store = Store()
         self._platform_asked = threading.Event()
         self._actors: list[pykka.ActorRef[Any]] = []
+        self._next_counters = self._started_at + COUNTERS_S
 
     @property
     def ready(self) -> bool:
@@ -175,6 +179,10 @@
         if not self._view.ready:
             self._check_ready()
         self._peers.expire()
+        now = time.monotonic()
+        if now >= self._next_counters:
+            self._next_counters = now + COUNTERS_S
+            decided("node", "counters", vm=self._settings.vm, **self.metrics.counters())
 
     def leave(self) -> None:
         """Say that this node leaves, and take no new work; what is in flight goes on.
@@ -285,12 +293,14 @@
         self._readers = choose_readers({*hall, self._settings.vm}, self._settings.readers_per_hall)
 
     def _on_version(self, version: Version, address: Address) -> None:
+        if self._settings.store is not None:
+            return
         self._puller.tell(News(version, address))
 
     def _on_behind(self, vm: str, revision: int) -> None:
         """Pull from a node that was seen to hold a newer revision."""
         peer = self._view.nodes.get(vm)
-        if peer is not None:
+        if peer is not None and self._settings.store is None:
             self._puller.tell(News(Version(revision, ""), (peer.address, peer.stream_port)))
 
     def _on_hint(self, target: str, scores: Scores) -> None:
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -104,11 +104,14 @@
         local = self._targets.get(question.target)
         if local is None:
             return Reply(NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)).to_message()
-        load = local.report(self._fleet.revision)
         refusal = local.refusal(question)
-        if refusal is not None:
-            return Reply(refusal, load).to_message()
-        return {"t": "accepted", "load": load._asdict()}
+        match refusal:
+            case None:
+                return {"t": "accepted"}
+            case NotRun(reason=Reason.BUSY):
+                return Reply(refusal, local.report(self._fleet.revision)).to_message()
+            case _:
+                return Reply(refusal).to_message()
 
     def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
         """See one attempt to its end.
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -24,7 +24,7 @@
 CHECK_S = 0.09
 """The way there and back takes 3 ms within a region: no word by then means a cut or a loss."""
 PRESSING_S = 0.6
-"""Wait for a connection or a word where no other target is left: two losses are made good by then."""
+"""Wait for a connection or a word where no other target is left: two losses are mended by then."""
 
 
 class Transport:
