--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -286,7 +286,7 @@
     ) -> Attempt:
         left = trip.deadline - now
         if trip.route.repeatable:
-            left = min(left, _attempt_limit_s(trip))
+            left = min(left, _attempt_limit_s(trip, self._budget(trip.service)))
         else:
             left = max(MIN_ATTEMPT_S, left - FENCE_S)
         return Attempt(
@@ -385,7 +385,7 @@
             attempt=attempt.id,
             route=trip.route.name,
             target=target.name,
-            vm=target.vm,
+            target_vm=target.vm,
             revision=attempt.revision,
             used=round(load.utilization, 2),
             ms=round((time.monotonic() - started) * 1000.0, 1),
@@ -430,10 +430,14 @@
 """Refusals that no other target would change."""
 
 
-def _attempt_limit_s(trip: _Trip) -> float:
-    """Return how long one repeatable attempt may take, so that another has time after it."""
+def _attempt_limit_s(trip: _Trip, budget: RetryBudget) -> float:
+    """Return how long one repeatable attempt may take, so that another has time after it.
+
+    Without a repeat to spend there will be no other: then it may take all the time there is.
+    """
     limit_s = trip.service.attempt_timeout_ms / 1000.0
-    if trip.route.target_latency_ms is not None and trip.may_arrive and trip.arrivals == 0:
+    repeat = trip.arrivals == 0 and trip.may_arrive and budget.tokens >= 1.0
+    if trip.route.target_latency_ms is not None and repeat:
         limit_s = min(limit_s, trip.route.target_latency_ms / 1000.0)
     return limit_s
 
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -46,8 +46,8 @@
 LEAVE_MIN_S = 1.5
 STORE_LEAVE_S = 2.6
 """Callers are sent elsewhere after two missed checks a second apart; till then they are served."""
-STOP_MARGIN_S = 0.7
-"""Kept of the stop limit for the stop itself."""
+STOP_MARGIN_S = 1.0
+"""Kept of the stop limit for the stop itself; with 0.7 three of thirty nodes were killed in it."""
 POLL_S = 0.05
 COUNTERS_S = 10.0
 """How often the plain counters are logged, for whoever has only logs."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -145,6 +145,21 @@
         assert len(sidecar.attempts) <= 2
 
 
+def test_the_first_attempt_leaves_time_for_another_only_where_there_may_be_one() -> None:
+    """Without a repeat to spend it has all the time of the request."""
+    sidecar = FakeSidecar([Answered(200, [], b"")] * 9)
+    for spent, limit_ms in ((0, 300.0), (1, 2000.0)):
+        one = dispatcher(sidecar, retry_ratio=0.0, attempt_timeout_ms=2000)
+        route = one._view.fleet.routes["get"]._replace(target_latency_ms=300, timeout_ms=2000)
+        held = one._view.fleet
+        one._view.fleet = Fleet(held.services, held.targets, {"get": route}, (), revision=1)
+        for _ in range(spent):
+            assert one._budget(held.services["s"]).take()
+        one.dispatch(request("GET"))
+        left_ms = sidecar.attempts[-1].remaining_ms
+        assert limit_ms * 0.9 < left_ms <= limit_ms, (spent, left_ms)
+
+
 def test_passed_deadline_is_answered_at_once_as_not_run() -> None:
     """A request whose deadline has passed is not sent at all."""
     sidecar = FakeSidecar([])
