--- /dev/null
+++ b/roadpass/trip.py
@@ -0,0 +1,134 @@
+"""The state of one request on its way through attempts."""
+
+import time
+from dataclasses import dataclass, field
+
+from roadpass.fleet import Service, Target
+from roadpass.message import Attempt
+from roadpass.outcome import NotRun, Outcome, Reason
+from roadpass.request import Request
+from roadpass.route import Route
+from roadpass.transport import FENCE_S
+
+MIN_ATTEMPT_S = 0.005
+"""Seconds; with less time left no attempt is made."""
+
+
+@dataclass(slots=True)
+class Trip:
+    """One request, where it has been, and what became of it there.
+
+    Args:
+        request: The caller's.
+        route: By which it goes.
+        service: To which it goes.
+        deadline: Monotonic seconds by which it must have an outcome.
+        key: Idempotency key as sidecars know it, empty for none.
+        tried: Targets that are not asked again.
+        busy: Expected wait, in milliseconds, of targets that had no free slot when asked.
+        refused: Why targets refused before the request reached them.
+        arrivals: Attempts that reached a target.
+        moves: Attempts refused before that.
+        far_asks: Targets in other data halls that had no free slot.
+        may_wait: Whether it waits at a target now, as none that was asked had a free slot.
+        pressing: All targets have refused it: those that might yet take it are asked again.
+        may_have_run: Latest outcome that is no proof that the request did not run.
+    """
+
+    request: Request
+    route: Route
+    service: Service
+    deadline: float
+    key: str
+    tried: set[str] = field(default_factory=set)
+    busy: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, Reason] = field(default_factory=dict)
+    arrivals: int = 0
+    moves: int = 0
+    far_asks: int = 0
+    may_wait: bool = False
+    pressing: bool = False
+    may_have_run: Outcome | None = None
+
+    @property
+    def may_arrive(self) -> bool:
+        """Whether the route lets the request be sent to another target."""
+        most = self.route.max_attempts
+        return most is None or self.arrivals < most
+
+    @property
+    def expired(self) -> bool:
+        """Whether too little time is left for an attempt."""
+        return self.deadline - time.monotonic() < MIN_ATTEMPT_S
+
+    def press(self) -> bool:
+        """Let targets that refused for failing, or were out of reach, be asked once more.
+
+        Returns:
+            Whether there are any.
+        """
+        if self.pressing:
+            return False
+        again = {Reason.UNREACHABLE}
+        if self.route.repeatable and self.arrivals == 0:
+            again.add(Reason.SICK)
+        names = {name for name, reason in self.refused.items() if reason in again}
+        self.pressing = True
+        self.tried -= names
+        return bool(names)
+
+    def final(self, outcome: Outcome) -> Outcome:
+        """Return what to tell the caller: "not run" only if no attempt may have run."""
+        match outcome:
+            case NotRun():
+                return self.may_have_run or outcome
+            case _:
+                return outcome
+
+    def attempt(
+        self, attempt_id: str, target: Target, now: float, *, revision: int, slow_ms: float
+    ) -> Attempt:
+        """Return the next attempt.
+
+        Args:
+            attempt_id: Unique in the fleet.
+            target: To which it goes.
+            now: Monotonic seconds.
+            revision: Of the configuration that it is routed by.
+            slow_ms: From where on an answer of the target counts as slow, zero if unknown.
+        """
+        return Attempt(
+            id=attempt_id,
+            target=target.name,
+            route=self.route.name,
+            method=self.request.method,
+            path=self.request.path,
+            headers=self.request.headers,
+            body=self.request.body,
+            remaining_ms=self._attempt_s(now) * 1000.0,
+            traffic_class=self.service.class_of(self.route),
+            caller=self.request.caller,
+            repeatable=self.route.repeatable,
+            retry=self.arrivals > 0,
+            revision=revision,
+            slow_ms=slow_ms,
+            key=self.key,
+            repeat=bool(self.key) and self.request.repeat,
+            request_id=self.request.id,
+            origin=self.request.origin,
+            may_wait=self.may_wait,
+            pressing=self.pressing,
+        )
+
+    def _attempt_s(self, now: float) -> float:
+        """Return the seconds that the next attempt may take.
+
+        After a repeatable one another must have time, after any other its fence.
+        """
+        left = self.deadline - now
+        if not self.route.repeatable:
+            return max(MIN_ATTEMPT_S, left - FENCE_S)
+        limit_s = self.service.attempt_timeout_ms / 1000.0
+        if self.route.target_latency_ms is not None and self.may_arrive and self.arrivals == 0:
+            limit_s = min(limit_s, self.route.target_latency_ms / 1000.0)
+        return min(left, limit_s)
--- /dev/null
+++ b/roadpass/trip_log.py
@@ -0,0 +1,69 @@
+"""The decision lines of a request's way at the ingress: each attempt, and the end."""
+
+import time
+
+from roadpass.decision import decided
+from roadpass.fleet import Target
+from roadpass.message import Attempt
+from roadpass.outcome import Answered, NotRun, Outcome, Unknown
+from roadpass.trip import Trip
+
+
+def log_attempt(
+    trip: Trip, target: Target, attempt: Attempt, outcome: Outcome, started: float, used: float
+) -> None:
+    """Log what became of one attempt.
+
+    Args:
+        trip: Of the request.
+        target: To which the attempt went.
+        attempt: As it was sent.
+        outcome: Its end.
+        started: Monotonic seconds.
+        used: Share of the target's slots that was believed to be in use.
+    """
+    decided(
+        "dispatch",
+        "attempt",
+        request=trip.request.id,
+        attempt=attempt.id,
+        route=trip.route.name,
+        target=target.name,
+        vm=target.vm,
+        revision=attempt.revision,
+        used=round(used, 2),
+        ms=round((time.monotonic() - started) * 1000.0, 1),
+        outcome=_name(outcome),
+    )
+
+
+def log_end(trip: Trip, outcome: Outcome, started: float) -> None:
+    """Log what the caller is told.
+
+    Args:
+        trip: Of the request.
+        outcome: Its end.
+        started: Monotonic seconds at which the request came.
+    """
+    decided(
+        "dispatch",
+        "ended",
+        request=trip.request.id,
+        route=trip.route.name,
+        service=trip.service.name,
+        outcome=_name(outcome),
+        arrivals=trip.arrivals,
+        moves=trip.moves,
+        ms=round((time.monotonic() - started) * 1000.0, 1),
+        left_ms=round((trip.deadline - time.monotonic()) * 1000.0, 1),
+    )
+
+
+def _name(outcome: Outcome) -> str:
+    match outcome:
+        case Answered(status=status):
+            return f"answered {status}"
+        case NotRun(reason=reason):
+            return f"not-run {reason.value}"
+        case Unknown(reason=reason):
+            return f"unknown {reason.value}"
