Keep the rule of headers for one connection only in one place

Cause: target.py and caller_connection.py each had the list, the reading of the Connection header and the filter. They are in hop.py; each side still names what else it drops. No behaviour changed.

--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from roadpass.dialect import OWN, Dialect
+from roadpass.hop import connection_tokens, end_to_end
 from roadpass.outcome import Answered, Headers
 from roadpass.request import CallerWatch
 from roadpass.target_connection import (
@@ -43,10 +44,6 @@
 """Seconds before the end that a target announced, so that its close does not cross a request."""
 FRESH_IDLE_S = 0.5
 """Seconds of rest up to which a connection serves a request that must not repeat."""
-HOP_BY_HOP = frozenset(
-    ("connection", "content-length", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade")
-)
-"""Headers that end at each connection, in lower case; so do all that begin with `proxy-`."""
 _REPLACED_BY_OWN = frozenset(("date", "server"))
 _WITH_LENGTH = ("POST", "PUT", "PATCH")
 _MISDIRECTED = 421
@@ -259,8 +256,8 @@
         (dialect.expected_instance, call.instance),
         (dialect.origin_service, call.origin),
     ]
-    dropped = {name.lower() for name, _ in own} | {"expect"} | _listed(call.headers) - {"host"}
-    sent = _without(call.headers, dropped)
+    dropped = {name.lower() for name, _ in own} | {"expect", "content-length"}
+    sent = end_to_end(call.headers, dropped)
     if not values_of(sent, "host"):
         sent.insert(0, ("Host", address))
     for name, value in own:
@@ -294,28 +291,14 @@
 def _kept(headers: Headers, dialect: Dialect) -> Headers:
     """Return the headers that go on to the caller."""
     dropped = {dialect.load.lower(), dialect.instance.lower(), dialect.not_run.lower()}
+    dropped |= {"content-length"} | connection_tokens(headers)
     prefix = dialect.own_prefix
     if prefix:
         dropped |= _REPLACED_BY_OWN
-    kept = _without(headers, dropped | _listed(headers))
+    kept = end_to_end(headers, dropped)
     return [(n, v) for n, v in kept if not (prefix and n.lower().startswith(prefix))]
 
 
-def _listed(headers: Headers) -> set[str]:
-    """Return the names, in lower case, of headers that are said to end at this connection."""
-    listed = ",".join(values_of(headers, "connection"))
-    return {name.strip().lower() for name in listed.split(",")}
-
-
-def _without(headers: Headers, dropped: set[str]) -> Headers:
-    names = dropped | HOP_BY_HOP
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in names and not name.lower().startswith("proxy-")
-    ]
-
-
 def _idle_limit_s(raw: RawAnswer) -> float:
     """Return for how many seconds the connection may be kept, 0 for not at all."""
     if not raw.keep:
