--- a/roadpass/platform/decode.py
+++ b/roadpass/platform/decode.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from roadpass.caller_connection import CallerLimits
+from roadpass.caller_limits import CallerLimits
 from roadpass.errors import PlatformError
 from roadpass.route import Part, Route
 from roadpass.source import (
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple, Protocol, TypeAlias
 
-from roadpass.caller_connection import CallerLimits
+from roadpass.caller_limits import CallerLimits
 from roadpass.errors import PlatformError
 from roadpass.route import Route
 
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, TypeAlias
 
 from roadpass.balance import Candidate, Picker
-from roadpass.caller_connection import CallerLimits
+from roadpass.caller_limits import CallerLimits
 from roadpass.fleet import Fleet, Target
 
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from roadpass.caller_connection import CallerLimits
+from roadpass.caller_limits import CallerLimits
 from roadpass.catalogue import RETURN_S, WITHDRAWN_KEPT_S, Catalogue, Policy
 from roadpass.route import Part, Route
 from roadpass.source import (
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -13,7 +13,9 @@
 import pytest
 
 from roadpass import caller_connection, ingress
-from roadpass.caller_connection import MAX_AHEAD_BYTES, CallerLimits, answer_bytes
+from roadpass.caller_answer import answer_bytes
+from roadpass.caller_limits import CallerLimits
+from roadpass.caller_watch import MAX_AHEAD_BYTES
 from roadpass.dialect import OWN, Dialect
 from roadpass.ingress import Ingress
 from roadpass.metric import Metrics
