Move the hold of a target that sheds into a class of its own

It is in shed_hold.py, with the time handed in; both places that ask the door and the hold use one function. No behaviour changed.

--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -27,6 +27,7 @@
 )
 from roadpass.pause import PauseWatch
 from roadpass.request import CallerWatch
+from roadpass.shed_hold import ShedHold
 from roadpass.target import (
     CallerLeftError,
     TargetAnswer,
@@ -36,14 +37,12 @@
 )
 
 MIN_START_MS = 2.0
-"""With less time left an attempt is not started."""
+"""Milliseconds; with less time left an attempt is not started."""
 EVIDENCE_KEPT_S = 2.0
-SHED_HOLD_S = 0.2
-SHED_HOLD_MAX_S = 0.8
-"""A target that sheds has work that this node does not know of; it is left alone for about one
-request's time, doubled up to the latter while it sheds on. Each request it sheds is a repeat."""
+"""Seconds without new work after which the evidence against a target is dropped."""
 SICK_RETRY_MS = 1500
-"""When to ask again at a shut door, at the least: every ingress asks, and spells last seconds."""
+"""Milliseconds after which to ask again at a shut door, at the least: every ingress asks, and
+spells last seconds."""
 
 
 @dataclass(slots=True)
@@ -83,8 +82,7 @@
             target.address, max_connections=target.connections, dialect=dialect
         )
         self._door = Door()
-        self._shed_hold_s = SHED_HOLD_S
-        self._shed_until = float("-inf")
+        self._shed_hold = ShedHold()
         self._limit = AdaptiveLimit(target.slots)
         self._admission = Admission(
             service.classes, slots=target.slots, queue_limit=service.queue_limit
@@ -140,26 +138,16 @@
 
     def refusal(self, question: Question) -> NotRun | None:
         """Return why an attempt would be refused now, `None` if it would be taken."""
-        refusal = self._door_refusal(question) or self._shed_refusal()
+        refusal = self._new_work_refusal(question)
         if refusal is not None or question.may_wait:
             return refusal
         with self._lock:
             wait_ms = self._admission.expected_wait_ms(question.traffic_class)
         return NotRun(Reason.BUSY, int(wait_ms)) if wait_ms > 0.0 else None
 
-    def _shed_refusal(self) -> NotRun | None:
-        left_s = self._shed_until - time.monotonic()
-        return NotRun(Reason.SHED_LATELY, int(left_s * 1000.0) + 1) if left_s > 0.0 else None
-
-    def _note_shed(self, outcome: Outcome) -> None:
-        match outcome:
-            case NotRun(reason=Reason.SHED):
-                self._shed_until = time.monotonic() + self._shed_hold_s
-                self._shed_hold_s = min(SHED_HOLD_MAX_S, 2.0 * self._shed_hold_s)
-            case Answered():
-                self._shed_hold_s = SHED_HOLD_S
-            case _:
-                pass
+    def _new_work_refusal(self, question: Question) -> NotRun | None:
+        """Return why the target is given no new work now, `None` if it is, whatever its queue."""
+        return self._door_refusal(question) or self._shed_hold.refusal(time.monotonic())
 
     def _door_refusal(self, question: Question) -> NotRun | None:
         if self.leaving:
@@ -264,7 +252,7 @@
             return NotRun(Reason.CANCELLED, RETRY_SOON_MS)
         if (deadline - now) * 1000.0 < MIN_START_MS:
             return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
-        refusal = self._door_refusal(Question.of(attempt)) or self._shed_refusal()
+        refusal = self._new_work_refusal(Question.of(attempt))
         if refusal is not None:
             return refusal
         reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
@@ -297,7 +285,7 @@
             self._log_loss(attempt, error)
         finally:
             del self._running[attempt.id]
-            self._note_shed(outcome)
+            self._shed_hold.note(time.monotonic(), outcome)
             self._note_door(attempt, outcome, trial=trial, lost=lost)
         self._learn(attempt, outcome, running)
         return outcome
@@ -349,7 +337,7 @@
                 target=self.target.name,
             )
 
-    def _learn(self, attempt: Attempt, outcome: Outcome, running: "_Running") -> None:
+    def _learn(self, attempt: Attempt, outcome: Outcome, running: _Running) -> None:
         service_ms = (time.monotonic() - running.started) * 1000.0
         match outcome:
             case Answered(status=status):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,10 +10,10 @@
 
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
-from roadpass.local import SHED_HOLD_S
 from roadpass.message import Attempt
 from roadpass.outcome import Answered, NotRun, Reason, Unknown
 from roadpass.pause import PauseWatch
+from roadpass.shed_hold import SHED_HOLD_S
 from roadpass.sidecar import Sidecar
 from roadpass.web import WebServer
 from stand_ins.target import TargetGateway, TargetState
