Move how a node introduces nodes to its gossip out of node.py

Cause: node.py made Member values in three ways, two of them for one source of targets each, and its start was 46 lines. introduction.py has them as functions, with tests; the start of each part with many arguments has its own method, in the same order as before; constants tell their unit. No behaviour changed.

--- /dev/null
+++ b/roadpass/introduction.py
@@ -0,0 +1,64 @@
+"""Whom a node names to its gossip unheard: itself, and the others that its source tells of."""
+
+from collections.abc import Iterable
+
+from roadpass.fleet import Fleet
+from roadpass.manifest import VmEntry
+from roadpass.member import Member, MemberState
+from roadpass.settings import Settings
+
+_UNHEARD = 0
+"""Incarnation of a node that was not heard yet; its own is always newer."""
+
+
+def own_member(settings: Settings, incarnation: int) -> Member:
+    """Return the node that has these settings."""
+    return Member(
+        settings.vm,
+        incarnation,
+        MemberState.ALIVE,
+        settings.advertise,
+        settings.ports.stream,
+        settings.ports.gossip,
+        settings.hall,
+        settings.region,
+    )
+
+
+def listed_members(entries: Iterable[VmEntry]) -> tuple[Member, ...]:
+    """Return the nodes that the platform lists."""
+    return tuple(
+        Member(
+            entry.vm,
+            _UNHEARD,
+            MemberState.ALIVE,
+            entry.address,
+            entry.stream_port,
+            entry.gossip_port,
+            entry.hall,
+            entry.region,
+        )
+        for entry in entries
+    )
+
+
+def neighbours(settings: Settings, fleet: Fleet) -> tuple[Member, ...]:
+    """Return the nodes beside the targets of a store's fleet, but the own one.
+
+    A target's IP number is its VM's there, and all nodes of the fleet use the same ports.
+    """
+    ports = settings.ports
+    halls = {t.vm: t.hall or "" for t in fleet.targets.values() if t.vm != settings.vm}
+    return tuple(
+        Member(
+            vm,
+            _UNHEARD,
+            MemberState.ALIVE,
+            vm,
+            ports.stream,
+            ports.gossip,
+            hall,
+            settings.region,
+        )
+        for vm, hall in halls.items()
+    )
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -20,8 +20,8 @@
 from roadpass.fleet import Fleet
 from roadpass.gossip import Begin, Events, Gossip, InForce, Leave, PlatformSeen, Say, Seed
 from roadpass.ingress import Ingress
+from roadpass.introduction import listed_members, neighbours, own_member
 from roadpass.manifest import Platform, VmEntry
-from roadpass.member import Member, MemberState
 from roadpass.message import Message
 from roadpass.metric import Metrics
 from roadpass.monitor import FleetChanged, HealthMonitor, HintHeard
@@ -43,14 +43,18 @@
 READY_WAIT_S = 2.0
 """or, with fewer peers to be heard, after this time."""
 QUIET_S = 0.5
+"""Seconds that nothing must be in flight before a leaving node stops."""
 LEAVE_MIN_S = 1.5
+"""Seconds from the word that a node leaves to its end, at the least."""
 STORE_LEAVE_S = 2.6
-"""Callers are sent elsewhere after two missed checks a second apart; till then they are served."""
+"""The same with a store: callers are sent elsewhere after two missed checks a second apart, and
+served till then."""
 STOP_MARGIN_S = 0.7
-"""Kept of the stop limit for the stop itself."""
+"""Seconds kept of the stop limit for the stop itself."""
 POLL_S = 0.05
+"""Seconds between looks at what is in flight."""
 COUNTERS_S = 10.0
-"""How often the plain counters are logged, for whoever has only logs."""
+"""Seconds between logs of the plain counters, for whoever has only logs."""
 
 _log = logging.getLogger("roadpass.node")
 
@@ -106,17 +110,32 @@
         self.audit.record(Kind.START, self._settings.vm, f"version {__version__}")
         self._pause.start()
         self._configuration = self._start(Configuration, self._store, self.audit, self._on_fleet)
-        self._gossip = self._start(
+        self._gossip = self._start_gossip()
+        self._gossip_proxy = self._gossip.proxy()
+        self._monitor = self._start_monitor()
+        self._puller = self._start(Puller, self._peers, self._store, self._offer, self.metrics)
+        self._gossip.tell(Begin())
+        self._start(StreamServer, self._settings, self._sidecar)
+        if self._settings.store is not None:
+            self._start_store_reader(self._settings.store)
+        else:
+            self._start_reader()
+        self._start(Admin, self._settings, self._pages())
+        self._ingress_proxy = self._start_ingress().proxy()
+
+    def _start_gossip(self) -> Any:
+        return self._start(
             Gossip,
             self._settings,
-            self._own_member(),
+            own_member(self._settings, self._incarnation),
             Events(self._on_node, self._on_version, self._on_hint, self.leave),
             self.audit,
             self.metrics,
             self._rng,
         )
-        self._gossip_proxy = self._gossip.proxy()
-        self._monitor = self._start(
+
+    def _start_monitor(self) -> Any:
+        return self._start(
             HealthMonitor,
             self._view,
             self._dispatcher,
@@ -125,21 +144,9 @@
             self._say,
             self.audit,
         )
-        self._puller = self._start(
-            Puller,
-            self._peers,
-            self._store,
-            self._offer,
-            self.metrics,
-        )
-        self._gossip.tell(Begin())
-        self._start(StreamServer, self._settings, self._sidecar)
-        if self._settings.store is not None:
-            self._start_store_reader(self._settings.store)
-        else:
-            self._start_reader()
-        self._start(Admin, self._settings, self._pages())
-        self._ingress = self._start(
+
+    def _start_ingress(self) -> Any:
+        return self._start(
             Ingress,
             self._settings,
             self._dispatcher,
@@ -148,7 +155,6 @@
             dialect=self._dialect,
             origin=self._settings.origin_service,
         )
-        self._ingress_proxy = self._ingress.proxy()
 
     def _start_store_reader(self, store: StoreSettings) -> None:
         policy = Policy(store.floor_share, store.retry_ratio, store.retry_slack)
@@ -241,19 +247,6 @@
         active: int = self._ingress_proxy.active.get()
         return active + self._dispatcher.in_flight + self._sidecar.in_flight
 
-    def _own_member(self) -> Member:
-        settings = self._settings
-        return Member(
-            settings.vm,
-            self._incarnation,
-            MemberState.ALIVE,
-            settings.advertise,
-            settings.ports.stream,
-            settings.ports.gossip,
-            settings.hall,
-            settings.region,
-        )
-
     def _check_ready(self) -> None:
         if self._settings.store is not None:
             return
@@ -276,21 +269,11 @@
         """Put the fleet of a source in force, and know the nodes beside its targets."""
         self._view.limits = config.limits
         self._on_fleet(fleet)
-        self._gossip.tell(Seed(self._neighbours(fleet), frozenset()))
+        self._gossip.tell(Seed(neighbours(self._settings, fleet), frozenset()))
         if not self._view.ready:
             self._view.ready = True
             self.audit.record(Kind.READY, self._settings.vm, f"revision {fleet.revision}")
 
-    def _neighbours(self, fleet: Fleet) -> tuple[Member, ...]:
-        """Return the nodes beside the targets: a target's IP number is its VM's."""
-        ports = self._settings.ports
-        halls = {t.vm: t.hall or "" for t in fleet.targets.values() if t.vm != self._settings.vm}
-        region = self._settings.region
-        return tuple(
-            Member(vm, 0, MemberState.ALIVE, vm, ports.stream, ports.gossip, hall, region)
-            for vm, hall in halls.items()
-        )
-
     def _on_node(self, node: PeerNode) -> None:
         self._view.nodes[node.vm] = node
         nodes = self._view.nodes.values()
@@ -315,21 +298,8 @@
         self._gossip.tell(PlatformSeen())
 
     def _on_vms(self, entries: list[VmEntry]) -> None:
-        members = tuple(
-            Member(
-                e.vm,
-                0,
-                MemberState.ALIVE,
-                e.address,
-                e.stream_port,
-                e.gossip_port,
-                e.hall,
-                e.region,
-            )
-            for e in entries
-        )
         leaving = frozenset(entry.vm for entry in entries if entry.leaving)
-        self._gossip.tell(Seed(members, leaving))
+        self._gossip.tell(Seed(listed_members(entries), leaving))
 
     def _on_pull(self, message: Message) -> Message:
         return offer(self._store.held, message["have"])
--- /dev/null
+++ b/tests/test_introduction.py
@@ -0,0 +1,48 @@
+"""The members that a node names to its gossip unheard."""
+
+from roadpass.caller_limits import CallerLimits
+from roadpass.catalogue import Policy, build_fleet
+from roadpass.introduction import listed_members, neighbours, own_member
+from roadpass.manifest import VmEntry
+from roadpass.member import Member, MemberState
+from roadpass.settings import Ports, Settings
+from roadpass.source import PublishedConfig, PublishedService, TargetEntry
+
+ALIVE = MemberState.ALIVE
+PORTS = Ports(callers=8080, stream=8081, gossip=8082, admin=8083)
+SETTINGS = Settings("10.0.0.1", "hall-1", "region", "0.0.0.0", "10.0.0.1", PORTS, "")
+
+
+def entry(instance: str, ip: str, hall: str) -> TargetEntry:
+    """Return a target's entry."""
+    return TargetEntry(instance, "a", f"{ip}:80", hall, 4, False, 0.0)
+
+
+def test_the_node_itself() -> None:
+    """It is reached where it advertises itself."""
+    settings = SETTINGS._replace(vm="vm-1", advertise="10.9.9.9")
+    own = Member("vm-1", 7, ALIVE, "10.9.9.9", 8081, 8082, "hall-1", "region")
+    assert own_member(settings, 7) == own
+
+
+def test_nodes_that_the_platform_lists() -> None:
+    """All are named as the list has them, also those that leave."""
+    entries = [VmEntry(f"vm-{n}", f"10.0.0.{n}", 81, 82, "hall", "far", n == 2) for n in (1, 2)]
+    assert listed_members(entries) == (
+        Member("vm-1", 0, ALIVE, "10.0.0.1", 81, 82, "hall", "far"),
+        Member("vm-2", 0, ALIVE, "10.0.0.2", 81, 82, "hall", "far"),
+    )
+
+
+def test_nodes_beside_a_stores_targets() -> None:
+    """One for each IP number but the own; ports and region are the own ones."""
+    entries = [
+        entry("t1", "10.0.0.1", "hall-1"),
+        entry("t2", "10.0.0.2", "hall-2"),
+        entry("t3", "10.0.0.2", "hall-2"),
+    ]
+    config = PublishedConfig(1, (), {"a": PublishedService("a", 10)}, CallerLimits())
+    fleet = build_fleet(config, entries, Policy())
+    assert neighbours(SETTINGS, fleet) == (
+        Member("10.0.0.2", 0, ALIVE, "10.0.0.2", 8081, 8082, "hall-2", "region"),
+    )
