Point two mechanisms that can be switched off at the file that has them now

Cause: the code moved from dispatch.py to transport.py, so mechanism_off ended on 'its place is not there exactly once'. The texts and the tests that must fail are unchanged. Two more are stale and left, as their tests are scenarios: 'an answer is whole or an error' (target.py) and 'a stop waits for work in flight' (node.py).

--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -45,7 +45,7 @@
     ),
     Mechanism(
         "unknown is not told as not-run",
-        "roadpass/dispatch.py",
+        "roadpass/transport.py",
         "            return Unknown(reason)\n        vouched",
         "            return NotRun(reason)\n        vouched",
         "tests/test_dispatch.py",
@@ -74,7 +74,7 @@
     ),
     Mechanism(
         "a stream that was given up is closed",
-        "roadpass/dispatch.py",
+        "roadpass/transport.py",
         "            stream.close()\n            return Reply(self._after_loss",
         "            self._peers.release(address, stream)\n"
         "            return Reply(self._after_loss",
