--- a/roadpass/_generated/settings_types.py
+++ b/roadpass/_generated/settings_types.py
@@ -80,7 +80,7 @@
 
     threads: int
     r"""
-    Worker threads of the ingress.
+    Has no effect any more: the ingress has a thread for each connection.
 
     minimum: 4
     maximum: 512
