--- a/roadpass/balance.py
+++ b/roadpass/balance.py
@@ -65,7 +65,7 @@
 
 
 class Picker:
-    """Picks targets for one route from one view; immutable, shared by all workers.
+    """Picks targets for one route from one view; immutable, shared by all threads.
 
     Args:
         groups: Groups of candidates in the order of the selectors; a later group is used only
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -22,13 +22,14 @@
 )
 
 WITHDRAWN_KEPT_S = 0.7
-"""How long a withdrawn target is still sent to; well under the 2 s after which it must not be."""
+"""Seconds that a withdrawn target is still sent to; it must not be after 2 s."""
 RETURN_S = 2.5
-"""Entries that lapsed while the source was away are back about 2 s after its return."""
+"""Seconds from a failed call on in which withdrawn targets are kept: entries that lapsed while the
+source was away are back about 2 s after its return."""
 DETECTION_DIAL = 0.1
 """False ejections accepted a target and week."""
 ATTEMPT_TIMEOUT_MS = 60_000
-"""No bound of its own on one attempt: the request's time bounds it."""
+"""Milliseconds; no bound of its own on one attempt: the request's time bounds it."""
 WAITING_LIMIT = 400
 """Requests of one service and class that may wait at an ingress: a thread each, 0.1 MB."""
 QUEUE_LIMIT = 24
@@ -40,7 +41,7 @@
 """Targets run at different speeds and their requests at different lengths, so only six times the
 others' is slow; an ingress sends a target about one request in two seconds, so a trial is short."""
 SLOW_START_S = 2.0
-"""Ramp of a new target: published targets tell their own warm-up, a few seconds."""
+"""Seconds of the ramp of a new target: published targets tell their own warm-up, a few seconds."""
 
 
 class Policy(NamedTuple):
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -41,7 +41,7 @@
 """Targets, and those in other data halls, asked for a free slot before a request waits at one: a
 way there and back takes 0.4 to 3 ms, one request ahead in a queue 100 ms; far bytes cost."""
 UNREACHABLE_AVOID_S = 1.0
-"""How long an ingress keeps away from a target to which its way is cut; trying costs 0.1 s."""
+"""Seconds to keep away from a target to which the way is cut; trying it costs 0.1 s."""
 
 _FINAL_REASONS = frozenset((Reason.EXPIRED, Reason.CANCELLED))
 """Refusals that no other target would change."""
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -7,13 +7,13 @@
 """
 
 HOLD_S = 0.2
-"""After a loss nothing is tried for so long: about the time that one request takes."""
+"""Seconds after a loss in which nothing is tried: about the time that one request takes."""
 HOLD_GROWTH = 1.8
 HOLD_MAX_S = 1.5
-"""A lost trial makes the next wait longer, up to this: spells last for seconds, and a trial in
-one is lost six times in seven and costs its request an attempt."""
+"""A lost trial makes the next wait longer, up to so many seconds: spells last for seconds, and a
+trial in one is lost six times in seven and costs its request an attempt."""
 STARVED_S = 4.0
-"""Shut for so long without any repeatable work to try, it opens for all: no evidence is left."""
+"""Seconds shut without repeatable work to try after which it opens for all: evidence is stale."""
 GOODS_TO_OPEN = 2
 """Good trials in a row that open the door: in a spell one in seven is good by luck."""
 
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -1,4 +1,4 @@
-"""The health monitor: an actor that judges targets and publishes views for the workers."""
+"""The health monitor: an actor that judges targets and publishes views for the dispatcher."""
 
 import logging
 import time
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -1,6 +1,5 @@
 """A node: all parts of one `roadpassd` process, wired together."""
 
-import logging
 import random
 import threading
 import time
@@ -56,8 +55,6 @@
 COUNTERS_S = 10.0
 """Seconds between logs of the plain counters, for whoever has only logs."""
 
-_log = logging.getLogger("roadpass.node")
-
 
 class Node:
     """One process of the fleet.
--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -12,7 +12,7 @@
 from roadpass.source import Change, Changes, HistoryLostError
 
 CALL_LIMIT_S = 1.0
-"""Wait for an answer beyond the time the store itself was asked to wait; it answers in 4 ms."""
+"""Seconds to wait for an answer beyond what the store was asked to wait; it answers in 4 ms."""
 CALLS = "platform_calls"
 """Counter of calls; a waiting watch is one."""
 PAGES = 200
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -15,13 +15,14 @@
 from roadpass.source import Changes, HistoryLostError, PublishedConfig, Source, Unusable
 
 WATCH_S = 3.0
-"""Longest wait of one watch: a connection on which nothing comes any more is noticed so late.
+"""Seconds of one watch at most: a connection on which nothing comes any more is noticed so late.
 Bounds run from 3 s after a disturbance on, and a change must be in force 2 s later."""
 REST_S = 0.5
-"""Rest after changes, so that one call brings several; a change must be in force within 2 s."""
+"""Seconds of rest after changes, so that one call brings several; they have 2 s to be in force."""
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.8
-"""Pause after a failed call, doubled up to the latter: bounds run while the source is away."""
+"""Seconds to pause after a failed call, doubled up to the latter: bounds run while the source is
+away."""
 
 _log = logging.getLogger("roadpass.reader")
 
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -15,20 +15,19 @@
 from roadpass.view import View
 
 FENCE_S = 0.1
-"""Time kept at the end of a request's deadline to fence an attempt without an answer."""
+"""Seconds kept at the end of a request's deadline to fence an attempt without an answer."""
 REPLY_GRACE_S = 0.02
-"""The sidecar's answer at its own deadline is awaited so much longer."""
-MIN_WAIT_S = 0.005
+"""Seconds that the sidecar's answer at its own deadline is awaited longer."""
 CONNECT_S = 0.12
-"""A connection within a region takes 3 ms; one whose first packet was lost takes a second."""
+"""Seconds to connect: within a region it takes 3 ms, and a second if the first packet is lost."""
 CHECK_S = 0.09
-"""The way there and back takes 3 ms within a region: no word by then means a cut or a loss."""
+"""Seconds to a word: there and back takes 3 ms within a region, so it tells a cut or a loss."""
 PRESSING_S = 0.6
-"""Wait for a connection or a word where no other target is left: two losses are mended by then."""
+"""Seconds to a connection or a word where no other target is left: two losses are mended then."""
 
 
 class Transport:
-    """Carries attempts; used by all workers at once.
+    """Carries attempts; used by the threads of all callers at once.
 
     Args:
         view: Where the nodes are.
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -1,4 +1,4 @@
-"""What the workers of an ingress read: immutable views that their owners swap in."""
+"""What the threads of an ingress read: immutable views that their owners swap in."""
 
 from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
