--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -1,10 +1,10 @@
-"""What the workers of an ingress read: immutable views that their owners swap in."""
+"""What the threads of an ingress read: immutable views that their owners swap in."""
 
 from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
 
 from roadpass.balance import Candidate, Picker
-from roadpass.caller_connection import CallerLimits
+from roadpass.caller_limits import CallerLimits
 from roadpass.fleet import Fleet, Target
 
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
