Mend what a reading found: odd times, pages without items, unpublished services, late losses

Cause, each shown by a scratch trial of the tidying: a time of 'infs' escaped as OverflowError and stopped the reader; a page whose items are null raised TypeError past the source's errors; a route to a service that is not published raised KeyError, told as 502 though nothing ran; a late loss reset a door's grown wait. Each has a test now. A target's warm-up was decoded and never used: gone, with the fleets it rebuilt.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -107,7 +107,9 @@
         route = fleet.find_route(request.host, request.path, request.method)
         if route is None:
             return Served(NotRun(Reason.NO_ROUTE))
-        service = fleet.services[self._part(route)]
+        service = fleet.services.get(self._part(route))
+        if service is None:
+            return Served(NotRun(Reason.NO_CAPACITY, RETRY_LATER_MS))
         slot = (service.name, service.class_of(route))
         if not self._enter(slot, service.waiting_limit):
             return Served(NotRun(Reason.WAITING_LIMIT, RETRY_SOON_MS), *slot)
@@ -203,7 +205,14 @@
         slow_ms = self._view.service(trip.service.name).slow_ms.get(target.name, 0.0)
         started = time.monotonic()
         revision = self._view.fleet.revision
-        attempt = trip.attempt(attempt_id, target, started, revision=revision, slow_ms=slow_ms)
+        attempt = trip.attempt(
+            attempt_id,
+            target,
+            started,
+            revision=revision,
+            slow_ms=slow_ms,
+            has_repeat=self._budget(trip.service).tokens >= 1.0,
+        )
         pending = Pending(trip.service.name, target.name, started)
         self.pending[attempt_id] = pending
         self._loads.begin(target.name)
@@ -306,8 +315,8 @@
     match outcome:
         case Answered(status=status):
             return status >= SERVER_ERROR and route.repeatable
-        case NotRun(reason=reason):
-            return reason not in _FINAL_REASONS
+        case NotRun():
+            return True
         case Unknown(reason=Reason.CANCELLED):
             return False
         case Unknown():
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -83,7 +83,10 @@
         if lost:
             was_shut, self._shut = self._shut, True
             self._goods = 0
-            self._hold_s = min(HOLD_MAX_S, self._hold_s * HOLD_GROWTH) if trial else HOLD_S
+            if trial:
+                self._hold_s = min(HOLD_MAX_S, self._hold_s * HOLD_GROWTH)
+            elif not was_shut:
+                self._hold_s = HOLD_S
             self._hold_until = now + self._hold_s
             self._tried_at = now
             return not was_shut
--- a/roadpass/platform/decode.py
+++ b/roadpass/platform/decode.py
@@ -6,6 +6,7 @@
 import base64
 import binascii
 import json
+import math
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -26,7 +27,7 @@
 CONFIG_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
 _UNITS = (("ms", 0.001), ("s", 1.0))
-_UNUSABLE = (KeyError, TypeError, ValueError, AttributeError, IndexError)
+_UNUSABLE = (KeyError, TypeError, ValueError, AttributeError, IndexError, OverflowError)
 
 
 def change(item: Any) -> Change | None:
@@ -79,7 +80,6 @@
             hall=str(info["Zone"]),
             slots=max(1, int(info["Capacity"])),
             leaving=status["State"] != "ready",
-            warmup_s=seconds(status.get("WarmupLeft") or "0ms"),
         )
     except _UNUSABLE as error:
         raise PlatformError(f"The entry makes no sense: {error!r}.") from error
@@ -89,7 +89,9 @@
     """Read a time such as `1500ms` or `2.5s`."""
     for unit, factor in _UNITS:
         if text.endswith(unit):
-            return float(text.removesuffix(unit)) * factor
+            value = float(text.removesuffix(unit)) * factor
+            if math.isfinite(value) and value >= 0.0:
+                return value
     raise ValueError(f"'{text}' is no time")
 
 
--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -44,10 +44,10 @@
             try:
                 items, at = page["items"], int(page["AtRev"])
                 after = str(items[-1]["TlsKey"]) if page.get("HasMore") else ""
+                changes += _changes(items)
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 raise PlatformError(f"The page makes no sense: {error!r}.") from error
             revision = at if revision is None else min(revision, at)
-            changes += _changes(items)
             if not after:
                 return Changes(revision, tuple(changes), whole=True)
         raise PlatformError(f"The store has more than {PAGES} pages.")
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -47,7 +47,6 @@
         hall: Its data hall.
         slots: Requests it works on at a time.
         leaving: Whether it takes no new work.
-        warmup_s: How long after its start it stays slow.
     """
 
     instance: str
@@ -56,7 +55,6 @@
     hall: str
     slots: int
     leaving: bool
-    warmup_s: float
 
 
 class ConfigPublished(NamedTuple):
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -27,7 +27,7 @@
 
 def target(instance: str, *, service: str = "a", leaving: bool = False) -> TargetPublished:
     """Return a target's entry."""
-    return TargetPublished(TargetEntry(instance, service, "10.0.0.1:80", "h", 4, leaving, 0.0))
+    return TargetPublished(TargetEntry(instance, service, "10.0.0.1:80", "h", 4, leaving))
 
 
 @pytest.fixture
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -160,6 +160,14 @@
         assert limit_ms * 0.9 < left_ms <= limit_ms, (spent, left_ms)
 
 
+def test_a_route_to_a_service_that_nobody_published_is_not_run() -> None:
+    """The caller is told so, and nothing breaks."""
+    one = dispatcher(FakeSidecar([]))
+    held = one._view.fleet
+    one._view.fleet = Fleet({}, {}, held.routes, (), revision=1)
+    assert one.dispatch(request("POST")).outcome == NotRun(Reason.NO_CAPACITY, 2000)
+
+
 def test_passed_deadline_is_answered_at_once_as_not_run() -> None:
     """A request whose deadline has passed is not sent at all."""
     sidecar = FakeSidecar([])
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -64,6 +64,17 @@
     assert waits[-1] == HOLD_MAX_S
 
 
+def test_a_late_loss_does_not_shorten_the_waits() -> None:
+    """A request that began before the door shut says nothing new."""
+    door = Door()
+    early = door.begin(0.0)
+    lose(door, 0.0)
+    for now in (2.0, 4.0, 6.0):
+        door.end(now, trial=door.begin(now), good=False, lost=True)
+    door.end(6.0, trial=early, good=False, lost=True)
+    assert door.wait_s(6.0) > 2 * HOLD_S
+
+
 def test_without_repeatable_work_it_opens_by_time() -> None:
     """A service whose routes must all not repeat has no trials."""
     door = Door()
--- a/tests/test_introduction.py
+++ b/tests/test_introduction.py
@@ -15,7 +15,7 @@
 
 def entry(instance: str, ip: str, hall: str) -> TargetEntry:
     """Return a target's entry."""
-    return TargetEntry(instance, "a", f"{ip}:80", hall, 4, False, 0.0)
+    return TargetEntry(instance, "a", f"{ip}:80", hall, 4, False)
 
 
 def test_the_node_itself() -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -54,6 +54,9 @@
         lambda value: value["Routes"]["Rows"][0].__setitem__(6, "soon"),
         lambda value: value["Routes"].update(Rows=3),
         lambda value: value["Limits"].update(IdleTimeout=15),
+        lambda value: value["Limits"].update(IdleTimeout="infs"),
+        lambda value: value["Routes"]["Rows"][0].__setitem__(6, "infs"),
+        lambda value: value["Routes"]["Rows"][0].__setitem__(6, "-1s"),
     ],
 )
 def test_a_configuration_that_makes_no_sense(spoil: Callable[[Any], Any]) -> None:
@@ -68,7 +71,7 @@
     """Its address, place, slots and whether it takes new work."""
     read = decode.target("i-1", entry("10.0.0.1:80", zone="z", state="draining"))
     assert (read.instance, read.service, read.address) == ("i-1", "s", "10.0.0.1:80")
-    assert (read.hall, read.slots, read.leaving, read.warmup_s) == ("z", 4, True, 0.0)
+    assert (read.hall, read.slots, read.leaving) == ("z", 4, True)
 
 
 @pytest.mark.parametrize(
@@ -137,6 +140,14 @@
     assert (got.revision, got.changes, got.whole) == (3, (TargetWithdrawn("i-1"),), False)
 
 
+def test_a_page_that_makes_no_sense_is_an_error_of_the_layer(bench: Bench) -> None:
+    """Whatever its items are."""
+    bench.state.items.clear()
+    bench.state.range = lambda prefix, after: {"items": None, "AtRev": 3}  # type: ignore[method-assign]
+    with pytest.raises(PlatformError):
+        bench.client.snapshot()
+
+
 def test_a_forgotten_history_and_refusals_are_told_apart(bench: Bench) -> None:
     """Only a snapshot helps with the one, only time with the other."""
     bench.state.put("op/config", config(5, [ROW]))
--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -67,11 +67,18 @@
     ),
     Mechanism(
         "an answer is whole or an error",
-        "roadpass/target.py",
-        "            raise self._translate(error, deadline) from error",
-        "            return Answered(200, [], b'{')",
+        "roadpass/target_connection.py",
+        '            raise TargetLostError("The target\'s connection ended before its answer was whole.")',
+        "            return self._finish()",
         "tests/test_scenario.py::test_scenario[gray_cut_answers]",
     ),
+    Mechanism(
+        "work that must not repeat stays out of a shut door",
+        "roadpass/door.py",
+        "        if not repeatable:\n            return False",
+        "        if False:\n            return False",
+        "tests/test_door.py",
+    ),
     Mechanism(
         "a stream that was given up is closed",
         "roadpass/transport.py",
@@ -111,8 +118,8 @@
     Mechanism(
         "a stop waits for work in flight",
         "roadpass/node.py",
-        "            if now - quiet_since >= QUIET_S and now - started >= LEAVE_MIN_S:",
-        "            if True:",
+        "                if now - quiet_since >= QUIET_S:",
+        "                if True:",
         "tests/test_scenario.py::test_scenario[stop_node]",
     ),
     Mechanism(
