--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -68,7 +68,8 @@
     Mechanism(
         "an answer is whole or an error",
         "roadpass/target_connection.py",
-        '            raise TargetLostError("The target\'s connection ended before its answer was whole.")',
+        "            raise TargetLostError("
+        '"The target\'s connection ended before its answer was whole.")',
         "            return self._finish()",
         "tests/test_scenario.py::test_scenario[gray_cut_answers]",
     ),
