--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -147,7 +147,10 @@
 
     def _new_work_refusal(self, question: Question) -> NotRun | None:
         """Return why the target is given no new work now, `None` if it is, whatever its queue."""
-        return self._door_refusal(question) or self._shed_hold.refusal(time.monotonic())
+        refusal = self._door_refusal(question)
+        if refusal is not None or question.pressing:
+            return refusal
+        return self._shed_hold.refusal(time.monotonic())
 
     def _door_refusal(self, question: Question) -> NotRun | None:
         if self.leaving:
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -62,14 +62,17 @@
         return self.deadline - time.monotonic() < MIN_ATTEMPT_S
 
     def press(self) -> bool:
-        """Let targets that refused for failing, or were out of reach, be asked once more.
+        """Let targets that refused for failing or shedding, or were cut off, be asked once more.
+
+        A failing one may run what it then loses, so only what may repeat goes there; one that
+        sheds says so, and has not run it.
 
         Returns:
             Whether there are any.
         """
         if self.pressing:
             return False
-        again = {Reason.UNREACHABLE}
+        again = {Reason.UNREACHABLE, Reason.SHED_LATELY}
         if self.route.repeatable and self.arrivals == 0:
             again.add(Reason.SICK)
         names = {name for name, reason in self.refused.items() if reason in again}
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -168,6 +168,24 @@
     assert one.dispatch(request("POST")).outcome == NotRun(Reason.NO_CAPACITY, 2000)
 
 
+def test_when_all_targets_shed_lately_each_is_asked_once_more() -> None:
+    """A request that must not repeat too: a target that sheds has not run it."""
+    held = [NotRun(Reason.SHED_LATELY)] * 4
+    sidecar = FakeSidecar([*held, Answered(200, [], b"ok")])
+    outcome = dispatcher(sidecar).dispatch(request("POST")).outcome
+    assert isinstance(outcome, Answered)
+    assert [attempt.pressing for attempt in sidecar.attempts] == [False] * 4 + [True]
+
+
+def test_when_all_targets_fail_only_what_may_repeat_presses() -> None:
+    """A failing one may run it and lose the answer."""
+    for method, asked in (("POST", 4), ("GET", 5)):
+        failing = [NotRun(Reason.SICK)] * 4
+        sidecar = FakeSidecar([*failing, Answered(200, [], b"ok")])
+        dispatcher(sidecar).dispatch(request(method))
+        assert len(sidecar.attempts) == asked
+
+
 def test_passed_deadline_is_answered_at_once_as_not_run() -> None:
     """A request whose deadline has passed is not sent at all."""
     sidecar = FakeSidecar([])
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -208,8 +208,9 @@
     bench.state.behaviour.shed = True
     assert reason(bench, attempt(1)) is Reason.SHED
     assert reason(bench, attempt(2)) is Reason.SHED_LATELY
+    assert reason(bench, attempt(4, pressing=True)) is Reason.SHED
     bench.state.behaviour.shed = False
-    time.sleep(SHED_HOLD_S)
+    time.sleep(2 * SHED_HOLD_S)
     assert reason(bench, attempt(3)) is None
 
 
