--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -127,6 +127,25 @@
     pressing: bool
 
 
+class CatchUp(TypedDict, total=False):
+    r"""
+    catch_up.
+
+    Asks for what the source told after a revision of it, 0 for all.
+    """
+
+    t: Required[Literal['catch_up']]
+    r""" Required property """
+
+    after: Required[int]
+    r"""
+    minimum: 0
+
+    Required property
+    """
+
+
+
 class Check(TypedDict, total=False):
     r"""
     check.
@@ -293,7 +312,7 @@
 
 
 
-Message = Union["Hello", "Attempt", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Pull", "Revision", "Datagram"]
+Message = Union["Hello", "Attempt", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Pull", "Revision", "CatchUp", "News", "Datagram"]
 r"""
 message.
 
@@ -304,6 +323,55 @@
 
 
 
+class News(TypedDict, total=False):
+    r"""
+    news.
+
+    What a source told up to a revision: the answer to catch_up.
+    """
+
+    t: Required[Literal['news']]
+    r""" Required property """
+
+    revision: Required[int]
+    r"""
+    minimum: 0
+
+    Required property
+    """
+
+    age_s: Required[int | float]
+    r"""
+    Seconds since the source is known to have had nothing newer.
+
+    minimum: 0
+
+    Required property
+    """
+
+    away_age_s: int | float
+    r"""
+    Seconds since the source could last not be read.
+
+    minimum: 0
+    """
+
+    whole: Required[bool]
+    r"""
+    Whether what is not named is gone.
+
+    Required property
+    """
+
+    config: str | int | float | dict[str, Any] | list[Any] | bool | None
+    targets: Required[list["TargetRow"]]
+    r""" Required property """
+
+    withdrawn: Required[list[str]]
+    r""" Required property """
+
+
+
 class NotRun(TypedDict, total=False):
     r""" not_run. """
 
@@ -362,6 +430,18 @@
 
 
 
+TargetRow = tuple[str, str, str, str, "_TargetRow4", bool]
+r"""
+target row.
+
+instance, service, address, hall, slots, leaving
+
+minItems: 6
+maxItems: 6
+"""
+
+
+
 class Unknown(TypedDict, total=False):
     r""" unknown. """
 
@@ -448,3 +528,8 @@
 maximum: 3
 """
 
+
+
+_TargetRow4 = int
+r""" minimum: 1 """
+
--- a/roadpass/_generated/settings_types.py
+++ b/roadpass/_generated/settings_types.py
@@ -197,6 +197,21 @@
 
 
 
+_SETTINGS_STORE_IN_FORCE_S_DEFAULT = 2
+r""" Default value of the field path 'settings store in_force_s' """
+
+
+
+_SETTINGS_STORE_IN_FORCE_S_ONEOF0_DEFAULT = 2
+r""" Default value of the field path 'settings store in_force_s oneof0' """
+
+
+
+_SETTINGS_STORE_IN_FORCE_S_ONEOF1_DEFAULT = 2
+r""" Default value of the field path 'settings store in_force_s oneof1' """
+
+
+
 _SETTINGS_STORE_RETRY_RATIO_DEFAULT = 0.1
 r""" Default value of the field path 'settings store retry_ratio' """
 
@@ -356,6 +371,15 @@
     default: 0.1
     """
 
+    in_force_s: Union["_SettingsStoreInForceSOneof0", "_SettingsStoreInForceSOneof1"]
+    r"""
+    Time within which what the store took must be in force on every node: seconds, or text with a unit.
+
+    default: 2
+
+    Aggregation type: oneOf
+    """
+
     retry_slack: int | float
     r"""
     Repeats beyond that in each window, over the whole fleet.
@@ -364,3 +388,20 @@
     default: 0
     """
 
+
+
+_SettingsStoreInForceSOneof0 = int | float
+r"""
+default: 2
+minimum: 0.5
+maximum: 60
+"""
+
+
+
+_SettingsStoreInForceSOneof1 = str
+r"""
+default: 2
+pattern: ^[0-9]+([.][0-9]+)?(ms|s)$
+"""
+
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -23,6 +23,8 @@
 
 WITHDRAWN_KEPT_S = 0.7
 """Seconds that a withdrawn target is still sent to; it must not be after 2 s."""
+WITHDRAWN_MAX_S = 1.6
+"""The same from the moment on at which its entry is known to have been there still."""
 RETURN_S = 2.5
 """Seconds from a failed call on in which withdrawn targets are kept: entries that lapsed while the
 source was away are back about 2 s after its return."""
@@ -84,14 +86,18 @@
 
     def source_away(self, now: float) -> None:
         """Note that the source could not be read: withdrawals may be lapses."""
-        self._away_until = now
+        self._away_until = max(self._away_until, now)
 
-    def take(self, now: float, changes: Changes) -> tuple[bool, list[Unusable]]:
+    def take(
+        self, now: float, changes: Changes, *, known_at: float = math.inf
+    ) -> tuple[bool, list[Unusable]]:
         """Take in what a source tells.
 
         Args:
             now: Monotonic seconds.
             changes: What it told.
+            known_at: When the source had nothing newer than what was held before, in monotonic
+                seconds: what it withdraws now may be gone since then.
 
         Returns:
             Whether the fleet is another one now, and what could not be used.
@@ -105,11 +111,11 @@
                 case TargetPublished(entry=entry):
                     changed |= self._take_target(entry)
                 case TargetWithdrawn(instance=instance):
-                    self._withdraw(now, instance)
+                    self._withdraw(now, known_at, instance)
                 case Unusable():
                     unusable.append(change)
         if changes.whole:
-            self._withdraw_missing(now, changes)
+            self._withdraw_missing(now, known_at, changes)
         return changed, unusable
 
     def expire(self, now: float) -> bool:
@@ -147,12 +153,13 @@
         self._targets[entry.instance] = entry
         return True
 
-    def _withdraw(self, now: float, instance: str) -> None:
+    def _withdraw(self, now: float, known_at: float, instance: str) -> None:
         if instance in self._targets and instance not in self._withdrawn:
-            kept_until = max(now + WITHDRAWN_KEPT_S, self._away_until + RETURN_S)
+            kept_until = min(now + WITHDRAWN_KEPT_S, known_at + WITHDRAWN_MAX_S)
+            kept_until = max(kept_until, self._away_until + RETURN_S)
             self._withdrawn[instance] = kept_until
 
-    def _withdraw_missing(self, now: float, changes: Changes) -> None:
+    def _withdraw_missing(self, now: float, known_at: float, changes: Changes) -> None:
         named = {
             change.entry.instance
             for change in changes.changes
@@ -161,7 +168,7 @@
         broken = {change.key for change in changes.changes if isinstance(change, Unusable)}
         for instance in self._targets:
             if instance not in named and not any(key.endswith(instance) for key in broken):
-                self._withdraw(now, instance)
+                self._withdraw(now, known_at, instance)
 
 
 def build_fleet(config: PublishedConfig, entries: Iterable[TargetEntry], policy: Policy) -> Fleet:
@@ -194,7 +201,7 @@
     return Target(
         name=entry.instance,
         service=entry.service,
-        vm=entry.address.rpartition(":")[0],
+        vm=entry.vm,
         address=entry.address,
         slots=entry.slots,
         connections=service.max_connections,
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -22,6 +22,7 @@
 from roadpass.member import Member, Members, MemberState, Send
 from roadpass.message import check_gossip
 from roadpass.metric import Metrics
+from roadpass.news import Word
 from roadpass.revision import NO_VERSION, Version
 from roadpass.settings import Settings
 from roadpass.stream import MAC_BYTES
@@ -75,6 +76,20 @@
     """The platform answered this node just now."""
 
 
+class Confirmed(NamedTuple):
+    """The source had nothing newer than a revision.
+
+    Args:
+        revision: Of the source; this node holds all up to it.
+        at: Monotonic seconds of that moment.
+        tell: Whether the data hall is to hear of it now, since this node read it itself.
+    """
+
+    revision: int
+    at: float
+    tell: bool
+
+
 class Leave(NamedTuple):
     """This node is leaving."""
 
@@ -94,12 +109,14 @@
         on_version: A peer has a version that differs from the own one; with its stream address.
         on_hint: A word on a target came in.
         on_leave: This node was told that it is leaving.
+        on_word: A peer's word on the source came in, on a node that follows one.
     """
 
     on_node: Callable[[PeerNode], None]
     on_version: Callable[[Version, tuple[str, int]], None]
     on_hint: Callable[[str, Scores], None]
     on_leave: Callable[[], None]
+    on_word: Callable[[Word], None] | None = None
 
 
 class Gossip(Actor):
@@ -185,6 +202,8 @@
                 self._announce()
             case PlatformSeen():
                 self._platform_seen_at = time.monotonic()
+            case Confirmed():
+                self._on_confirmed(message)
             case Leave():
                 self._members.leave()
                 self._announcements = ANNOUNCE_REPEATS
@@ -232,17 +251,35 @@
             message.get("on", ""),
             message["news"],
         )
-        age_s = message.get("platform_age_s", UNKNOWN_AGE_S)
-        self._platform_seen_at = max(self._platform_seen_at, now - max(0.0, age_s))
         for row in message.get("hints", ()):
             hint = self._hints.hear(now, row)
             if hint is not None:
                 self._events.on_hint(hint.target, hint.scores)
                 self._announcements = max(self._announcements, 1)
-        self._compare_version(message)
+        self._hear_of_source(now, message)
         for answer in answers:
             self._send(answer)
 
+    def _hear_of_source(self, now: float, message: Datagram) -> None:
+        """Take the sender's word on what it holds of the platform, and how fresh that is."""
+        age_s = message.get("platform_age_s", UNKNOWN_AGE_S)
+        seen_at = now - max(0.0, age_s)
+        if self._events.on_word is None:
+            self._platform_seen_at = max(self._platform_seen_at, seen_at)
+            self._compare_version(message)
+            return
+        member = self._members.get(message["sender"])
+        if member is not None and message["revision"]:
+            address = (member.address, member.stream_port)
+            self._events.on_word(Word(message["revision"], seen_at, member.vm, address))
+
+    def _on_confirmed(self, confirmed: Confirmed) -> None:
+        self._version = Version(confirmed.revision, "")
+        self._platform_seen_at = confirmed.at
+        if confirmed.tell:
+            for member in self._members.in_hall(self._settings.hall):
+                self._send(Send((member.address, member.gossip_port), "announce", 0), brief=True)
+
     def _compare_version(self, message: Datagram) -> None:
         theirs = Version(message["revision"], message["digest"])
         member = self._members.get(message["sender"])
@@ -264,7 +301,7 @@
             else:
                 self._members.mark_leaving(now, vm)
         if alone:
-            for member in self._members.sample(SYNC_PEERS):
+            for member in self._members.sample(SYNC_PEERS, hall=self._settings.hall):
                 self._send(Send((member.address, member.gossip_port), "sync", 0))
 
     def _announce(self) -> None:
@@ -283,8 +320,9 @@
             self._told_leaving = True
             self._events.on_leave()
 
-    def _send(self, send: Send) -> None:
-        news = self._members.rumors()
+    def _send(self, send: Send, *, brief: bool = False) -> None:
+        """Send a datagram with the latest rumors, or with the own one only."""
+        news = [self._members.own] if brief else self._members.rumors()
         while True:
             content = self._seal(send, news)
             if len(content) <= MAX_DATAGRAM or len(news) == 1:
@@ -306,7 +344,7 @@
             "n": send.number,
             "revision": self._version.revision,
             "digest": self._version.digest,
-            "platform_age_s": round(self.platform_age_s, 1),
+            "platform_age_s": round(self.platform_age_s, 3),
             "news": news,
         }
         if send.on:
--- a/roadpass/introduction.py
+++ b/roadpass/introduction.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterable
 
-from roadpass.fleet import Fleet
 from roadpass.manifest import VmEntry
 from roadpass.member import Member, MemberState
 from roadpass.settings import Settings
+from roadpass.source import TargetEntry
 
 _UNHEARD = 0
 """Incarnation of a node that was not heard yet; its own is always newer."""
@@ -42,13 +42,13 @@
     )
 
 
-def neighbours(settings: Settings, fleet: Fleet) -> tuple[Member, ...]:
-    """Return the nodes beside the targets of a store's fleet, but the own one.
+def neighbours(settings: Settings, entries: Iterable[TargetEntry]) -> tuple[Member, ...]:
+    """Return the nodes beside the targets that a store names, but the own one.
 
     A target's IP number is its VM's there, and all nodes of the fleet use the same ports.
     """
     ports = settings.ports
-    halls = {t.vm: t.hall or "" for t in fleet.targets.values() if t.vm != settings.vm}
+    halls = {entry.vm: entry.hall for entry in entries if entry.vm != settings.vm}
     return tuple(
         Member(
             vm,
--- /dev/null
+++ b/roadpass/journal.py
@@ -0,0 +1,126 @@
+"""What a node can tell its peers of a source: all it holds, or what came after a revision."""
+
+import threading
+from collections import deque
+from typing import NamedTuple
+
+from roadpass.news import News
+from roadpass.source import (
+    Change,
+    Changes,
+    ConfigPublished,
+    TargetPublished,
+    TargetWithdrawn,
+    Unusable,
+)
+
+KEPT = 256
+"""Readings kept: some minutes of a busy source. A peer that missed more is told all."""
+
+
+class _Reading(NamedTuple):
+    """What one reading brought, and the revision it went on from."""
+
+    after: int
+    changes: Changes
+
+
+class Journal:
+    """The latest readings and the state they add up to; safe for any thread."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._revision = 0
+        self._at = float("-inf")
+        self._away_at: float | None = None
+        self._config: ConfigPublished | None = None
+        self._targets: dict[str, TargetPublished] = {}
+        self._readings: deque[_Reading] = deque(maxlen=KEPT)
+
+    def note(self, changes: Changes, at: float) -> None:
+        """Note what a reading brought.
+
+        Args:
+            changes: All there is, or what came after the reading noted before it.
+            at: Monotonic seconds at which the source had nothing newer.
+        """
+        with self._lock:
+            if changes.whole:
+                self._start_anew(changes)
+            else:
+                self._readings.append(_Reading(self._revision, changes))
+            for change in changes.changes:
+                self._apply(change)
+            self._revision = changes.revision
+            self._at = max(self._at, at)
+
+    def confirm(self, at: float) -> None:
+        """Note that the source had nothing newer at a moment."""
+        with self._lock:
+            self._at = max(self._at, at)
+
+    def source_away(self, at: float) -> None:
+        """Note that the source could not be read at a moment."""
+        with self._lock:
+            self._away_at = at if self._away_at is None else max(self._away_at, at)
+
+    def since(self, after: int) -> News | None:
+        """Return what came after a revision, or all if that is not known any more.
+
+        Returns:
+            `None` while nothing was noted.
+        """
+        with self._lock:
+            if not self._revision:
+                return None
+            known = self._readings and self._readings[0].after <= after
+            if after >= self._revision or known:
+                changes = Changes(self._revision, self._later(after))
+            else:
+                changes = Changes(self._revision, self._all(), whole=True)
+            return News(changes, self._at, self._away_at)
+
+    def _start_anew(self, changes: Changes) -> None:
+        """Drop all but what the changes name without being able to tell it."""
+        broken = [change.key for change in changes.changes if isinstance(change, Unusable)]
+        self._readings.clear()
+        self._targets = {
+            instance: change
+            for instance, change in self._targets.items()
+            if any(key.endswith(instance) for key in broken)
+        }
+
+    def _apply(self, change: Change) -> None:
+        match change:
+            case ConfigPublished():
+                self._config = change
+            case TargetPublished(entry=entry):
+                self._targets[entry.instance] = change
+            case TargetWithdrawn(instance=instance):
+                self._targets.pop(instance, None)
+            case Unusable():
+                pass
+
+    def _all(self) -> tuple[Change, ...]:
+        config = () if self._config is None else (self._config,)
+        return (*config, *self._targets.values())
+
+    def _later(self, after: int) -> tuple[Change, ...]:
+        """Return the last change of each item in the readings that went past a revision."""
+        last: dict[str, Change] = {}
+        for reading in self._readings:
+            if reading.changes.revision > after:
+                last.update((_key(change), change) for change in reading.changes.changes)
+        return tuple(last.values())
+
+
+def _key(change: Change) -> str:
+    match change:
+        case ConfigPublished():
+            return ""
+        case TargetPublished(entry=entry):
+            return entry.instance
+        case TargetWithdrawn(instance=instance):
+            return instance
+        case Unusable(key=key):
+            return key
--- a/roadpass/member.py
+++ b/roadpass/member.py
@@ -225,10 +225,16 @@
                 chosen.append(member)
         return chosen
 
-    def sample(self, count: int) -> list[Member]:
-        """Return some random members that are not dead."""
+    def in_hall(self, hall: str) -> list[Member]:
+        """Return the other members of a data hall that are not dead."""
+        return [member for member in self.alive() if member.hall == hall]
+
+    def sample(self, count: int, *, hall: str = "") -> list[Member]:
+        """Return some random members that are not dead, of a data hall first if it is named."""
         alive = self.alive()
-        return self._rng.sample(alive, min(count, len(alive)))
+        self._rng.shuffle(alive)
+        alive.sort(key=lambda member: member.hall != hall)
+        return alive[:count]
 
     def _put(self, now: float, member: Member) -> None:
         known = self._members.get(member.vm)
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -9,12 +9,14 @@
     check_accepted,
     check_answered,
     check_attempt,
+    check_catch_up,
     check_check,
     check_datagram,
     check_fence,
     check_fence_key,
     check_fenced,
     check_hello,
+    check_news,
     check_not_run,
     check_pull,
     check_revision,
@@ -40,6 +42,8 @@
     "fence_key": check_fence_key.validate,
     "pull": check_pull.validate,
     "revision": check_revision.validate,
+    "catch_up": check_catch_up.validate,
+    "news": check_news.validate,
 }
 
 
--- /dev/null
+++ b/roadpass/news.py
@@ -0,0 +1,157 @@
+"""What a source told, as nodes hand it to each other: the written form of `Changes`, and asking.
+
+A configuration of some hundred routes is the bulk of it, and many nodes ask at once when it has
+changed, so it travels compressed.
+"""
+
+import time
+import zlib
+from typing import Any, NamedTuple
+
+import msgpack
+
+from roadpass._generated.message_types import CatchUp
+from roadpass.caller_limits import CallerLimits
+from roadpass.errors import FrameError, StreamError
+from roadpass.message import Message
+from roadpass.peer import Address, PeerPool
+from roadpass.route import Part, Route
+from roadpass.source import (
+    Change,
+    Changes,
+    ConfigPublished,
+    PublishedConfig,
+    PublishedService,
+    TargetEntry,
+    TargetPublished,
+    TargetWithdrawn,
+    Unusable,
+)
+
+ASK_S = 0.35
+"""Seconds to a peer's news; it takes milliseconds, and the bounds on what it tells are 2 s."""
+MAX_CONFIG_BYTES = 16 * 1024 * 1024
+"""Bytes of an unpacked configuration at most; a source's values are bounded by 1 MB."""
+_UNUSABLE = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException, zlib.error)
+
+
+class Word(NamedTuple):
+    """A peer's word on the source.
+
+    Args:
+        revision: Up to which the peer holds the source.
+        at: Monotonic seconds at which the source had nothing newer, by the peer's word.
+        vm: The peer.
+        address: Of its streams.
+    """
+
+    revision: int
+    at: float
+    vm: str
+    address: Address
+
+
+class News(NamedTuple):
+    """What a node holds of a source, or what it gained since a revision.
+
+    Args:
+        changes: As the source told them.
+        at: Monotonic seconds at which the source is known to have had nothing newer.
+        away_at: Monotonic seconds at which it could last not be read, `None` if it always could.
+    """
+
+    changes: Changes
+    at: float
+    away_at: float | None = None
+
+    @classmethod
+    def from_message(cls, message: Message, now: float) -> "News":
+        """Build news from a checked message.
+
+        Raises:
+            FrameError: Its configuration cannot be read.
+        """
+        changes: list[Change] = []
+        if "config" in message:
+            changes.append(ConfigPublished(_unpack(message["config"])))
+        changes += [TargetPublished(TargetEntry(*row)) for row in message["targets"]]
+        changes += [TargetWithdrawn(instance) for instance in message["withdrawn"]]
+        away_age_s = message.get("away_age_s")
+        return cls(
+            Changes(message["revision"], tuple(changes), whole=message["whole"]),
+            now - message["age_s"],
+            None if away_age_s is None else now - away_age_s,
+        )
+
+    def to_message(self, now: float) -> Message:
+        """Return the written form at a moment, in monotonic seconds."""
+        message: dict[str, Any] = {
+            "t": "news",
+            "revision": self.changes.revision,
+            "age_s": max(0.0, now - self.at),
+            "whole": self.changes.whole,
+            "targets": [],
+            "withdrawn": [],
+        }
+        if self.away_at is not None:
+            message["away_age_s"] = max(0.0, now - self.away_at)
+        for change in self.changes.changes:
+            match change:
+                case ConfigPublished(config=config):
+                    message["config"] = _pack(config)
+                case TargetPublished(entry=entry):
+                    message["targets"].append(list(entry))
+                case TargetWithdrawn(instance=instance):
+                    message["withdrawn"].append(instance)
+                case Unusable():
+                    pass
+        return message
+
+
+def ask(peers: PeerPool, address: Address, after: int) -> News:
+    """Ask a peer for what the source told after a revision.
+
+    Raises:
+        StreamError: It did not answer, or not with usable news.
+    """
+    message: CatchUp = {"t": "catch_up", "after": after}
+    reply = peers.exchange(address, message, timeout_s=ASK_S)
+    if reply["t"] != "news":
+        raise StreamError("The peer has no news.")
+    return News.from_message(reply, time.monotonic())
+
+
+def _pack(config: PublishedConfig) -> bytes:
+    routes = [
+        [
+            *route[:3],
+            sorted(route.methods),
+            *route[4:9],
+            [list(p) for p in route.split],
+            *route[10:],
+        ]
+        for route in config.routes
+    ]
+    services = [list(service) for service in config.services.values()]
+    packed: bytes = msgpack.packb([config.version, routes, services, list(config.limits)])
+    return zlib.compress(packed)
+
+
+def _unpack(data: bytes) -> PublishedConfig:
+    try:
+        packed = zlib.decompressobj().decompress(data, MAX_CONFIG_BYTES)
+        version, routes, services, limits = msgpack.unpackb(packed, strict_map_key=True)
+        known = [PublishedService(*row) for row in services]
+        return PublishedConfig(
+            version=version,
+            routes=tuple(_route(row) for row in routes),
+            services={service.name: service for service in known},
+            limits=CallerLimits(*limits),
+        )
+    except _UNUSABLE as error:
+        raise FrameError(f"The configuration cannot be read: {error!r}.") from error
+
+
+def _route(row: list[Any]) -> Route:
+    split = tuple(Part(*part) for part in row[9])
+    return Route._make([*row[:3], frozenset(row[3]), *row[4:9], split, *row[10:]])
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from collections.abc import Sequence
 from typing import Any
 
 import pykka
@@ -16,24 +17,38 @@
 from roadpass.detect import Scores
 from roadpass.dialect import OWN
 from roadpass.dispatch import Dispatcher
+from roadpass.errors import StreamError
 from roadpass.fleet import Fleet
-from roadpass.gossip import Begin, Events, Gossip, InForce, Leave, PlatformSeen, Say, Seed
+from roadpass.gossip import (
+    Begin,
+    Confirmed,
+    Events,
+    Gossip,
+    InForce,
+    Leave,
+    PlatformSeen,
+    Say,
+    Seed,
+)
 from roadpass.ingress import Ingress
 from roadpass.introduction import listed_members, neighbours, own_member
+from roadpass.journal import Journal
 from roadpass.manifest import Platform, VmEntry
 from roadpass.message import Message
 from roadpass.metric import Metrics
 from roadpass.monitor import FleetChanged, HealthMonitor, HintHeard
+from roadpass.news import Word, ask
 from roadpass.patch import offer
 from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
 from roadpass.platform.dialect import PLATFORM
 from roadpass.platform.store import StoreClient
 from roadpass.reader import News, Puller, Reader, ReaderEvents, Status, choose_readers
+from roadpass.reading_turn import Standing
 from roadpass.revision import Version
 from roadpass.settings import Settings, StoreSettings
 from roadpass.sidecar import Sidecar, StreamServer
-from roadpass.source import PublishedConfig
+from roadpass.source import PublishedConfig, TargetEntry
 from roadpass.store_reader import StoreEvents, StoreReader
 from roadpass.view import PeerNode, View
 
@@ -92,6 +107,8 @@
         )
         self._platform = Platform(settings.platform_url, self.metrics)
         self._readers: list[str] = []
+        self._standing = Standing()
+        self._journal = Journal()
         self._store = Store()
         self._platform_asked = threading.Event()
         self._actors: list[pykka.ActorRef[Any]] = []
@@ -125,7 +142,13 @@
             Gossip,
             self._settings,
             own_member(self._settings, self._incarnation),
-            Events(self._on_node, self._on_version, self._on_hint, self.leave),
+            Events(
+                self._on_node,
+                self._on_version,
+                self._on_hint,
+                self.leave,
+                self._on_word if self._settings.store else None,
+            ),
             self.audit,
             self.metrics,
             self._rng,
@@ -155,13 +178,21 @@
 
     def _start_store_reader(self, store: StoreSettings) -> None:
         policy = Policy(store.floor_share, store.retry_ratio, store.retry_slack)
-        self._start(
+        self._store_reader = self._start(
             StoreReader,
             StoreClient(store.address, self.metrics),
             Catalogue(policy),
-            StoreEvents(self._on_published, self._on_platform),
+            self._journal,
+            StoreEvents(
+                on_fleet=self._on_published,
+                on_peers=self._on_peers,
+                on_confirmed=self._on_confirmed,
+                ask=lambda address, after: ask(self._peers, address, after),
+                standing=lambda: self._standing,
+            ),
             self.audit,
             self._rng,
+            bound_s=store.in_force_s,
         )
 
     def _start_reader(self) -> None:
@@ -260,22 +291,34 @@
         self._view.fleet = fleet
         self._sidecar.configure(fleet)
         self._monitor.tell(FleetChanged(fleet))
-        self._gossip.tell(InForce(Version(fleet.revision, fleet.digest)))
+        if self._settings.store is None:
+            self._gossip.tell(InForce(Version(fleet.revision, fleet.digest)))
 
     def _on_published(self, fleet: Fleet, config: PublishedConfig) -> None:
-        """Put the fleet of a source in force, and know the nodes beside its targets."""
+        """Put the fleet of a source in force."""
         self._view.limits = config.limits
         self._on_fleet(fleet)
-        self._gossip.tell(Seed(neighbours(self._settings, fleet), frozenset()))
         if not self._view.ready:
             self._view.ready = True
             self.audit.record(Kind.READY, self._settings.vm, f"revision {fleet.revision}")
 
+    def _on_peers(self, entries: Sequence[TargetEntry]) -> None:
+        """Know the nodes beside the targets that a source names."""
+        self._gossip.tell(Seed(neighbours(self._settings, entries), frozenset()))
+
+    def _on_confirmed(self, revision: int, at: float, own: bool) -> None:
+        self._gossip.tell(Confirmed(revision, at, tell=own))
+
+    def _on_word(self, word: Word) -> None:
+        self._store_reader.tell(word)
+
     def _on_node(self, node: PeerNode) -> None:
         self._view.nodes[node.vm] = node
         nodes = self._view.nodes.values()
         hall = {n.vm for n in nodes if n.alive and n.hall == self._settings.hall and not n.leaving}
-        self._readers = choose_readers({*hall, self._settings.vm}, self._settings.readers_per_hall)
+        order = choose_readers({*hall, self._settings.vm}, len(hall) + 1)
+        self._readers = order[: self._settings.readers_per_hall]
+        self._standing = Standing(order.index(self._settings.vm), len(nodes))
 
     def _on_version(self, version: Version, address: Address) -> None:
         if self._settings.store is not None:
@@ -299,7 +342,17 @@
         self._gossip.tell(Seed(listed_members(entries), leaving))
 
     def _on_pull(self, message: Message) -> Message:
-        return offer(self._store.held, message["have"])
+        """Tell a peer what it lacks.
+
+        Raises:
+            StreamError: This node knows nothing of the source yet.
+        """
+        if message["t"] == "pull":
+            return offer(self._store.held, message["have"])
+        news = self._journal.since(message["after"])
+        if news is None:
+            raise StreamError("Nothing is known of the source yet.")
+        return news.to_message(time.monotonic())
 
     def _offer(self, revision: Offer) -> None:
         self._configuration.tell(revision)
--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -33,13 +33,22 @@
         self._metrics = metrics
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
 
+    def glance(self) -> Changes:
+        """Return what the store held some seconds ago, for a tenth of the price; see `Source`."""
+        return self._range({"AllowStale": "1"})
+
     def snapshot(self) -> Changes:
         """Return all that the store holds for this fleet; see `Source`."""
+        return self._range({})
+
+    def _range(self, options: dict[str, str]) -> Changes:
         changes: list[Change] = []
         revision: int | None = None
         after = ""
         for _ in range(PAGES):
-            fields = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
+            fields = {"PathPrefix": "", **options}
+            if after:
+                fields["after"] = after
             page = self._get("/v1/kv-range", fields, CALL_LIMIT_S)
             try:
                 items, at = page["items"], int(page["AtRev"])
--- /dev/null
+++ b/roadpass/reading_turn.py
@@ -0,0 +1,79 @@
+"""Whose turn it is to read a source: few nodes of a data hall read, the others hear it from them.
+
+The first node of a data hall, by an order that all agree on, always reads. Each further one reads
+only when nobody has told it for a while that the source has nothing newer: that a reader is cut
+off, frozen or gone then costs one call of the next in the order, and what the source took is in
+force in time all the same. No node needs to know why it heard nothing.
+"""
+
+from typing import NamedTuple
+
+PATIENCE = 0.62
+"""Share of the bound after which the second in the order reads: a call, also one of a slow source,
+and a lost datagram fit into what is left."""
+PATIENCE_STEP = 0.035
+"""Share of the bound that each further one waits longer: a call and its word take 10 ms."""
+LAST_STEP = 5
+"""From this place in the order on all wait alike, but for chance."""
+CHANCE = 0.05
+"""Share of the bound over which those are spread."""
+WATCH = 0.4
+"""Share of the bound that one reading lasts at most; with it the word that nothing changed is
+always younger than the patience of the second, even if one datagram in a row is late."""
+REST = 0.25
+"""Share of the bound to rest after changes, so that one call brings several."""
+MIN_WAIT_S = 0.01
+"""Seconds that a reading waits at least, where an answer is wanted at once."""
+FIRST_WORD_S = 0.35
+"""Seconds that a node which knows peers but holds nothing waits for their word."""
+
+
+class Standing(NamedTuple):
+    """Where a node stands in its data hall.
+
+    Args:
+        place: In the order of readers, 0 for the first.
+        peers: How many other nodes it knows.
+    """
+
+    place: int = 0
+    peers: int = 0
+
+
+class ReadingTurn:
+    """Decides when one node reads; pure.
+
+    Args:
+        bound_s: Seconds within which what the source took must be in force here.
+        chance: From 0 to 1, this node's own.
+    """
+
+    def __init__(self, bound_s: float, chance: float) -> None:
+        self._bound_s = bound_s
+        self._chance = chance
+
+    @property
+    def rest_s(self) -> float:
+        """Seconds to rest after changes."""
+        return REST * self._bound_s
+
+    def patience_s(self, standing: Standing) -> float:
+        """Return how old the word that nothing is newer may be before this node reads."""
+        if standing.place == 0:
+            return 0.0
+        late = CHANCE * self._chance if standing.place > LAST_STEP else 0.0
+        steps = min(standing.place, LAST_STEP)
+        return (PATIENCE + PATIENCE_STEP * steps + late) * self._bound_s
+
+    def is_due(self, standing: Standing, age_s: float) -> bool:
+        """Tell whether to read now.
+
+        Args:
+            standing: Of this node.
+            age_s: Age of the word that nothing is newer.
+        """
+        return age_s >= self.patience_s(standing)
+
+    def wait_s(self, age_s: float) -> float:
+        """Return how long the reading may wait for changes: the staler the word, the shorter."""
+        return max(MIN_WAIT_S, WATCH * self._bound_s - age_s)
--- a/roadpass/settings.py
+++ b/roadpass/settings.py
@@ -1,5 +1,6 @@
 """Settings of one `roadpassd` process."""
 
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -22,12 +23,17 @@
 
 
 class StoreSettings(NamedTuple):
-    """The users' store as the source of targets and configuration; see `catalogue.Policy`."""
+    """The users' store as the source of targets and configuration; see `catalogue.Policy`.
+
+    Args:
+        in_force_s: Seconds within which what the store took must be in force on every node.
+    """
 
     address: str
     floor_share: float = 0.7
     retry_ratio: float = 0.1
     retry_slack: float = 0.0
+    in_force_s: float = 2.0
 
 
 class Settings(NamedTuple):
@@ -95,7 +101,7 @@
             keys=tuple(key.encode() for key in value.get("keys", [])),
             log_level=log.get("level", "info"),
             log_format=log.get("format", "text"),
-            store=StoreSettings(**store) if store else None,
+            store=_store(store) if store else None,
             origin_service=str(value.get("origin_service", "")),
         )
 
@@ -121,6 +127,11 @@
     return float(value.removesuffix("s"))
 
 
+def _store(value: Mapping[str, Any]) -> StoreSettings:
+    in_force_s = _seconds(value.get("in_force_s", 2.0))
+    return StoreSettings(**{**value, "in_force_s": in_force_s})
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host, int(port)
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -36,7 +36,7 @@
         vm: Name of this VM.
         incarnation: Number of this process, higher than those before it on the VM.
         pause: The node's pause watch.
-        pull: Answers a peer's pull of the configuration.
+        pull: Answers a peer that asks for the configuration or for news of the source.
         behind: Called with an ingress's VM and its revision when that is newer than the own one.
         dialect: How the targets are spoken to.
     """
@@ -157,7 +157,7 @@
                 return self._fenced(self.fence(message["id"]))
             case "fence_key":
                 return self._fenced(self.fence_key(message["key"], message["id"]))
-            case "pull":
+            case "pull" | "catch_up":
                 return self._pull(message)
             case other:
                 raise StreamError(f"The peer sent '{other}', which is no request.")
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -56,6 +56,11 @@
     slots: int
     leaving: bool
 
+    @property
+    def vm(self) -> str:
+        """The VM it lives on, which is named by its IP number."""
+        return self.address.rpartition(":")[0]
+
 
 class ConfigPublished(NamedTuple):
     """A configuration is in the source."""
@@ -106,6 +111,13 @@
 class Source(Protocol):
     """Where a node reads the fleet."""
 
+    def glance(self) -> Changes:
+        """Return what there was a while ago, at a small price; good only for finding peers.
+
+        Raises:
+            PlatformError: The source cannot be read.
+        """
+
     def snapshot(self) -> Changes:
         """Return all that there is now.
 
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -1,34 +1,51 @@
-"""The reader of a source: an actor that watches it and hands over the fleet that is in force."""
+"""The reader of a source: an actor that reads it or hears of it, and hands over the fleet.
+
+It reads the source itself when it is this node's turn (`reading_turn`). Otherwise peers tell by
+datagram up to which revision they hold the source and how fresh that is; what this node lacks it
+asks of them over a stream.
+"""
 
 import logging
+import math
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from roadpass._actor import Actor
+from roadpass._ticker import Ticker
 from roadpass.audit import AuditTrail, Kind
 from roadpass.catalogue import Catalogue
 from roadpass.decision import decided
-from roadpass.errors import PlatformError
+from roadpass.errors import PlatformError, StreamError
 from roadpass.fleet import Fleet
-from roadpass.source import Changes, HistoryLostError, PublishedConfig, Source, Unusable
+from roadpass.journal import Journal
+from roadpass.news import News, Word
+from roadpass.peer import Address
+from roadpass.reading_turn import FIRST_WORD_S, ReadingTurn, Standing
+from roadpass.source import (
+    Changes,
+    HistoryLostError,
+    PublishedConfig,
+    Source,
+    TargetEntry,
+    TargetPublished,
+    Unusable,
+)
 
-WATCH_S = 3.0
-"""Seconds of one watch at most: a connection on which nothing comes any more is noticed so late.
-Bounds run from 3 s after a disturbance on, and a change must be in force 2 s later."""
-REST_S = 0.5
-"""Seconds of rest after changes, so that one call brings several; they have 2 s to be in force."""
+TICK_S = 0.1
+"""Seconds between looks at whether it is this node's turn."""
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.8
 """Seconds to pause after a failed call, doubled up to the latter: bounds run while the source is
 away."""
+DEFAULT_BOUND_S = 2.0
 
 _log = logging.getLogger("roadpass.reader")
 
 
-class Read(NamedTuple):
-    """Make the next call."""
+class Tick(NamedTuple):
+    """Time passes."""
 
 
 class StoreEvents(NamedTuple):
@@ -36,11 +53,18 @@
 
     Args:
         on_fleet: Another fleet is in force; with the configuration it comes from.
-        on_read: The source was read.
+        on_peers: Targets beside which there are, or were a while ago, other nodes.
+        on_confirmed: The source had nothing newer than a revision at a moment, in monotonic
+            seconds; and whether this node read that itself, so that others want to hear of it.
+        ask: Asks a peer for what came after a revision; may raise `StreamError`.
+        standing: Returns where this node stands among the readers.
     """
 
     on_fleet: Callable[[Fleet, PublishedConfig], None]
-    on_read: Callable[[], None]
+    on_peers: Callable[[Sequence[TargetEntry]], None]
+    on_confirmed: Callable[[int, float, bool], None]
+    ask: Callable[[Address, int], News]
+    standing: Callable[[], Standing]
 
 
 class StoreReader(Actor):
@@ -49,83 +73,162 @@
     Args:
         source: To read from.
         catalogue: What is held.
+        journal: What peers may be told.
         events: What to call.
         audit: The audit trail.
         rng: Source of randomness.
+        bound_s: Seconds within which what the source took must be in force here.
     """
 
     def __init__(
         self,
         source: Source,
         catalogue: Catalogue,
+        journal: Journal,
         events: StoreEvents,
         audit: AuditTrail,
         rng: random.Random,
+        *,
+        bound_s: float = DEFAULT_BOUND_S,
     ) -> None:
         super().__init__()
         self._source = source
         self._catalogue = catalogue
+        self._journal = journal
         self._events = events
         self._audit = audit
         self._rng = rng
+        self._turn = ReadingTurn(bound_s, rng.random())
         self._revision: int | None = None
+        self._confirmed_at = -math.inf
+        self._rest_until = -math.inf
         self._failures = 0
         self._unusable: set[Unusable] = set()
+        self._tick_waits = False
+        self._ticker = Ticker("reader-tick", TICK_S, self._tick_soon)
 
     def on_start(self) -> None:
-        """Begin to read."""
-        self.actor_ref.tell(Read())
+        """Find peers, and begin to look."""
+        self._find_peers()
+        self._ticker.start()
+
+    def on_stop(self) -> None:
+        """Stop to look."""
+        self._ticker.stop()
 
     def handle(self, message: Any) -> None:
-        """Handle one message; each reading asks for the next."""
+        """Handle one message."""
         match message:
-            case Read():
-                pause = RETRY_MAX_S
-                try:
-                    pause = self._read()
-                finally:
-                    time.sleep(pause)
-                    self.actor_ref.tell(Read())
+            case Tick():
+                self._on_tick()
+            case Word():
+                self._on_word(message)
             case _:
                 _log.error("unknown message %r", message)
 
-    def _read(self) -> float:
-        """Make one call and take in what it brings.
+    def _tick_soon(self) -> None:
+        """Have the actor look again, unless it has yet to do so; called by the ticker's thread."""
+        if not self._tick_waits:
+            self._tick_waits = True
+            self.actor_ref.tell(Tick())
 
-        Returns:
-            Seconds to rest before the next.
-        """
+    def _find_peers(self) -> None:
+        """Name the nodes that a cheap and perhaps old reading shows: they know what is newest."""
         try:
-            changes = self._call()
+            changes = self._source.glance()
+        except PlatformError as error:
+            _log.info("no peers found: %s", error)
+            return
+        if self._name_peers(changes):
+            self._rest_until = time.monotonic() + FIRST_WORD_S
+
+    def _name_peers(self, changes: Changes) -> bool:
+        """Tell beside which targets there are nodes; return whether there are any."""
+        entries = [c.entry for c in changes.changes if isinstance(c, TargetPublished)]
+        if entries:
+            self._events.on_peers(entries)
+        return bool(entries)
+
+    def _on_tick(self) -> None:
+        self._tick_waits = False
+        now = time.monotonic()
+        if now >= self._rest_until and self._is_due(now):
+            self._read(now)
+        self._publish(False)
+
+    def _is_due(self, now: float) -> bool:
+        return self._turn.is_due(self._events.standing(), now - self._confirmed_at)
+
+    def _on_word(self, word: Word) -> None:
+        """Take a peer's word; ask it for what this node lacks."""
+        if self._revision is not None and word.revision <= self._revision:
+            if word.at > self._confirmed_at:
+                self._confirm(word.at, own=False)
+            return
+        try:
+            news = self._events.ask(word.address, self._revision or 0)
+        except StreamError as error:
+            decided("reader", "peer-failed", vm=word.vm, revision=word.revision, error=str(error))
+            return
+        if news.away_at is not None:
+            self._source_away(news.away_at)
+        if self._revision is None or news.changes.revision > self._revision:
+            self._take(news.changes, news.at, origin=word.vm)
+
+    def _read(self, now: float) -> None:
+        """Make one call and take in what it brings."""
+        try:
+            changes = self._call(now)
         except HistoryLostError as error:
             self._revision = None
-            return self._failed(error)
+            self._failed(error)
         except PlatformError as error:
-            return self._failed(error)
-        self._succeeded()
+            self._failed(error)
+        else:
+            self._succeeded()
+            self._take(changes, time.monotonic(), origin="")
+            if changes.changes:
+                self._rest_until = time.monotonic() + self._turn.rest_s
+
+    def _call(self, now: float) -> Changes:
+        if self._revision is None:
+            return self._source.snapshot()
+        wait_s = self._turn.wait_s(now - self._confirmed_at)
+        return self._source.watch(
+            self._revision, min(wait_s, max(TICK_S, self._catalogue.next_expiry_s(now)))
+        )
+
+    def _take(self, changes: Changes, at: float, *, origin: str) -> None:
+        """Take in what the source or a peer told; an empty `origin` stands for the source."""
+        known_at = self._confirmed_at
         self._revision = changes.revision
-        changed, unusable = self._catalogue.take(time.monotonic(), changes)
+        self._journal.note(changes, at)
+        self._name_peers(changes)
+        changed, unusable = self._catalogue.take(time.monotonic(), changes, known_at=known_at)
         self._report(unusable)
-        self._publish(changed)
-        self._events.on_read()
-        return REST_S if changes.changes else 0.0
+        self._publish(changed, origin)
+        self._confirm(at, own=not origin)
 
-    def _call(self) -> Changes:
+    def _confirm(self, at: float, *, own: bool) -> None:
+        """Note that the source had nothing newer at a moment, and say so."""
         if self._revision is None:
-            return self._source.snapshot()
-        wait_s = min(WATCH_S, self._catalogue.next_expiry_s(time.monotonic()))
-        return self._source.watch(self._revision, wait_s)
+            return
+        self._confirmed_at = max(self._confirmed_at, at)
+        self._journal.confirm(at)
+        self._events.on_confirmed(self._revision, self._confirmed_at, own)
 
-    def _failed(self, error: PlatformError) -> float:
+    def _failed(self, error: PlatformError) -> None:
         self._failures += 1
-        now = time.monotonic()
-        self._catalogue.source_away(now)
+        self._source_away(time.monotonic())
         if self._failures == 1:
             self._audit.record(Kind.PLATFORM, "store", f"cannot be read: {error}")
         decided("reader", "store-failed", error=str(error), failures=self._failures)
-        self._publish(False)
         pause = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(8, self._failures - 1))
-        return pause * self._rng.uniform(0.7, 1.3)
+        self._rest_until = time.monotonic() + pause * self._rng.uniform(0.7, 1.3)
+
+    def _source_away(self, at: float) -> None:
+        self._catalogue.source_away(at)
+        self._journal.source_away(at)
 
     def _succeeded(self) -> None:
         if self._failures:
@@ -133,7 +236,7 @@
             self._audit.record(Kind.PLATFORM, "store", evidence)
         self._failures = 0
 
-    def _publish(self, changed: bool) -> None:
+    def _publish(self, changed: bool, origin: str = "") -> None:
         """Hand the fleet over if it changed, be it by the end of a withdrawn target's time."""
         changed |= self._catalogue.expire(time.monotonic())
         config = self._catalogue.config
@@ -141,14 +244,15 @@
             return
         fleet = self._catalogue.fleet()
         self._events.on_fleet(fleet, config)
-        leaving = sum(target.leaving for target in fleet.targets.values())
         decided(
             "reader",
             "fleet-in-force",
             revision=fleet.revision,
             store_revision=self._revision,
+            told_by=origin or "store",
+            before_s=round(time.monotonic() - self._confirmed_at, 3),
             targets=len(fleet.targets),
-            leaving=leaving,
+            leaving=sum(target.leaving for target in fleet.targets.values()),
             routes=len(fleet.routes),
         )
 
--- a/tests/test_introduction.py
+++ b/tests/test_introduction.py
@@ -1,12 +1,10 @@
 """The members that a node names to its gossip unheard."""
 
-from roadpass.caller_limits import CallerLimits
-from roadpass.catalogue import Policy, build_fleet
 from roadpass.introduction import listed_members, neighbours, own_member
 from roadpass.manifest import VmEntry
 from roadpass.member import Member, MemberState
 from roadpass.settings import Ports, Settings
-from roadpass.source import PublishedConfig, PublishedService, TargetEntry
+from roadpass.source import TargetEntry
 
 ALIVE = MemberState.ALIVE
 PORTS = Ports(callers=8080, stream=8081, gossip=8082, admin=8083)
@@ -41,8 +39,6 @@
         entry("t2", "10.0.0.2", "hall-2"),
         entry("t3", "10.0.0.2", "hall-2"),
     ]
-    config = PublishedConfig(1, (), {"a": PublishedService("a", 10)}, CallerLimits())
-    fleet = build_fleet(config, entries, Policy())
-    assert neighbours(SETTINGS, fleet) == (
+    assert neighbours(SETTINGS, entries) == (
         Member("10.0.0.2", 0, ALIVE, "10.0.0.2", 8081, 8082, "hall-2", "region"),
     )
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,97 @@
+"""Whoever asks for what came after a revision ends up with what the node that answers holds."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpass.catalogue import Catalogue, Policy
+from roadpass.journal import KEPT, Journal
+from roadpass.source import Change, Changes, TargetEntry, TargetPublished, TargetWithdrawn, Unusable
+
+LATER_S = 100.0
+"""Seconds after which a withdrawn target is not kept any more."""
+
+
+def published(instance: str, slots: int = 1) -> TargetPublished:
+    """Return a target's entry."""
+    return TargetPublished(TargetEntry(instance, "s", "10.0.0.1:80", "h", slots, False))
+
+
+change = st.builds(published, st.sampled_from("abc"), st.integers(1, 9)) | st.builds(
+    TargetWithdrawn, st.sampled_from("abc")
+)
+readings = st.lists(
+    st.tuples(st.integers(1, 3), st.lists(change, max_size=3).map(tuple), st.booleans()),
+    min_size=1,
+    max_size=8,
+)
+
+
+def held_after(catalogue: Catalogue) -> dict[str, TargetEntry]:
+    """Return the targets that stay."""
+    catalogue.expire(LATER_S)
+    return dict(catalogue.targets)
+
+
+@given(readings, st.integers(0, 8))
+def test_a_peer_that_asks_holds_the_same(
+    told: list[tuple[int, tuple[Change, ...], bool]], known: int
+) -> None:
+    """From whatever reading on it asks, or from nothing."""
+    journal, own, peer = Journal(), Catalogue(Policy()), Catalogue(Policy())
+    revision = after = 0
+    for index, (step, changes, whole) in enumerate(told):
+        revision += step
+        named = tuple(c for c in changes if isinstance(c, TargetPublished)) if whole else changes
+        reading = Changes(revision, named, whole=whole)
+        journal.note(reading, 0.0)
+        own.take(0.0, reading)
+        if index < known:
+            peer.take(0.0, reading)
+            after = revision
+    news = journal.since(after)
+    assert news is not None
+    assert news.changes.revision == revision
+    peer.take(0.0, news.changes)
+    assert held_after(peer) == held_after(own)
+
+
+def test_nothing_is_told_before_the_first_reading() -> None:
+    """Not even that there is nothing."""
+    assert Journal().since(0) is None
+
+
+def test_who_missed_too_much_is_told_all() -> None:
+    """The readings that are kept are bounded."""
+    journal = Journal()
+    for revision in range(1, KEPT + 3):
+        journal.note(Changes(revision, (published(str(revision)),)), 0.0)
+    news = journal.since(1)
+    assert news is not None
+    assert news.changes.whole
+    assert len(news.changes.changes) == KEPT + 2
+    later = journal.since(KEPT)
+    assert later is not None
+    assert not later.changes.whole
+    assert len(later.changes.changes) == 2
+
+
+def test_what_could_not_be_read_stays_as_it_was() -> None:
+    """A whole reading drops what it does not name, but for what made no sense in it."""
+    journal = Journal()
+    journal.note(Changes(1, (published("a"), published("b")), whole=True), 0.0)
+    journal.note(Changes(2, (Unusable("servers/a", "noise"),), whole=True), 0.0)
+    news = journal.since(0)
+    assert news is not None
+    assert news.changes.changes == (published("a"),)
+
+
+def test_the_age_is_the_latest_moment_without_news() -> None:
+    """Words that come late do not make it older; an outage is told with it."""
+    journal = Journal()
+    journal.note(Changes(1, (), whole=True), 5.0)
+    journal.confirm(9.0)
+    journal.confirm(7.0)
+    journal.source_away(6.0)
+    news = journal.since(0)
+    assert news is not None
+    assert (news.at, news.away_at) == (9.0, 6.0)
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,72 @@
+"""What nodes tell each other of a source is what the source told them."""
+
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpass.caller_limits import CallerLimits
+from roadpass.errors import FrameError
+from roadpass.message import check
+from roadpass.news import News
+from roadpass.route import Part, Route
+from roadpass.source import (
+    Change,
+    Changes,
+    ConfigPublished,
+    PublishedConfig,
+    PublishedService,
+    TargetEntry,
+    TargetPublished,
+    TargetWithdrawn,
+)
+
+names = st.text(min_size=1, max_size=8)
+routes = st.builds(
+    Route,
+    names,
+    names,
+    names,
+    st.frozensets(names, max_size=2),
+    names,
+    st.none() | names,
+    st.booleans(),
+    st.dictionaries(names, names, max_size=2),
+    st.none() | st.integers(1, 9000),
+    st.lists(st.builds(Part, names, st.floats(0.1, 9.0)), max_size=2).map(tuple),
+    st.none() | st.integers(1, 4),
+    st.none() | st.integers(1, 9000),
+)
+configs = st.builds(
+    PublishedConfig,
+    st.integers(1, 1000),
+    st.lists(routes, max_size=3).map(tuple),
+    st.lists(st.builds(PublishedService, names, st.integers(1, 99)), max_size=2).map(
+        lambda services: {service.name: service for service in services}
+    ),
+    st.just(CallerLimits(1, 2, 3.0, 4.0)),
+)
+entries = st.builds(TargetEntry, names, names, names, names, st.integers(1, 9), st.booleans())
+
+
+@given(configs, st.lists(entries, max_size=3), st.lists(names, max_size=2), st.booleans())
+def test_news_survive_their_written_form(
+    config: PublishedConfig, targets: list[TargetEntry], withdrawn: list[str], whole: bool
+) -> None:
+    """Every field, and the ages."""
+    changes: tuple[Change, ...] = (
+        ConfigPublished(config),
+        *map(TargetPublished, targets),
+        *map(TargetWithdrawn, withdrawn),
+    )
+    news = News(Changes(7, changes, whole=whole), 90.0, 80.0)
+    written = msgpack.unpackb(msgpack.packb(news.to_message(100.0)))
+    assert News.from_message(check(written), 100.0) == news
+
+
+@pytest.mark.parametrize("data", [b"", b"noise", "text", b"x\x9c\x03\x00\x00\x00\x00\x01"])
+def test_a_configuration_that_cannot_be_read_is_an_error_of_the_stream(data: object) -> None:
+    """Whatever a peer sends in its place."""
+    message = {"t": "news", "revision": 1, "age_s": 0.0, "whole": True, "targets": []}
+    with pytest.raises(FrameError):
+        News.from_message({**message, "withdrawn": [], "config": data}, 0.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,14 +7,19 @@
 from typing import Any
 
 import pytest
+from pykka import ActorRef
 
 from roadpass.audit import AuditTrail
 from roadpass.catalogue import Catalogue, Policy
-from roadpass.errors import PlatformError
+from roadpass.errors import PlatformError, StreamError
 from roadpass.fleet import Fleet
+from roadpass.journal import Journal
 from roadpass.metric import Metrics
+from roadpass.news import News, Word
+from roadpass.peer import Address
 from roadpass.platform import decode
 from roadpass.platform.store import CALLS, StoreClient
+from roadpass.reading_turn import PATIENCE, Standing
 from roadpass.route import Part
 from roadpass.source import (
     ConfigPublished,
@@ -27,6 +32,9 @@
 from roadpass.store_reader import StoreEvents, StoreReader
 from stand_ins.store import StoreState, config, entry, store_server
 
+LIMIT_S = 5.0
+BOUND_S = 2.0
+ALONE = Standing()
 ROW: list[Any] = ["r", "One.example", "/a/", "idempotent", "s", None]
 SPLIT = [{"Service": "s", "Weight": 90}, {"Service": "z", "Weight": 10}]
 
@@ -173,7 +181,14 @@
             self.fleets.append(fleet)
             self.changed.notify_all()
 
-    def wait_for(self, holds: Callable[[Fleet], bool], timeout_s: float = 5.0) -> None:
+    def wait_for_calls(self, bench: Bench, calls: int) -> None:
+        """Wait until the store was called so many times."""
+        deadline = time.monotonic() + LIMIT_S
+        while bench.state.calls < calls:
+            assert time.monotonic() < deadline, "not in time"
+            time.sleep(0.005)
+
+    def wait_for(self, holds: Callable[[Fleet], bool], timeout_s: float = LIMIT_S) -> None:
         """Wait until the newest fleet is as wanted."""
         deadline = time.monotonic() + timeout_s
         with self.changed:
@@ -181,13 +196,40 @@
                 assert self.changed.wait(deadline - time.monotonic()), "not in time"
 
 
+def nobody(_: Address, __: int) -> News:
+    """Answer for a peer that cannot be reached."""
+    raise StreamError("Nobody is there.")
+
+
+def start_reader(
+    bench: Bench,
+    followed: Followed,
+    audit: AuditTrail,
+    *,
+    standing: Standing = ALONE,
+    ask: Callable[[Address, int], News] = nobody,
+    confirmed: list[tuple[int, bool]] | None = None,
+) -> ActorRef[StoreReader]:
+    """Start a reader of the store at some place among the readers of its data hall."""
+    told = [] if confirmed is None else confirmed
+    events = StoreEvents(
+        on_fleet=followed.on_fleet,
+        on_peers=lambda entries: None,
+        on_confirmed=lambda revision, at, own: told.append((revision, own)),
+        ask=ask,
+        standing=lambda: standing,
+    )
+    catalogue = Catalogue(Policy())
+    return StoreReader.start(
+        bench.client, catalogue, Journal(), events, audit, random.Random(1), bound_s=BOUND_S
+    )
+
+
 def test_the_reader_follows_through_an_outage_and_a_lost_history(bench: Bench) -> None:
     """What was held stays; what changed meanwhile is in force after, and no version goes back."""
     followed = Followed()
-    events = StoreEvents(followed.on_fleet, lambda: None)
-    catalogue = Catalogue(Policy())
     audit = AuditTrail()
-    ref = StoreReader.start(bench.client, catalogue, events, audit, random.Random(1))
+    ref = start_reader(bench, followed, audit)
     try:
         followed.wait_for(lambda fleet: fleet.revision == 4 and set(fleet.targets) == {"i-1"})
         bench.state.status = 503
@@ -207,3 +249,61 @@
     revisions = [fleet.revision for fleet in followed.fleets]
     assert revisions == sorted(revisions)
     assert any(event.subject == "servers/bad" for event in audit.since())
+
+
+def test_a_node_that_is_told_reads_nothing_itself(bench: Bench) -> None:
+    """The word of a peer is enough, and what it lacks it asks of that peer."""
+    followed = Followed()
+    asked: list[int] = []
+
+    def ask(_: Address, after: int) -> News:
+        asked.append(after)
+        return News(bench.client.snapshot(), time.monotonic())
+
+    second = Standing(place=1, peers=2)
+    ref = start_reader(bench, followed, AuditTrail(), standing=second, ask=ask)
+    try:
+        followed.wait_for_calls(bench, 1)
+        calls_before = bench.state.calls
+        for _ in range(20):
+            ref.tell(Word(bench.state.revision, time.monotonic(), "vm-2", ("127.0.0.1", 1)))
+            time.sleep(0.02)
+        followed.wait_for(lambda fleet: fleet.revision == 4)
+        snapshot_calls = bench.state.calls - calls_before
+    finally:
+        ref.stop()
+    assert asked == [0]
+    assert snapshot_calls == 1, "only the one that the peer of this test made"
+
+
+@pytest.mark.parametrize("place", [1, 2, 9])
+def test_a_node_that_is_told_nothing_reads_in_time(bench: Bench, place: int) -> None:
+    """Whoever was cut off or frozen: what the store took is in force within the bound."""
+    followed = Followed()
+    confirmed: list[tuple[int, bool]] = []
+    standing = Standing(place=place, peers=20)
+    ref = start_reader(bench, followed, AuditTrail(), standing=standing, confirmed=confirmed)
+    try:
+        followed.wait_for(lambda fleet: fleet.revision == 4)
+        for version in (7, 9):
+            bench.state.put("op/config", config(version, [ROW]))
+            followed.wait_for(lambda fleet, v=version: fleet.revision == v, BOUND_S)  # type: ignore[misc]
+    finally:
+        ref.stop()
+    assert (bench.state.revision, True) in confirmed
+
+
+def test_the_first_reader_tells_that_nothing_is_newer(bench: Bench) -> None:
+    """Often enough that the second in the order need not read."""
+    followed = Followed()
+    confirmed: list[tuple[int, bool]] = []
+    ref = start_reader(bench, followed, AuditTrail(), confirmed=confirmed)
+    try:
+        followed.wait_for(lambda fleet: fleet.revision == 4)
+        confirmed.clear()
+        calls_before = bench.state.calls
+        time.sleep(2.0 * PATIENCE * BOUND_S)
+    finally:
+        ref.stop()
+    assert 2 <= len(confirmed) <= 5
+    assert bench.state.calls - calls_before <= 5
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -25,6 +25,8 @@
     "fence_key",
     "pull",
     "revision",
+    "catch_up",
+    "news",
     "datagram",
 )
 
