--- a/roadpass/reading_turn.py
+++ b/roadpass/reading_turn.py
@@ -24,8 +24,9 @@
 """Share of the bound to rest after changes, so that one call brings several."""
 MIN_WAIT_S = 0.01
 """Seconds that a reading waits at least, where an answer is wanted at once."""
-FIRST_WORD_S = 0.35
-"""Seconds that a node which knows peers but holds nothing waits for their word."""
+FIRST_WORD_S = 0.1
+"""Seconds that a node which knows peers but holds nothing waits for their word: it takes 10 ms, and
+after a loss of all nodes there is nobody to give it."""
 
 
 class Standing(NamedTuple):
