Add a fault soak over real nodes in store mode

Cause: what the scenarios play are single, chosen faults on the product's own platform; faults that overlap, with the users' store as source, were not played (docs/PROMISES.md).

--- /dev/null
+++ b/soak/caller.py
@@ -0,0 +1,88 @@
+"""Callers: threads that send requests over kept and new connections and note every answer."""
+
+import contextlib
+import http.client
+import itertools
+import random
+import select
+import socket
+import threading
+import time
+
+from soak.history import CLOSED, GARBLED, LATE, History, Life, Request
+from soak.node import SoakNode
+from soak.target import answer_body
+
+HOST = "soak.example"
+ROUTES = {"a": "GET", "b": "POST", "c": "GET", "d": "POST"}
+"""Method by route; a route's requests are repeatable if it is GET."""
+DEADLINE_MS, ANSWER_LIMIT_S = 1500, 6.0
+"""For an answer: the request's own, and with what a pause of three seconds adds to it."""
+FRESH_SHARE = 0.15
+"""Share of requests for which a kept connection is given up, so that new ones are seen too."""
+REST_S, MAX_BODY_BYTES = (0.03, 0.13), 3000
+
+
+class Caller(threading.Thread):
+    """Sends requests until `stopped` is set, to nodes that are offered or still connected."""
+
+    def __init__(self, name: str, history: History, nodes: list[SoakNode], seed: int) -> None:
+        super().__init__(name=name, daemon=True)
+        self.stopped = threading.Event()
+        self._history, self._nodes = history, nodes
+        self._rng = random.Random(f"{seed} {name}")
+        self._kept: dict[Life, http.client.HTTPConnection] = {}
+
+    def run(self) -> None:
+        """Send until stopped."""
+        for number in itertools.count():
+            if self.stopped.wait(self._rng.uniform(*REST_S)):
+                return
+            lives = [*self._offered(), *self._kept]
+            life = self._rng.choice(lives) if lives else None
+            connection = self._connection(life) if life else None
+            if life and connection and self._ask(life, connection, f"{self.name}-{number}"):
+                self._kept[life] = connection
+            elif connection:
+                connection.close()
+
+    def _offered(self) -> list[Life]:
+        return [node.life for node in self._nodes if node.offered]
+
+    def _connection(self, life: Life) -> http.client.HTTPConnection | None:
+        """Return the kept connection, or a new one where these may go; `None` if there is none."""
+        kept = self._kept.pop(life, None)
+        with contextlib.suppress(OSError):
+            if kept and self._rng.random() > FRESH_SHARE and not _is_closed(kept.sock):
+                return kept
+            if life in self._offered():
+                made = http.client.HTTPConnection(*life.address, timeout=ANSWER_LIMIT_S)
+                made.connect()
+                return made
+        return None
+
+    def _ask(self, life: Life, connection: http.client.HTTPConnection, identity: str) -> bool:
+        """Send a request and note its end; return whether the connection is kept."""
+        route, method = self._rng.choice(list(ROUTES.items()))
+        path = f"/{route}/{identity}?q={self._rng.randrange(100)}"
+        headers = {"Host": HOST, "Request-Id": identity, "Deadline-Ms": str(DEADLINE_MS)}
+        body = b"y" * self._rng.randrange(MAX_BODY_BYTES) if method == "POST" else None
+        request = Request(identity, route, method == "GET", life, time.monotonic())
+        self._history.requests[identity] = request
+        try:
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            request.status = response.status
+            request.whole = response.read() == answer_body(identity, path)
+        except TimeoutError:
+            request.lost = LATE
+        except (OSError, http.client.IncompleteRead):
+            request.lost = CLOSED
+        except http.client.HTTPException:
+            request.lost = GARBLED
+        request.told = time.monotonic()
+        return not request.lost and bool(connection.sock)
+
+
+def _is_closed(sock: socket.socket) -> bool:
+    return bool(select.select([sock], [], [], 0)[0]) and not sock.recv(1, socket.MSG_PEEK)
--- /dev/null
+++ b/soak/checker.py
@@ -0,0 +1,132 @@
+"""The promises, checked on a history."""
+
+import math
+from collections import Counter
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from soak.history import CLOSED, GARBLED, LATE, STORE, History, Instance, Life, Request
+
+IN_FORCE_S, SETTLED_S = 2.0, 3.0
+"""The platform's bound for a change, and for a drain; it runs from so long after a disturbance."""
+SLACK_S, CROSSING_S = 1.0, 0.1
+"""A busy machine holds processes up by some 100 ms: seen from outside at both ends of a bound, and
+where a close crosses a request, which takes 1 ms else, so that nobody reads it."""
+NOT_RUN, OWN_BODY, NO_BODY = (400, 404, 408, 413, 421, 429, 503), (200, 500), (503, 504)
+"""Statuses that say "not run", and those of sound requests with the target's body or without."""
+STOP_LIMIT_S, STOP_MARGIN_S = 8.0, 1.0
+"""Stop limit of the nodes, and what they keep of it; a stop held up beyond may cut."""
+MIN_SHARE, WINDOW_S, ENOUGH = 0.7, 2.0, 10
+"""Share of the sound targets that must get requests in a window with enough for each of them."""
+
+
+class Finding(NamedTuple):
+    """A broken promise."""
+
+    at: float
+    promise: str
+    node: str
+    request: str
+    text: str
+
+
+def check(history: History) -> list[Finding]:
+    """Return all findings by time."""
+    found = [*_ends(history), *_configurations(history), *_share(history)]
+    found += [_finding(p, r) for r in history.requests.values() for p in _broken(history, r)]
+    return sorted(found)
+
+
+def due(history: History, at: float, *subjects: str) -> float:
+    """Return when a change of `at` must be in force, whatever these were held up by."""
+    since = at
+    for trouble in history.troubles:
+        if trouble.subject in subjects and trouble.begin < since + IN_FORCE_S + SLACK_S:
+            since = max(since, trouble.end + SETTLED_S)
+    return since + IN_FORCE_S + SLACK_S
+
+
+def _broken(history: History, request: Request) -> Iterator[str]:
+    """Yield the promises that one request shows to be broken."""
+    life, lost, took_s = request.life, request.lost, request.told - request.asked
+    runs = sum(arrival.ran for arrival in request.arrivals)
+    disturbed = _disturbed(history, request.asked, request.told, life.node)
+    if lost == GARBLED or (lost == LATE and not disturbed):
+        yield "answer"
+    if not lost and (request.status not in (OWN_BODY if request.whole else NO_BODY)):
+        yield "answer"
+    if runs > 1 and not request.repeatable:
+        yield "at most once"
+    if runs and not lost and request.status in NOT_RUN:
+        yield "not run"
+    held_up = request.told >= life.stopping + STOP_LIMIT_S - STOP_MARGIN_S
+    was_read = bool(request.arrivals or request.status) or took_s > CROSSING_S
+    if lost == CLOSED and was_read and not (life.killed or held_up):
+        yield "cut"
+    for at, instance, _ in request.arrivals:
+        if at > instance.left and at > due(history, instance.left, STORE, instance.node):
+            yield "leaving"
+
+
+def _ends(history: History) -> Iterator[Finding]:
+    """A node ends only when told to, cleanly and in time."""
+    for life in history.lives:
+        held_up = _disturbed(history, life.stopping, life.ended, life.node, what="pause")
+        clean = life.stopping <= life.ended < math.inf and (life.code == 0 or held_up)
+        if not (life.killed or clean):
+            yield Finding(life.ended, "end", life.node, "", f"ended with {life.code}")
+
+
+def _configurations(history: History) -> Iterator[Finding]:
+    """A configuration is in force in time, and no node goes back to an older one in one life."""
+    seen: Counter[Life] = Counter()
+    before: dict[Request, int] = {}
+    requests = history.requests.values()
+    moments = [(r.asked, False, r) for r in requests] + [(r.told, True, r) for r in requests]
+    for _, told, request in sorted(moments, key=lambda moment: moment[:2]):
+        life, asked = request.life, request.asked
+        if not told:
+            dues = [(due(history, c.at, STORE, life.node), c) for c in history.configurations]
+            before[request] = max([seen[life], *(c.version for by, c in dues if by <= asked)])
+            continue
+        oldest = before[request]
+        for at, instance, _ in request.arrivals:
+            written = [c for c in history.configurations if c.version >= oldest and c.at <= at]
+            versions = [c.version for c in written if c.services[request.route] == instance.service]
+            seen[life] = max([seen[life], *versions[:1]])
+            if not versions:
+                yield _finding(f"in force ({oldest})", request)
+
+
+def _share(history: History) -> Iterator[Finding]:
+    """Most of the sound targets of a service get requests, if there are enough of these."""
+    arrivals = [arrival for r in history.requests.values() for arrival in r.arrivals]
+    last = max((arrival.at for arrival in arrivals), default=0.0)
+    at = history.began
+    while (at := at + WINDOW_S / 2.0) + WINDOW_S <= last:
+        counts = Counter(a.instance for a in arrivals if at <= a.at < at + WINDOW_S)
+        for service in sorted({instance.service for instance in history.instances}):
+            sound = [i for i in history.instances if _is_sound(history, i, service, at)]
+            silent = [instance.name for instance in sound if not counts[instance]]
+            enough = sum(counts[instance] for instance in sound) >= ENOUGH * len(sound)
+            if enough and len(sound) - len(silent) < math.ceil(MIN_SHARE * len(sound)):
+                yield Finding(at, "share", "", "", f"{service}: nothing for {silent}")
+
+
+def _is_sound(history: History, instance: Instance, service: str, at: float) -> bool:
+    """Tell whether a target of a service was sound in a window and for a time before."""
+    since, until = at - SETTLED_S, at + WINDOW_S
+    there = instance.service == service and instance.born <= since and instance.left > until
+    return there and not _disturbed(history, since, until, instance.name, instance.node, STORE)
+
+
+def _disturbed(history: History, begin: float, end: float, *subjects: str, what: str = "") -> bool:
+    """Tell whether anything of these was in trouble at some moment of a time."""
+    troubles = [t for t in history.troubles if t.subject in subjects and what in ("", t.what)]
+    return any(trouble.begin <= end and trouble.end >= begin for trouble in troubles)
+
+
+def _finding(promise: str, request: Request) -> Finding:
+    told = f"{request.route}, {request.status} {request.lost}, asked at {request.asked:.3f}"
+    text = f"{told}, {[f'{a.instance.name} {a.at:.3f} {a.ran}' for a in request.arrivals]}"
+    return Finding(request.told, promise, request.life.node, request.id, text)
--- /dev/null
+++ b/soak/history.py
@@ -0,0 +1,93 @@
+"""What was seen and done during a soak, in monotonic seconds."""
+
+import time
+from dataclasses import dataclass, field
+from math import inf
+from typing import NamedTuple
+
+STORE = "store"
+"""Subject of the store's troubles; others have the name of a node or of a target's instance."""
+CLOSED, LATE, GARBLED = "connection closed", "no answer in time", "no HTTP"
+"""How a request may be lost."""
+
+
+@dataclass(eq=False)
+class Life:
+    """One process of a node; `killed` tells whether it was ended from outside."""
+
+    node: str
+    address: tuple[str, int] = ("", 0)
+    stopping: float = inf
+    ended: float = inf
+    code: int = 0
+    killed: bool = False
+
+
+@dataclass(eq=False)
+class Instance:
+    """One instance of a target; `left` is when the store took its leaving."""
+
+    name: str
+    service: str
+    node: str
+    born: float = inf
+    left: float = inf
+
+
+class Arrival(NamedTuple):
+    """A target has read a whole request; `ran` tells whether it ran it."""
+
+    at: float
+    instance: Instance
+    ran: bool = True
+
+
+@dataclass(eq=False)
+class Request:
+    """A caller's request and its end; `whole` tells whether the body is the request's own."""
+
+    id: str
+    route: str
+    repeatable: bool
+    life: Life
+    asked: float
+    told: float = inf
+    status: int = 0
+    whole: bool = False
+    lost: str = ""
+    arrivals: list[Arrival] = field(default_factory=list)
+
+
+class Configured(NamedTuple):
+    """A configuration was written; `services` has the service of each route."""
+
+    at: float
+    version: int
+    services: dict[str, str]
+
+
+@dataclass(eq=False)
+class Trouble:
+    """A time in which something is not in order."""
+
+    subject: str
+    what: str
+    begin: float
+    end: float = inf
+
+
+class History:
+    """All that happened; everything only grows, so that any thread may add to it."""
+
+    def __init__(self) -> None:
+        self.began = time.monotonic()
+        self.requests: dict[str, Request] = {}
+        self.lives: list[Life] = []
+        self.instances: list[Instance] = []
+        self.configurations: list[Configured] = []
+        self.troubles: list[Trouble] = []
+
+    def trouble(self, subject: str, what: str) -> Trouble:
+        """Note that trouble begins; its end is set on what is returned."""
+        self.troubles.append(Trouble(subject, what, time.monotonic()))
+        return self.troubles[-1]
--- /dev/null
+++ b/soak/stage.py
@@ -0,0 +1,147 @@
+"""Everything of one soak: store, nodes, targets, callers, and the faults that befall them."""
+
+import sched
+import time
+from collections.abc import Callable
+from functools import partial
+from math import inf
+from pathlib import Path
+
+from soak.caller import HOST, ROUTES, Caller
+from soak.checker import STOP_LIMIT_S
+from soak.history import STORE, Configured, History, Instance
+from soak.node import SoakNode
+from soak.plan import Step
+from soak.store import FaultyStore
+from soak.target import SoakTarget
+from stand_ins.store import config, entry, store_server
+
+SERVICES = ("red", "blue")
+KINDS = {"GET": "idempotent", "POST": "non_idempotent"}
+CALLERS, TICK_S, STORE_PORT = 6, 0.03, 8104
+START_LIMIT_S, END_LIMIT_S = 30.0, STOP_LIMIT_S + 6.0
+"""A busy machine starts and ends processes late; what has not ended by then is a finding."""
+REPEATS_S, TWICE_S, WITHDRAWN_S, LAPSE_S = (0.0, 0.2, 1.0), (0.0, 0.1), 1.2, 0.8
+"""When signals are sent and configurations written, if repeated; and seconds from a target's
+leaving, and from its crash, to the end of its entry."""
+
+
+class Stage:
+    """The processes and stand-ins of one soak, on addresses 127.0.<net>.x."""
+
+    def __init__(self, folder: Path, history: History, processes: int, net: int, seed: int) -> None:
+        self._history = history
+        self._log = (folder / "faults.log").open("w", buffering=1)
+        self._scheduler = sched.scheduler(time.monotonic, time.sleep)
+        self._store = FaultyStore()
+        self._server = store_server((f"127.0.{net}.250", STORE_PORT), self._store)
+        self._server.start_thread()
+        self._services = dict.fromkeys(ROUTES, "blue") | {"b": "red"}
+        self._write_config(0)
+        self._targets: list[SoakTarget] = []
+        for number in range(1, processes + 1):
+            instance = Instance(f"i-{number}-1", SERVICES[number % 2], f"node-{number}")
+            self._targets.append(SoakTarget(f"127.0.{net}.{number}", instance, history))
+            self._publish(self._targets[-1])
+        store = f"127.0.{net}.250:{STORE_PORT}"
+        self._nodes = [SoakNode(target, folder, store, history) for target in self._targets]
+        self._callers = [Caller(f"c{n}", history, self._nodes, seed) for n in range(CALLERS)]
+
+    def play(self, steps: list[Step], seconds: float) -> None:
+        """Start callers, apply the faults, and stop all nodes under the callers' load."""
+        self._wait(lambda: not any(node.down for node in self._nodes), START_LIMIT_S)
+        self._history.began = time.monotonic()
+        self._store.fail("")
+        for step in steps:
+            self._later(step.at, self._apply, step)
+        self._later(seconds, time.sleep, 0.0)
+        for caller in self._callers:
+            caller.start()
+        self._wait(self._scheduler.empty, inf)
+        self._wait(lambda: not any(node.down for node in self._nodes), START_LIMIT_S)
+        for node in self._nodes:
+            node.restarts = False
+            node.stop()
+        self._wait(lambda: all(node.life.ended < inf for node in self._nodes), END_LIMIT_S)
+        for caller in self._callers:
+            caller.stopped.set()
+            caller.join()
+
+    def close(self) -> None:
+        """End what was started."""
+        for node, target in zip(self._nodes, self._targets, strict=True):
+            node.close()
+            target.shutdown()
+            target.server_close()
+        self._store.fail("")
+        self._server.stop()
+        self._log.close()
+
+    def _apply(self, step: Step) -> None:
+        node, target = self._nodes[step.node], self._targets[step.node]
+        self._log.write(f"{time.monotonic():.3f} {step.fault} {node.name} {step.lasts_s:.2f} s\n")
+        match step.fault:
+            case "term" | "term-repeated":
+                for delay_s in REPEATS_S if step.fault == "term-repeated" else (0.0,):
+                    self._later(delay_s, node.stop)
+            case "kill":
+                node.kill()
+            case "pause":
+                self._fail(node.name, node.hold, step)
+            case "drain":
+                self._store.put(*_item(target, "draining"))
+                target.instance.left = time.monotonic()
+                self._later(WITHDRAWN_S, self._store.delete, _item(target)[0])
+                self._later(step.lasts_s, target.crash)
+                self._later(step.lasts_s, self._publish, target)
+            case "crash":
+                self._history.trouble(target.instance.name, "crash")
+                self._later(LAPSE_S, self._store.delete, _item(target)[0])
+                target.crash()
+                self._later(LAPSE_S, self._publish, target)
+            case "move" | "move-twice":
+                for number, delay_s in enumerate(TWICE_S if step.fault == "move-twice" else (0.0,)):
+                    self._later(delay_s, self._write_config, step.pick >> 2 * number)
+            case fault if fault.startswith(STORE):
+                self._fail(STORE, self._store.fail, step)
+            case _:
+                self._fail(target.instance.name, partial(setattr, target, "fault"), step)
+
+    def _later(self, delay_s: float, what: Callable[..., None], *args: object) -> None:
+        self._scheduler.enter(delay_s, 1, what, args)
+
+    def _fail(self, subject: str, fail: Callable[[str], None], step: Step) -> None:
+        trouble = self._history.trouble(subject, step.fault)
+        fail(step.fault)
+        self._later(step.lasts_s, fail, "")
+        self._later(step.lasts_s, lambda: setattr(trouble, "end", time.monotonic()))
+
+    def _publish(self, target: SoakTarget) -> None:
+        self._store.put(*_item(target))
+        target.instance.born = time.monotonic()
+        self._history.instances.append(target.instance)
+
+    def _write_config(self, moved: int) -> None:
+        """Write the next version, with one of the routes moved to the other service."""
+        route = list(ROUTES)[moved % len(ROUTES)]
+        self._services[route] = SERVICES[self._services[route] == SERVICES[0]]
+        version = len(self._history.configurations) + 1
+        rows = [[r, HOST, f"/{r}/", KINDS[m], self._services[r], None] for r, m in ROUTES.items()]
+        written = Configured(time.monotonic(), version, dict(self._services))
+        self._history.configurations.append(written)
+        self._store.put("op/config", config(version, rows, SERVICES))
+
+    def _wait(self, done: Callable[[], bool], limit_s: float) -> None:
+        """Do what is due until all is done, or for so long."""
+        until = time.monotonic() + limit_s
+        while not done() and time.monotonic() < until:
+            self._scheduler.run(blocking=False)
+            for node in self._nodes:
+                node.tick()
+            time.sleep(TICK_S)
+
+
+def _item(target: SoakTarget, state: str = "ready") -> tuple[str, object]:
+    """Return key and value of a target's entry in the store."""
+    value = entry(target.address, service=target.instance.service, state=state)
+    return f"servers/{target.instance.name}", value
--- /dev/null
+++ b/soak/target.py
@@ -0,0 +1,110 @@
+"""A target that fails as it is told and notes what arrives."""
+
+import contextlib
+import random
+import select
+import socket
+import struct
+import threading
+import time
+from http.server import BaseHTTPRequestHandler
+from socketserver import ThreadingTCPServer
+
+from soak.history import Arrival, History, Instance
+
+SICK_SHARE = 0.6
+"""Share of requests to which a fault applies: a sick target is half alive."""
+NOT_RUN = ("reset-early", "shed", "foreign")
+PORT, WORK_S, SLOW_S, HANG_LIMIT_S = 8110, 0.004, (0.3, 1.2), 5.0
+RESET = struct.pack("ii", 1, 0)
+"""Socket option by which a close resets the connection."""
+
+
+def answer_body(request: str, path: str) -> bytes:
+    """Return the whole answer to a request; its length differs from others'."""
+    return f"{request} {path} ".encode() + b"x" * (sum(request.encode()) % 997)
+
+
+class SoakTarget(ThreadingTCPServer):
+    """A target at one address, as one instance after another; `fault` is empty for none."""
+
+    allow_reuse_address = daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, ip: str, instance: Instance, history: History) -> None:
+        super().__init__((ip, PORT), _Handler)
+        self.ip, self.address = ip, f"{ip}:{PORT}"
+        self.instance, self.history, self.fault = instance, history, ""
+        self.rng = random.Random(instance.name)
+        self.open: set[socket.socket] = set()
+        threading.Thread(target=self.serve_forever, args=(0.1,), daemon=True).start()
+
+    def crash(self) -> None:
+        """Reset all connections, and be another instance."""
+        name, _, number = self.instance.name.rpartition("-")
+        name = f"{name}-{int(number) + 1}"
+        self.fault = ""
+        self.instance = Instance(name, self.instance.service, self.instance.node)
+        for sock in self.open.copy():
+            _reset(sock)
+
+    def handle_error(self, *_: object) -> None:
+        """Say nothing of lost connections, which are wanted."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    server: SoakTarget
+
+    def do_GET(self) -> None:
+        self.server.open.add(self.connection)
+        length = int(self.headers.get("Content-Length", "0"))
+        if len(self.rfile.read(length)) == length:
+            self._answer(self.server)
+
+    do_POST = do_GET
+
+    def _answer(self, target: SoakTarget) -> None:
+        """Run one request as the fault says, and note that it came."""
+        fault = target.fault if target.rng.random() < SICK_SHARE else ""
+        instance = target.instance
+        if self.headers.get("Expected-Instance", instance.name) != instance.name:
+            fault = "foreign"
+        request = target.history.requests[self.headers["Request-Id"]]
+        request.arrivals.append(Arrival(time.monotonic(), instance, fault not in NOT_RUN))
+        time.sleep(target.rng.uniform(*SLOW_S) if fault == "slow" else WORK_S)
+        self.close_connection |= fault in ("reset-early", "reset-late", "hang", "garbled")
+        body = answer_body(request.id, self.path)
+        match fault:
+            case "reset-early" | "reset-late":
+                _reset(self.connection)
+            case "hang":
+                select.select([self.connection], [], [], HANG_LIMIT_S)
+            case "garbled":
+                self.wfile.write(b"HTTP/1.1 2x0 ?\r\n\r\n" + body)
+            case "fail":
+                self._reply(500, body)
+            case "foreign":
+                self._reply(421, b"another instance")
+            case "shed":
+                self._reply(503, b"shed", "Not-Executed: 1\r\nRetry-After: 1\r\n")
+            case "extra" if target.rng.random() < 0.5:
+                self._reply(200, body)
+                self._reply(200, b"a second answer")
+            case "extra":
+                self._reply(200, b"an answer to an earlier request", identity="c0-0")
+                self._reply(200, body)
+            case _:
+                self._reply(200, body)
+
+    def _reply(self, status: int, body: bytes, headers: str = "", identity: str = "") -> None:
+        identity = identity or self.headers["Request-Id"]
+        head = f"HTTP/1.1 {status} Status\r\nRequest-Id: {identity}\r\n{headers}"
+        self.wfile.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+
+def _reset(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.shutdown(socket.SHUT_RD)
+        sock.close()
