--- a/soak/caller.py
+++ b/soak/caller.py
@@ -20,7 +20,7 @@
 """For an answer: the request's own, and with what a pause of three seconds adds to it."""
 FRESH_SHARE = 0.15
 """Share of requests for which a kept connection is given up, so that new ones are seen too."""
-REST_S, MAX_BODY_BYTES = (0.03, 0.13), 3000
+REST_S, MAX_BODY_BYTES = (0.06, 0.26), 3000
 
 
 class Caller(threading.Thread):
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -18,7 +18,7 @@
 
 SERVICES = ("red", "blue")
 KINDS = {"GET": "idempotent", "POST": "non_idempotent"}
-CALLERS, TICK_S, STORE_PORT = 6, 0.03, 8104
+CALLERS, TICK_S, STORE_PORT = 12, 0.03, 8104
 START_LIMIT_S, END_LIMIT_S = 30.0, STOP_LIMIT_S + 6.0
 """A busy machine starts and ends processes late; what has not ended by then is a finding."""
 REPEATS_S, TWICE_S, WITHDRAWN_S, LAPSE_S = (0.0, 0.2, 1.0), (0.0, 0.1), 1.2, 0.8
--- a/soak/target.py
+++ b/soak/target.py
@@ -43,8 +43,7 @@
         """Reset all connections, and be another instance."""
         name, _, number = self.instance.name.rpartition("-")
         name = f"{name}-{int(number) + 1}"
-        self.fault = ""
-        self.instance = Instance(name, self.instance.service, self.instance.node)
+        self.fault, self.instance = "", Instance(name, self.instance.service, self.instance.node)
         for sock in self.open.copy():
             _reset(sock)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,7 +70,7 @@
     assert drawn == {fault for lane in LANES for fault in lane.faults}
 
 
-@pytest.mark.parametrize("run", [SHORT, *REGRESSIONS])
+@pytest.mark.parametrize("run", [SHORT, *REGRESSIONS], ids=lambda run: f"seed{run[0]}")
 def test_a_run_breaks_no_promise(run: tuple[int, float, int], tmp_path: Path) -> None:
     """A short one, and those that once did."""
     assert play(*run, net=NET, logs=tmp_path) == []
