Check the promises by a model over the real decision code

At most once and 'not run is true' were proved piece by piece and by scenarios, which meet few orders of events. Now real ingresses, transports, streams, sidecars, fences, doors and admission run in a virtual world (tests/virtual.py): one task at a time, with time, byte pipes and targets that rules drive. Four rule machines hold a ledger of what ran and what was told against the promises at each of 10,000 steps.

--- /dev/null
+++ b/tests/machine_model.py
@@ -0,0 +1,464 @@
+"""Nodes of real code in the virtual world, targets that fail gray, and a ledger of what is true."""
+
+import functools
+import json
+import threading
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import StrEnum
+from types import ModuleType
+from typing import Any
+
+from roadpass import (
+    dispatch,
+    local,
+    pause,
+    peer,
+    sidecar,
+    stream,
+    transport,
+    trip,
+    trip_log,
+)
+from roadpass.errors import TargetRefusedError
+from roadpass.fleet import Fleet
+from roadpass.outcome import Answered, NotRun, Outcome
+from roadpass.request import CallerWatch, Request
+from roadpass.settings import Ports, Settings
+from roadpass.target import (
+    CallerLeftError,
+    TargetAnswer,
+    TargetClient,
+    TargetGarbledError,
+    TargetLostError,
+    TargetTimeoutError,
+)
+from roadpass.view import PeerNode, View
+from tests.virtual import Connection, Hold, Pipe, Process, Swap, World, stand_ins
+
+PLACES: dict[ModuleType, tuple[str, ...]] = {
+    dispatch: ("time",),
+    local: ("time", "threading"),
+    pause: ("time",),
+    peer: ("time",),
+    sidecar: ("time",),
+    stream: ("time", "select", "socket"),
+    transport: ("time",),
+    trip: ("time",),
+    trip_log: ("time",),
+}
+VMS = ("vm-1", "vm-2", "vm-3")
+TARGETS = {"t1": "vm-1", "t2": "vm-2", "t3": "vm-2", "t4": "vm-3"}
+MAX_ATTEMPTS = 2
+RETRY_RATIO = 2.0
+"""Repeats a request; so many that the budget never hides a retry that should not be."""
+PORT = 7000
+KEYS = (b"k" * 16,)
+OFFSET_S = 1000.0
+"""By so much the monotonic clocks of two VMs differ."""
+AGED_S = 200.0
+"""Age of the fleet at the start: sidecars vouch for keys once they are older than 180 s."""
+WINDOW_S = 170.0
+"""A key is promised for repeats that an ingress takes up within this time: sidecars remember it for
+180 s. What an ingress that stood still takes up later counts as work of its own."""
+
+
+class Mood(StrEnum):
+    """What a target does with a request that reaches it."""
+
+    RUN = "run"
+    FAIL = "fail"
+    GARBLE = "garble"
+    SHED = "shed"
+    REFUSE = "refuse"
+    LOSE_BEFORE = "lose before it runs"
+    LOSE_AFTER = "lose after it ran"
+    HANG = "hang"
+
+
+@dataclass
+class Sent:
+    """One request of a caller.
+
+    Attributes:
+        work: What must run once, shared by the declared repeats of a key.
+        arrived: Targets that it was sent to, in order.
+        runs: How often it ran.
+        told: What the caller was told, `None` until then.
+        ran_attempts: How often each of its attempts ran.
+    """
+
+    id: str
+    work: str
+    repeatable: bool
+    process: Process
+    at: float
+    key: str = ""
+    arrived: list[str] = field(default_factory=list)
+    runs: int = 0
+    told: Outcome | None = None
+    ran_attempts: Counter[str] = field(default_factory=Counter)
+
+
+class Ledger:
+    """What was sent, what ran and what was told: the truth that promises are held against."""
+
+    def __init__(self) -> None:
+        self.sent: dict[str, Sent] = {}
+
+    def run(self, request_id: str, attempt_id: str) -> None:
+        """Note that a target ran an attempt."""
+        one = self.sent[request_id]
+        one.runs += 1
+        one.ran_attempts[attempt_id] += 1
+
+    def check(self) -> None:
+        """Hold every promise against what happened so far."""
+        runs: Counter[str] = Counter()
+        for one in self.sent.values():
+            runs[one.work] += one.runs
+            if one.repeatable:
+                assert len(one.arrived) <= MAX_ATTEMPTS, f"{one.id} was sent to {one.arrived}"
+            else:
+                assert runs[one.work] <= 1, f"{one.work} ran {runs[one.work]} times"
+            assert all(count == 1 for count in one.ran_attempts.values()), one.ran_attempts
+            match one.told:
+                case NotRun(reason=reason):
+                    assert one.runs == 0, f"{one.id} was told not run ({reason}), but it ran"
+                case Answered(body=body):
+                    assert body == one.id.encode(), f"{one.id} got the answer of {body!r}"
+                    assert one.runs > 0, f"{one.id} was answered without a run"
+                case _:
+                    pass
+
+
+class Watch:
+    """A caller's connection; implements `CallerWatch`."""
+
+    watchable = True
+
+    def __init__(self, world: World) -> None:
+        self._number = next(world.numbers)
+        self.left = False
+        world.readable[self._number] = self.gone
+
+    def fileno(self) -> int:
+        return self._number
+
+    def gone(self) -> bool:
+        return self.left
+
+
+@dataclass
+class Arrival:
+    """A request that a target holds; it may run it, whoever still waits for that."""
+
+    request_id: str
+    attempt_id: str
+    ended: Mood | None = None
+    cancelled: bool = False
+
+
+class ModelTarget:
+    """A target: it is a process of its own, so what it holds outlives the node beside it."""
+
+    def __init__(self, name: str, ledger: Ledger) -> None:
+        self.name = name
+        self.mood = Mood.RUN
+        self.held: list[Arrival] = []
+        self._ledger = ledger
+
+    def take(self, arrival: Arrival) -> None:
+        """Get a request and act by the mood."""
+        if self.mood is not Mood.SHED:
+            self._ledger.sent[arrival.request_id].arrived.append(self.name)
+        if self.mood is Mood.HANG:
+            self.held.append(arrival)
+        else:
+            self.end(arrival, self.mood)
+
+    def end(self, arrival: Arrival, how: Mood) -> None:
+        """Run a request or lose it."""
+        arrival.ended = how
+        if how in (Mood.RUN, Mood.FAIL, Mood.GARBLE, Mood.LOSE_AFTER):
+            self._ledger.run(arrival.request_id, arrival.attempt_id)
+
+
+class ModelClient(TargetClient):
+    """What a sidecar speaks to a target through."""
+
+    def __init__(self, world: World, target: ModelTarget) -> None:
+        self._world = world
+        self._target = target
+        self._running: dict[str, Arrival] = {}
+
+    def send(
+        self,
+        attempt_id: str,
+        *_request: Any,
+        timeout_s: float,
+        fresh: bool,
+        request_id: str = "",
+        instance: str = "",
+        origin: str = "",
+        watch: CallerWatch | None = None,
+    ) -> TargetAnswer:
+        if self._target.mood is Mood.REFUSE:
+            raise TargetRefusedError("The target refuses.")
+        arrival = Arrival(request_id, attempt_id)
+        self._running[attempt_id] = arrival
+        self._target.take(arrival)
+
+        def over() -> bool:
+            left = watch is not None and watch.gone()
+            return arrival.ended is not None or arrival.cancelled or left
+
+        try:
+            self._world.park(over, timeout_s)
+        finally:
+            del self._running[attempt_id]
+        return _answer(arrival, over())
+
+    def cancel(self, attempt_id: str) -> bool:
+        arrival = self._running.get(attempt_id)
+        if arrival is None:
+            return False
+        arrival.cancelled = True
+        return True
+
+
+def _answer(arrival: Arrival, over: bool) -> TargetAnswer:
+    body = arrival.request_id.encode()
+    match arrival.ended:
+        case Mood.RUN:
+            return TargetAnswer(Answered(200, [], body, 1.0), False, "", None)
+        case Mood.FAIL:
+            return TargetAnswer(Answered(500, [], body, 1.0), False, "", None)
+        case Mood.SHED:
+            return TargetAnswer(Answered(503, [], b"", 1.0), True, "", None)
+        case Mood.GARBLE:
+            raise TargetGarbledError("That is no answer.")
+        case None if over:
+            raise CallerLeftError("The caller left or cancelled.")
+        case None:
+            raise TargetTimeoutError("No answer in time.")
+        case _:
+            raise TargetLostError("The connection was lost.")
+
+
+@functools.cache
+def fleet() -> Fleet:
+    """Return the fleet: one service whose targets live on three VMs."""
+    value = {
+        "services": {"s": {"floor_slots": 1, "queue_limit": 2}},
+        "targets": {
+            name: {"service": "s", "vm": vm, "address": "127.0.0.1:1", "slots": 1}
+            for name, vm in TARGETS.items()
+        },
+        "routes": {
+            "get": {"path": "/", "methods": ["GET"], "service": "s", "repeatable": True},
+            "post": {"path": "/", "methods": ["POST"], "service": "s"},
+        },
+    }
+    made = Fleet.from_documents([("all", json.dumps(value))], revision=1, digest="d")
+    routes = dict(made.routes)
+    routes["get"] = routes["get"]._replace(max_attempts=MAX_ATTEMPTS)
+    service = made.services["s"]._replace(retry_ratio=RETRY_RATIO)
+    return Fleet({"s": service}, made.targets, routes, (), revision=1, digest="d")
+
+
+class _OneTurn(threading.Event):
+    """Lets the loop of the pause watch run once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._waits = 0
+
+    def wait(self, timeout: float | None = None) -> bool:
+        self._waits += 1
+        return self._waits > 1
+
+
+class Node:
+    """One process with a real ingress and a real sidecar, as `roadpass.node` joins them."""
+
+    def __init__(self, world: World, vm: str, incarnation: int, targets: list[ModelTarget]) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.process = Process(vm, OFFSET_S * VMS.index(vm))
+        self.stood_still = False
+        self._world = world
+        with world.acting(self.process):
+            self._build(targets)
+        world.listeners[vm] = (self.process, self._accept)
+
+    def _build(self, targets: list[ModelTarget]) -> None:
+        self.pause = pause.PauseWatch()
+        self.sidecar = sidecar.Sidecar(
+            self.vm,
+            self.incarnation,
+            self.pause,
+            pull=lambda message: message,
+            behind=lambda vm, revision: None,
+        )
+        self.sidecar.configure(fleet())
+        for target in targets:
+            if TARGETS[target.name] == self.vm:
+                client = ModelClient(self._world, target)
+                self.sidecar.targets[target.name]._client = client
+        ports = Ports(callers=1, stream=PORT, gossip=2, admin=3)
+        settings = Settings(self.vm, "hall", "region", self.vm, self.vm, ports, "", keys=KEYS)
+        self._server = sidecar.StreamServer(settings, self.sidecar)
+        self.dispatcher = dispatch.Dispatcher(
+            _view(self.vm),
+            self.incarnation,
+            self.sidecar,
+            peer.PeerPool(self.sidecar.hello(), KEYS),
+            self.pause,
+            behind=lambda vm, revision: None,
+            seed=self.incarnation,
+        )
+
+    def tick(self) -> None:
+        """Do what the node's tickers do: watch for pauses, and drop old fences."""
+        if self.process.frozen:
+            return
+        with self._world.acting(self.process):
+            if self.stood_still:
+                self.pause._stopped = _OneTurn()
+                self.pause._run()
+            self.stood_still = False
+            self.pause._last_tick = self._world.now + self.process.offset
+            self.sidecar.expire()
+
+    def freeze(self) -> None:
+        """Stop the process; its kernel goes on taking in bytes and connections."""
+        self.process.frozen = self.stood_still = True
+
+    def wake(self, ticker_first: bool) -> None:
+        """Let the process go on, its tickers before or after its other threads."""
+        self.process.frozen = False
+        if ticker_first:
+            self.tick()
+
+    def _accept(self, end: Any) -> None:
+        self._world.spawn(self.process, lambda: self._server._serve(end))
+
+
+def _view(vm: str) -> View:
+    view = View(vm, "hall", "region")
+    view.fleet = fleet()
+    view.nodes = {one: PeerNode(one, one, PORT, "hall", "region") for one in VMS}
+    view.ready = True
+    return view
+
+
+class Model:
+    """The fleet, its callers and what can go wrong; each step ends once nothing moves."""
+
+    def __init__(self) -> None:
+        self.world = World()
+        self._swap = Swap(PLACES, stand_ins(self.world))
+        self.ledger = Ledger()
+        self.targets = [ModelTarget(name, self.ledger) for name in TARGETS]
+        self.nodes = [Node(self.world, vm, 1, self.targets) for vm in VMS]
+        self.watches: dict[str, Watch] = {}
+        self.advance(AGED_S)
+
+    def send(self, vm: int, method: str, key: str, first: Sent | None, hold: Hold) -> Sent:
+        """Have a caller send a request, as a declared repeat of `first` if that is given."""
+        node = self.nodes[vm]
+        name = f"request-{len(self.ledger.sent)}"
+        work = first.work if first is not None else name
+        at = first.at if first is not None else self.world.now
+        one = Sent(name, work, method == "GET", node.process, at, key)
+        self.ledger.sent[name] = one
+        watch = self.watches[name] = Watch(self.world)
+        request = Request(
+            "h", method, "/", [], b"", "c", key=key, repeat=first is not None, watch=watch, id=name
+        )
+
+        def dispatch_it() -> None:
+            if self.world.now - at > WINDOW_S:
+                one.work = name
+            one.told = node.dispatcher.dispatch(request).outcome
+
+        self.world.spawn(node.process, dispatch_it)
+        self.world.settle(hold)
+        return one
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass for all."""
+        self.world.advance(seconds, self._tick)
+
+    def restart(self, vm: int) -> None:
+        """Kill a node's process and start another one; its fences are lost."""
+        old = self.nodes[vm]
+        self.world.kill(old.process)
+        self.nodes[vm] = Node(self.world, old.vm, old.incarnation + 1, self.targets)
+
+    def stand_still(self, vm: int, seconds: float, ticker_first: bool) -> None:
+        """Freeze a node for a time, in which all that is under way to it arrives."""
+        node = self.nodes[vm]
+        node.freeze()
+        for pipe in self.world.pipes():
+            if pipe.sink == node.vm:
+                pipe.held = False
+        self.world.settle()
+        self.advance(seconds)
+        node.wake(ticker_first)
+
+    def reset(self, connection: Connection, up: int | None, down: int | None) -> None:
+        """Break a connection off for its server, client or both, behind so many bytes."""
+        if up is not None:
+            connection.up.break_off(up)
+        if down is not None:
+            connection.down.break_off(down)
+
+    def mend(self) -> None:
+        """Undo delays, cuts and freezes."""
+        self.world.cut.clear()
+        for pipe in self.world.pipes():
+            pipe.held = False
+        for node in self.nodes:
+            node.wake(ticker_first=True)
+
+    def delayed(self) -> list[Pipe]:
+        """Return the directions of connections in which something is delayed, the oldest first."""
+        return [pipe for pipe in self.world.pipes() if pipe.held]
+
+    def release(self) -> None:
+        """Let everything arrive that was delayed."""
+        for pipe in self.delayed():
+            pipe.held = False
+        self.world.settle()
+
+    def reached(self) -> list[str]:
+        """Return the VMs that the newest request reached, in order."""
+        newest = next(reversed(self.ledger.sent.values()), None)
+        return [TARGETS[name] for name in newest.arrived] if newest is not None else []
+
+    def end_all(self) -> None:
+        """Let every target run what it holds, and whatever comes."""
+        for target in self.targets:
+            target.mood = Mood.RUN
+            while target.held:
+                target.end(target.held.pop(), Mood.RUN)
+
+    def unanswered(self) -> list[Sent]:
+        """Return requests without an outcome whose ingress lives."""
+        return [
+            one for one in self.ledger.sent.values() if one.told is None and not one.process.dead
+        ]
+
+    def close(self) -> None:
+        """End all processes and give the modules their clocks back."""
+        try:
+            for node in self.nodes:
+                self.world.kill(node.process)
+        finally:
+            self._swap.undo()
+
+    def _tick(self) -> None:
+        for node in self.nodes:
+            node.tick()
--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,264 @@
+"""Model checking of "runs at most once" and "not run is true" over the real decision code.
+
+Real ingresses, transports, streams, sidecars, fences, doors and admission run in a virtual world
+(tests/virtual.py) beside model targets and a ledger (tests/machine_model.py). A frame cannot be
+duplicated: TCP gives each byte once, and a frame's MAC covers its number on its connection. So what
+is modelled is delay, loss of a connection at any byte, for one side or both, and cuts one way.
+
+Which mechanisms it misses when they are off is shown by `tools/mechanism_off --test test_machine`.
+"""
+
+import os
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from tests.machine_model import TARGETS, VMS, WINDOW_S, Model, Mood
+from tests.virtual import Hold
+
+VM = st.integers(0, len(VMS) - 1)
+TARGET = st.integers(0, len(TARGETS) - 1)
+ANY = st.integers(0, 50)
+"""Picks one of what there is at the moment."""
+BACK = st.integers(0, 3)
+"""Picks one of the newest."""
+HOLD = st.sampled_from(
+    [
+        (),
+        (),
+        (b"attempt",),
+        (b"attempt",),
+        (b"answered",),
+        (b"answered",),
+        (b"answered", b"fence"),
+        (b"fenced",),
+        (b"accepted",),
+        (b"",),
+    ]
+)
+"""Frames with any of these bytes are delayed on their way: none, some kinds, all."""
+METHOD = st.sampled_from(["POST", "GET"])
+MOOD = st.sampled_from([Mood.RUN, Mood.RUN, Mood.HANG, Mood.HANG, *Mood])
+END = st.sampled_from([Mood.RUN, Mood.FAIL, Mood.LOSE_BEFORE, Mood.LOSE_AFTER])
+BYTES = st.sampled_from([0, 1, 5, 40, 100_000])
+"""How many bytes under way survive a reset."""
+SIDES = st.sampled_from([(True, False), (False, True), (True, True)])
+"""Whether a reset is seen by the client, and by the server."""
+PART = st.sampled_from([None, None, 1, 5, 40])
+SECONDS = st.sampled_from([0.01, 0.1, 0.3, 2.5, 6.0])
+STILL_S = st.sampled_from([181.0, 181.0, 0.6])
+"""Seconds that a process stands still; after the longest a sidecar drops its fences."""
+LOSS = st.sampled_from(["caller", "connection", "time"])
+REPLY_S = 2.5
+"""Seconds after which no ingress waits for a reply any more."""
+LONGEST_S = 5.0
+"""Seconds in which every request has an outcome once all is mended; routes give it two."""
+
+EXAMPLES = 50
+STEPS = 30
+"""For each machine, and four times that for keys: 10,000 steps in all. With SHRINK in the environment
+a failure is made short, which takes minutes."""
+
+
+class Promises(RuleBasedStateMachine):
+    """The world, time, and what must hold at every step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.model = Model()
+        self.world = self.model.world
+
+    @initialize(moods=st.lists(MOOD, min_size=len(TARGETS), max_size=len(TARGETS)))
+    def begin(self, moods: list[Mood]) -> None:
+        for target, mood in zip(self.model.targets, moods, strict=True):
+            target.mood = mood
+
+    @rule(seconds=SECONDS)
+    def advance(self, seconds: float) -> None:
+        self.model.advance(seconds)
+
+    @invariant()
+    def promises_hold(self) -> None:
+        self.model.ledger.check()
+        assert self.world.errors == []
+
+    def teardown(self) -> None:
+        try:
+            self.model.mend()
+            self.model.end_all()
+            self.model.advance(LONGEST_S)
+            self.promises_hold()
+            assert self.model.unanswered() == []
+        finally:
+            self.model.close()
+
+    def _awaiting(self, vm: int) -> int:
+        """Return a VM to which something is delayed, if there is any."""
+        found = sorted({VMS.index(pipe.sink) for pipe in self.model.delayed()}) or [vm]
+        return found[vm % len(found)]
+
+
+class Traffic(Promises):
+    """Requests, and what callers and ingresses lose of them."""
+
+    @rule(vm=VM, method=METHOD, hold=HOLD)
+    def send(self, vm: int, method: str, hold: Hold) -> None:
+        self.model.send(vm, method, "", None, hold)
+
+    @rule(vm=VM, method=METHOD)
+    def send_amid_late_frames(self, vm: int, method: str) -> None:
+        """Send a request, and have everything that was delayed arrive while it is under way."""
+        self.model.send(self._awaiting(vm), method, "", None, ())
+        self.model.release()
+
+    @rule(vm=VM, method=METHOD, hold=HOLD, loss=LOSS)
+    def send_and_lose(self, vm: int, method: str, hold: Hold, loss: str) -> None:
+        """Send a request whose caller, connection or time is lost while frames are delayed."""
+        one = self.model.send(vm, method, "", None, hold)
+        match loss:
+            case "caller":
+                self.model.watches[one.id].left = True
+            case "connection" if self.world.connections:
+                self.model.reset(self.world.connections[-1], None, 0)
+            case _:
+                self.model.advance(REPLY_S)
+        self.world.settle()
+
+    @rule(which=ANY, hold=HOLD)
+    def leave(self, which: int, hold: Hold) -> None:
+        waiting = self.model.unanswered()
+        if waiting:
+            self.model.watches[waiting[which % len(waiting)].id].left = True
+            self.world.settle(hold)
+
+
+class Keys(Promises):
+    """Requests with a key, and their declared repeats."""
+
+    @rule(vm=VM, hold=HOLD)
+    def send_with_key(self, vm: int, hold: Hold) -> None:
+        self.model.send(vm, "POST", f"key-{len(self.model.ledger.sent)}", None, hold)
+
+    @rule(vm=VM, back=BACK, hold=HOLD, release=st.booleans())
+    def repeat(self, vm: int, back: int, hold: Hold, release: bool) -> None:
+        """Repeat a request; what was delayed arrives soon after, or stays delayed."""
+        since = self.world.now - WINDOW_S
+        keyed = [one for one in self.model.ledger.sent.values() if one.key and one.at > since]
+        if keyed:
+            first = keyed[-1 - back % len(keyed)]
+            self.model.send(vm, "POST", first.key, first, hold)
+        if release:
+            self.model.release()
+
+
+class Targets(Promises):
+    """Targets change their moods, and run late what they hold."""
+
+    @rule(which=TARGET, every=st.booleans(), mood=MOOD)
+    def turn(self, which: int, every: bool, mood: Mood) -> None:
+        for target in self.model.targets if every else [self.model.targets[which]]:
+            target.mood = mood
+
+    @rule(which=ANY, how=END, hold=HOLD)
+    def end_held(self, which: int, how: Mood, hold: Hold) -> None:
+        held = [(target, one) for target in self.model.targets for one in target.held]
+        if held:
+            target, arrival = held[which % len(held)]
+            target.held.remove(arrival)
+            target.end(arrival, how)
+            self.world.settle(hold)
+
+
+class Network(Promises):
+    """Connections that are slow, break off, or are cut one way."""
+
+    @rule(back=BACK, size=PART, hold=HOLD)
+    def deliver(self, back: int, size: int | None, hold: Hold) -> None:
+        pipes = self.model.delayed()
+        if pipes:
+            pipe = pipes[-1 - back % len(pipes)]
+            pipe.deliver(size)
+            pipe.held = size is not None
+            self.world.settle(hold)
+
+    @rule(back=BACK, up=BYTES, down=BYTES, sides=SIDES, hold=HOLD)
+    def reset(self, back: int, up: int, down: int, sides: tuple[bool, bool], hold: Hold) -> None:
+        connections = self.world.connections
+        if connections:
+            client, server = sides
+            connection = connections[-1 - back % len(connections)]
+            self.model.reset(connection, up if server else None, down if client else None)
+            self.world.settle(hold)
+
+    @rule(vm=VM, ways=st.sampled_from([(0, 1), (1, 0), (1, 1)]))
+    def cut_or_heal(self, vm: int, ways: tuple[int, int]) -> None:
+        one = VMS[vm]
+        away = [(one, other) for other in VMS if other != one]
+        back = [(other, one) for other in VMS if other != one]
+        if self.world.cut:
+            self.world.cut.clear()
+        else:
+            self.world.cut |= {*away * ways[0], *back * ways[1]}
+        self.world.settle()
+
+
+class Nodes(Promises):
+    """Processes that stand still or start anew."""
+
+    @rule(vm=VM, ticker_first=st.booleans(), hold=HOLD)
+    def freeze_or_wake(self, vm: int, ticker_first: bool, hold: Hold) -> None:
+        node = self.model.nodes[vm]
+        if node.process.frozen:
+            node.wake(ticker_first)
+            self.world.settle(hold)
+        else:
+            node.freeze()
+
+    @rule(vm=VM, seconds=STILL_S, ticker_first=st.booleans())
+    def stand_still(self, vm: int, seconds: float, ticker_first: bool) -> None:
+        self.model.stand_still(self._awaiting(vm), seconds, ticker_first)
+        self.world.settle()
+
+    @rule(vm=VM, aimed=st.booleans(), hold=HOLD)
+    def restart(self, vm: int, aimed: bool, hold: Hold) -> None:
+        """Kill a process and start it anew, if aimed that which got the newest request."""
+        reached = self.model.reached()
+        self.model.restart(VMS.index(reached[-1]) if aimed and reached else vm)
+        self.world.settle(hold)
+
+
+class LateMachine(Traffic, Nodes):
+    """Frames that arrive late, at processes that stood still or are others by then."""
+
+
+class GrayMachine(Traffic, Targets, Network):
+    """Targets that fail gray behind connections that do."""
+
+
+class KeyMachine(Keys, Nodes):
+    """Declared repeats while sidecars lose what they know."""
+
+
+class FullMachine(Traffic, Keys, Targets, Network, Nodes):
+    """Everything at once."""
+
+
+SETTINGS = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    phases=[Phase.generate, Phase.shrink] if "SHRINK" in os.environ else [Phase.generate],
+    report_multiple_bugs=False,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestLate = LateMachine.TestCase
+TestLate.settings = SETTINGS
+TestGray = GrayMachine.TestCase
+TestGray.settings = SETTINGS
+TestKey = KeyMachine.TestCase
+TestKey.settings = settings(SETTINGS, max_examples=4 * EXAMPLES)
+TestFull = FullMachine.TestCase
+TestFull.settings = SETTINGS
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,391 @@
+"""A world without real time, sockets or parallel threads, in which the real code runs.
+
+Code that waits runs as a task. Exactly one task runs at any moment, and it runs until it waits, so
+a run is a function of what its driver asks for: who runs next, what arrives, and when time passes.
+Tasks are backed by threads that hand over one baton, as the code under test blocks.
+
+A connection is a pair of byte pipes. As over TCP, the bytes of one arrive in order and once, or are
+delayed, or cut off at any byte; those of different connections overtake each other freely.
+"""
+
+import itertools
+import threading
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from types import ModuleType, SimpleNamespace
+from typing import Any, TypeAlias
+
+EPOCH_S = 1_700_000_000.0
+"""Seconds of the wall clock at virtual time zero."""
+FIN = b""
+"""What stands on the wire for the end of a pipe."""
+MOST_TURNS = 20_000
+"""Turns of tasks, or deliveries, at one virtual moment; more are an endless loop."""
+POLLIN = 1
+
+Hold: TypeAlias = tuple[bytes, ...]
+"""Parts of frames by which frames are chosen; the empty part chooses all."""
+
+
+class Abandoned(BaseException):
+    """The task's process was killed: it is unwound, and nothing of it has an effect any more."""
+
+
+class Process:
+    """One process on a VM; its clock is off by `offset` seconds."""
+
+    def __init__(self, vm: str, offset: float = 0.0) -> None:
+        self.vm = vm
+        self.offset = offset
+        self.frozen = False
+        self.dead = False
+
+
+class Task:
+    """Code of a process that runs until it waits."""
+
+    def __init__(self, world: "World", process: Process, work: Callable[[], None]) -> None:
+        self.process = process
+        self.ready: Callable[[], bool] = lambda: True
+        self.until: float | None = None
+        self.done = False
+        self._world = world
+        self._work = work
+        self._go = threading.Semaphore(0)
+        self._back = threading.Semaphore(0)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    @property
+    def due(self) -> bool:
+        """Whether what it waits for is there."""
+        if self.process.frozen or self.process.dead:
+            return False
+        return self.ready() or (self.until is not None and self.until <= self._world.now)
+
+    def turn(self) -> None:
+        """Let it run until it waits or ends."""
+        self._go.release()
+        self._back.acquire()
+        if self.done:
+            self._thread.join()
+
+    def wait(self) -> None:
+        """Hand the baton back; called by the task itself."""
+        if self.process.dead:
+            raise Abandoned
+        self._back.release()
+        self._go.acquire()
+        if self.process.dead:
+            raise Abandoned
+
+    def _run(self) -> None:
+        self._go.acquire()
+        try:
+            if not self.process.dead:
+                self._work()
+        except Abandoned:
+            pass
+        except BaseException as error:
+            self._world.errors.append(error)
+        self.done = True
+        self._back.release()
+
+
+class Pipe:
+    """One direction of a connection.
+
+    Attributes:
+        wire: Writes under way, in order.
+        arrived: Bytes that the receiver has not read yet.
+        held: Whether what is on the wire is delayed.
+        ended: Whether the receiver sees an end behind what arrived.
+    """
+
+    def __init__(self, source: str, sink: str) -> None:
+        self.source = source
+        self.sink = sink
+        self.wire: deque[bytes] = deque()
+        self.arrived = bytearray()
+        self.held = False
+        self.ended = False
+
+    def deliver(self, size: int | None = None) -> None:
+        """Let the first write arrive, or only its first bytes."""
+        item = self.wire.popleft()
+        if item == FIN:
+            self.ended = True
+            return
+        if size is not None and 0 < size < len(item):
+            self.wire.appendleft(item[size:])
+            item = item[:size]
+        if not self.ended:
+            self.arrived += item
+
+    def break_off(self, size: int) -> None:
+        """Lose the wire but for its first bytes, and end."""
+        if not self.ended:
+            self.arrived += b"".join(self.wire)[:size]
+        self.wire.clear()
+        self.ended = True
+
+
+class VirtualSocket:
+    """One end of a connection."""
+
+    def __init__(self, world: "World", inbound: Pipe, outbound: Pipe) -> None:
+        self.inbound = inbound
+        self.outbound = outbound
+        self._world = world
+        self._limit_s = 0.0
+        self._closed = False
+        self._number = next(world.numbers)
+        world.readable[self._number] = self._is_readable
+
+    def fileno(self) -> int:
+        return self._number
+
+    def setsockopt(self, *_: int) -> None:
+        """Take an option, which changes nothing here."""
+
+    def settimeout(self, limit_s: float) -> None:
+        self._limit_s = limit_s
+
+    def sendall(self, data: bytes) -> None:
+        if self._closed or self.inbound.ended:
+            raise ConnectionResetError("The connection is closed.")
+        self.outbound.wire.append(bytes(data))
+
+    def recv(self, size: int) -> bytes:
+        if not self._world.park(self._is_readable, self._limit_s):
+            raise TimeoutError("Nothing came.")
+        if self._closed:
+            raise ConnectionResetError("The connection is closed.")
+        data = bytes(self.inbound.arrived[:size])
+        del self.inbound.arrived[:size]
+        return data
+
+    def shutdown(self, _how: int) -> None:
+        self.close()
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self.outbound.wire.append(FIN)
+
+    def _is_readable(self) -> bool:
+        return bool(self.inbound.arrived) or self.inbound.ended or self._closed
+
+
+class Connection:
+    """Both ends and both directions of one connection."""
+
+    def __init__(self, world: "World", client: Process, server: Process) -> None:
+        self.client, self.server = client, server
+        self.up = Pipe(client.vm, server.vm)
+        self.down = Pipe(server.vm, client.vm)
+        self.client_end = VirtualSocket(world, self.down, self.up)
+        self.server_end = VirtualSocket(world, self.up, self.down)
+
+    @property
+    def over(self) -> bool:
+        """Whether both directions have ended."""
+        return self.up.ended and self.down.ended and not (self.up.wire or self.down.wire)
+
+
+class World:
+    """Time, tasks and connections.
+
+    Attributes:
+        cut: Directions between VMs in which nothing gets through, as (from, to).
+        errors: What ended tasks that should not have ended so.
+    """
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.numbers = itertools.count(10)
+        self.readable: dict[int, Callable[[], bool]] = {}
+        self.tasks: list[Task] = []
+        self.connections: list[Connection] = []
+        self.listeners: dict[str, tuple[Process, Callable[[Any], None]]] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.errors: list[BaseException] = []
+        self._task: Task | None = None
+        self._acting: Process | None = None
+
+    @property
+    def process(self) -> Process:
+        """The process whose code runs."""
+        found = self._task.process if self._task is not None else self._acting
+        assert found is not None
+        return found
+
+    @contextmanager
+    def acting(self, process: Process) -> Iterator[None]:
+        """Run code that does not wait as a process."""
+        self._acting = process
+        try:
+            yield
+        finally:
+            self._acting = None
+
+    def spawn(self, process: Process, work: Callable[[], None]) -> None:
+        """Start a task."""
+        self.tasks.append(Task(self, process, work))
+
+    def park(self, ready: Callable[[], bool], limit_s: float | None) -> bool:
+        """Wait until something is ready, for so long at most; return whether it is."""
+        if ready() or (limit_s is not None and limit_s <= 0.0):
+            return ready()
+        task = self._task
+        assert task is not None
+        task.ready = ready
+        task.until = None if limit_s is None else self.now + limit_s
+        task.wait()
+        return ready()
+
+    def kill(self, process: Process) -> None:
+        """End a process at once; its connections end behind what it sent."""
+        process.dead = True
+        for connection in self.connections:
+            if connection.client is process:
+                connection.client_end.close()
+            if connection.server is process:
+                connection.server_end.close()
+        for task in [task for task in self.tasks if task.process is process]:
+            self._turn(task)
+
+    def settle(self, hold: Hold = ()) -> None:
+        """Run all tasks and deliver all writes until nothing moves.
+
+        Args:
+            hold: A write that has any of these bytes is delayed, with all behind it.
+        """
+        for _ in range(MOST_TURNS):
+            due = next((task for task in self.tasks if task.due), None)
+            if due is not None:
+                self._turn(due)
+            elif not self._deliver(hold):
+                return
+        raise AssertionError("The world does not come to rest.")
+
+    def advance(self, seconds: float, tick: Callable[[], None]) -> None:
+        """Let time pass, from one wait's end to the next; `tick` is called at each."""
+        end = self.now + seconds
+        while self.now < end:
+            waits = [task.until for task in self.tasks if task.until and not task.process.frozen]
+            self.now = min([end, *(until for until in waits if until > self.now)])
+            tick()
+            self.settle()
+
+    def connect(self, address: tuple[str, int], timeout: float, **_: Any) -> VirtualSocket:
+        """Open a connection; a frozen process's kernel accepts it as well."""
+        vm, client = address[0], self.process
+        path = {(client.vm, vm), (vm, client.vm)}
+        if not self.park(lambda: not path & self.cut, timeout):
+            raise TimeoutError("No connection in time.")
+        server, accept = self.listeners[vm]
+        connection = Connection(self, client, server)
+        self.connections.append(connection)
+        accept(connection.server_end)
+        return connection.client_end
+
+    def pipes(self) -> list[Pipe]:
+        """Return the directions that have something under way."""
+        self.connections = [one for one in self.connections if not one.over]
+        ways = [(one.up, one.down) for one in self.connections]
+        return [pipe for way in ways for pipe in way if pipe.wire]
+
+    def _turn(self, task: Task) -> None:
+        self._task, task.until, task.ready = task, None, lambda: False
+        task.turn()
+        self._task = None
+        if task.done:
+            self.tasks.remove(task)
+
+    def _deliver(self, hold: Hold) -> bool:
+        for pipe in self.pipes():
+            if pipe.wire[0] != FIN and any(part in pipe.wire[0] for part in hold):
+                pipe.held = True
+            if not pipe.held and (pipe.source, pipe.sink) not in self.cut:
+                pipe.deliver()
+                return True
+        return False
+
+
+class _Poll:
+    """Stands in for `select.poll`."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._numbers: list[int] = []
+
+    def register(self, of: Any, _events: int) -> None:
+        self._numbers.append(of if isinstance(of, int) else of.fileno())
+
+    def poll(self, timeout_ms: float) -> list[tuple[int, int]]:
+        self._world.park(lambda: bool(self._ready()), timeout_ms / 1000.0)
+        return [(number, POLLIN) for number in self._ready()]
+
+    def _ready(self) -> list[int]:
+        return [number for number in self._numbers if self._world.readable[number]()]
+
+
+def stand_ins(world: World) -> dict[str, Any]:
+    """Return what takes the place of the modules `time`, `select`, `socket` and `threading`."""
+
+    class Event:
+        """Stands in for `threading.Event`."""
+
+        def __init__(self) -> None:
+            self._set = False
+
+        def set(self) -> None:
+            self._set = True
+
+        def wait(self, limit_s: float) -> bool:
+            return world.park(lambda: self._set, limit_s)
+
+    def monotonic() -> float:
+        return world.now + world.process.offset
+
+    def sleep(seconds: float) -> None:
+        world.park(lambda: False, seconds)
+
+    clock = SimpleNamespace(
+        monotonic=monotonic,
+        monotonic_ns=lambda: int(monotonic() * 1e9),
+        time=lambda: EPOCH_S + world.now,
+        sleep=sleep,
+    )
+    sockets = SimpleNamespace(
+        create_connection=world.connect, socket=Any, IPPROTO_TCP=0, TCP_NODELAY=0, SHUT_RDWR=0
+    )
+    return {
+        "time": clock,
+        "select": SimpleNamespace(poll=lambda: _Poll(world), POLLIN=POLLIN),
+        "socket": sockets,
+        "threading": SimpleNamespace(Event=Event, Lock=threading.Lock),
+    }
+
+
+class Swap:
+    """Puts stand-ins in place of what modules have imported, and takes them back.
+
+    Args:
+        places: Modules, each with the names in it that are swapped.
+        things: What to put there, by name.
+    """
+
+    def __init__(self, places: dict[ModuleType, tuple[str, ...]], things: dict[str, Any]) -> None:
+        self._kept: list[tuple[ModuleType, str, Any]] = []
+        for module, names in places.items():
+            for name in names:
+                self._kept.append((module, name, getattr(module, name)))
+                setattr(module, name, things[name])
+
+    def undo(self) -> None:
+        """Put back what was there."""
+        for module, name, kept in self._kept:
+            setattr(module, name, kept)
