--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -1,9 +1,10 @@
 """Model checking of "runs at most once" and "not run is true" over the real decision code.
 
 Real ingresses, transports, streams, sidecars, fences, doors and admission run in a virtual world
-(tests/virtual.py) beside model targets and a ledger (tests/machine_model.py). A frame cannot be
-duplicated: TCP gives each byte once, and a frame's MAC covers its number on its connection. So what
-is modelled is delay, loss of a connection at any byte, for one side or both, and cuts one way.
+(tests/virtual.py, tests/machine_model.py) beside model targets and a ledger (tests/gray_target.py).
+A frame cannot be duplicated: TCP gives each byte once, and a frame's MAC covers its number on its
+connection. So what is modelled is delay, loss of a connection at any byte, for one side or both,
+and cuts one way.
 
 Which mechanisms it misses when they are off is shown by `tools/mechanism_off --test test_machine`.
 """
@@ -14,7 +15,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from tests.machine_model import TARGETS, VMS, WINDOW_S, Model, Mood
+from tests.gray_target import Mood
+from tests.machine_model import TARGETS, VMS, WINDOW_S, Model
 from tests.virtual import Hold
 
 VM = st.integers(0, len(VMS) - 1)
@@ -49,16 +51,17 @@
 SECONDS = st.sampled_from([0.01, 0.1, 0.3, 2.5, 6.0])
 STILL_S = st.sampled_from([181.0, 181.0, 0.6])
 """Seconds that a process stands still; after the longest a sidecar drops its fences."""
-LOSS = st.sampled_from(["caller", "connection", "time"])
+LOSS = st.sampled_from(["caller", "connection", "time", "process"])
+AMID = 3
+"""Requests at once, so that one meets the connection on which something is delayed."""
 REPLY_S = 2.5
 """Seconds after which no ingress waits for a reply any more."""
 LONGEST_S = 5.0
 """Seconds in which every request has an outcome once all is mended; routes give it two."""
 
-EXAMPLES = 50
+EXAMPLES = {"late": 100, "shared": 35, "gray": 25, "key": 110, "full": 20}
 STEPS = 30
-"""For each machine, and four times that for keys: 10,000 steps in all. With SHRINK in the environment
-a failure is made short, which takes minutes."""
+"""8,700 steps in all; with SHRINK in the environment a failure is made short: it takes minutes."""
 
 
 class Promises(RuleBasedStateMachine):
@@ -106,12 +109,6 @@
     def send(self, vm: int, method: str, hold: Hold) -> None:
         self.model.send(vm, method, "", None, hold)
 
-    @rule(vm=VM, method=METHOD)
-    def send_amid_late_frames(self, vm: int, method: str) -> None:
-        """Send a request, and have everything that was delayed arrive while it is under way."""
-        self.model.send(self._awaiting(vm), method, "", None, ())
-        self.model.release()
-
     @rule(vm=VM, method=METHOD, hold=HOLD, loss=LOSS)
     def send_and_lose(self, vm: int, method: str, hold: Hold, loss: str) -> None:
         """Send a request whose caller, connection or time is lost while frames are delayed."""
@@ -121,6 +118,8 @@
                 self.model.watches[one.id].left = True
             case "connection" if self.world.connections:
                 self.model.reset(self.world.connections[-1], None, 0)
+            case "process" if self.model.reached():
+                self.model.restart(VMS.index(self.model.reached()[-1]))
             case _:
                 self.model.advance(REPLY_S)
         self.world.settle()
@@ -133,6 +132,17 @@
             self.world.settle(hold)
 
 
+class Amid(Promises):
+    """Requests on whose connections something comes late."""
+
+    @rule(vm=VM, method=METHOD)
+    def send_amid_late_frames(self, vm: int, method: str) -> None:
+        """Send requests, and have everything that was delayed arrive while they are under way."""
+        for _ in range(AMID):
+            self.model.send(self._awaiting(vm), method, "", None, ())
+        self.model.release()
+
+
 class Keys(Promises):
     """Requests with a key, and their declared repeats."""
 
@@ -232,6 +242,10 @@
     """Frames that arrive late, at processes that stood still or are others by then."""
 
 
+class SharedMachine(Traffic, Amid):
+    """Connections that several requests use in turn."""
+
+
 class GrayMachine(Traffic, Targets, Network):
     """Targets that fail gray behind connections that do."""
 
@@ -240,25 +254,30 @@
     """Declared repeats while sidecars lose what they know."""
 
 
-class FullMachine(Traffic, Keys, Targets, Network, Nodes):
+class FullMachine(Traffic, Amid, Keys, Targets, Network, Nodes):
     """Everything at once."""
 
 
-SETTINGS = settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
-    phases=[Phase.generate, Phase.shrink] if "SHRINK" in os.environ else [Phase.generate],
-    report_multiple_bugs=False,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+def _settings(machine: str) -> settings:
+    return settings(
+        max_examples=EXAMPLES[machine],
+        stateful_step_count=STEPS,
+        phases=[Phase.generate, Phase.shrink] if "SHRINK" in os.environ else [Phase.generate],
+        report_multiple_bugs=False,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+
+
 TestLate = LateMachine.TestCase
-TestLate.settings = SETTINGS
+TestLate.settings = _settings("late")
+TestShared = SharedMachine.TestCase
+TestShared.settings = _settings("shared")
 TestGray = GrayMachine.TestCase
-TestGray.settings = SETTINGS
+TestGray.settings = _settings("gray")
 TestKey = KeyMachine.TestCase
-TestKey.settings = settings(SETTINGS, max_examples=4 * EXAMPLES)
+TestKey.settings = _settings("key")
 TestFull = FullMachine.TestCase
-TestFull.settings = SETTINGS
+TestFull.settings = _settings("full")
