Try doors that were shut for long also with requests that have no repeat left

Change: from 1.5 s after the latest loss a repeatable request is a trial although it is lost with it. The dictionary of packed messages has the new word.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -171,6 +171,7 @@
     r""" Required property """
 
     wants_proven: bool
+    spare: bool
     traffic_class: Required[str]
     r""" Required property """
 
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -19,6 +19,9 @@
 SURVIVED_S = 0.03
 """Seconds after which a request that was not lost shows that its target took it: resets came
 within 5 ms in all but 8 of 617 losses seen, on VMs of less than one core."""
+LONG_SHUT_S = 1.5
+"""Seconds since the latest loss after which work is tried that is lost if it fails: in a crowded
+moment no other is left, and half the spells have ended by then."""
 STARVED_S = 4.0
 """Seconds shut without repeatable work to try after which it opens for all: evidence is stale."""
 GOODS_TO_OPEN = 2
@@ -48,6 +51,7 @@
         self._hold_s = HOLD_S
         self._hold_until = float("-inf")
         self._tried_at = float("-inf")
+        self._lost_at = float("-inf")
         self._proven_at = float("-inf")
         self._visits: list[Visit] = []
         self._goods = 0
@@ -66,13 +70,16 @@
         self._look(now)
         return now - self._proven_at
 
-    def admits(self, now: float, *, repeatable: bool, pressing: bool = False) -> bool:
+    def admits(
+        self, now: float, *, repeatable: bool, pressing: bool = False, spare: bool = True
+    ) -> bool:
         """Tell whether a request may start now.
 
         Args:
             now: Seconds.
             repeatable: Whether it may serve as a trial.
             pressing: Whether no other target would take it: it need not wait for its turn.
+            spare: Whether its request is not lost with it.
         """
         self._look(now)
         if not self._shut:
@@ -80,7 +87,7 @@
         if now - self._tried_at >= STARVED_S:
             self._shut = False
             return True
-        if not repeatable:
+        if not repeatable or not (spare or now - self._lost_at >= LONG_SHUT_S):
             return False
         tries = any(visit.trial and not visit.survived for visit in self._visits)
         return pressing or (not tries and now >= self._hold_until)
@@ -139,4 +146,4 @@
         self._goods = 0
         self._proven_at = float("-inf")
         self._hold_until = now + self._hold_s
-        self._tried_at = now
+        self._tried_at = self._lost_at = now
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -187,7 +187,13 @@
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
         now = time.monotonic()
         with self._lock:
-            if self._door.admits(now, repeatable=question.may_be_trial, pressing=question.pressing):
+            admitted = self._door.admits(
+                now,
+                repeatable=question.may_be_trial,
+                pressing=question.pressing,
+                spare=question.spare,
+            )
+            if admitted:
                 return None
             wait_s = self._door.wait_s(now)
         return NotRun(Reason.SICK, max(SICK_RETRY_MS, int(wait_s * 1000.0)))
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -91,7 +91,12 @@
     @property
     def may_be_trial(self) -> bool:
         """Whether it may go where it will probably fail: it can be repeated and has yet to be."""
-        return self.repeatable and not self.retry and (self.pressing or not self.last)
+        return self.repeatable and not self.retry
+
+    @property
+    def spare(self) -> bool:
+        """Whether the request is not lost with it, or would be refused without it."""
+        return self.pressing or not self.last
 
     @property
     def ingress(self) -> str:
@@ -124,6 +129,7 @@
         may_wait: Whether it may queue there.
         pressing: Whether every target refused it before.
         wants_proven: Whether it wants a target that has taken work well just now.
+        spare: Whether the request is not lost with the attempt.
     """
 
     target: str
@@ -132,6 +138,7 @@
     may_wait: bool
     pressing: bool
     wants_proven: bool = False
+    spare: bool = True
 
     @classmethod
     def of(cls, attempt: Attempt) -> "Question":
@@ -143,6 +150,7 @@
             attempt.may_wait,
             attempt.pressing,
             attempt.wants_proven,
+            attempt.spare,
         )
 
     @classmethod
@@ -155,6 +163,7 @@
             message["may_wait"],
             message["pressing"],
             message.get("wants_proven", False),
+            message.get("spare", True),
         )
 
     def to_message(self) -> Message:
@@ -167,6 +176,7 @@
             "may_wait": self.may_wait,
             "pressing": self.pressing,
             "wants_proven": self.wants_proven,
+            "spare": self.spare,
         }
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -223,7 +223,7 @@
     one = dispatcher(sidecar, retry_ratio=0.0)
     one._budget(one._view.fleet.services["s"]).take()
     one.dispatch(request("GET"))
-    assert [attempt.may_be_trial for attempt in sidecar.attempts] == [False] * 4 + [True] * 4
+    assert [attempt.spare for attempt in sidecar.attempts] == [False] * 4 + [True] * 4
 
 
 def test_a_request_whose_wait_at_a_target_ends_asks_the_others_again() -> None:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -3,7 +3,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from roadpass.door import GOODS_TO_OPEN, HOLD_MAX_S, HOLD_S, STARVED_S, SURVIVED_S, Door
+from roadpass.door import (
+    GOODS_TO_OPEN,
+    HOLD_MAX_S,
+    HOLD_S,
+    LONG_SHUT_S,
+    STARVED_S,
+    SURVIVED_S,
+    Door,
+)
 
 
 def lose(door: Door, now: float) -> None:
@@ -66,6 +74,19 @@
     assert not door.shut
 
 
+def test_what_would_be_lost_is_tried_only_after_a_long_time() -> None:
+    """Then it is better than nothing: without any trial the door would stay shut."""
+    door = Door()
+    lose(door, 0.0)
+    assert door.admits(HOLD_S, repeatable=True)
+    assert not door.admits(HOLD_S, repeatable=True, spare=False)
+    assert not door.admits(LONG_SHUT_S - 0.01, repeatable=True, spare=False)
+    assert not door.admits(LONG_SHUT_S, repeatable=False, spare=False)
+    assert door.admits(LONG_SHUT_S, repeatable=True, spare=False)
+    door.end(LONG_SHUT_S, door.begin(LONG_SHUT_S), good=False, lost=True)
+    assert not door.admits(LONG_SHUT_S + HOLD_MAX_S - 0.1, repeatable=True, spare=False)
+
+
 def test_a_request_proves_the_moment_at_which_it_came() -> None:
     """Not before it was kept for a while, and nothing proves anything once one was lost."""
     door = Door()
