--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -1,6 +1,7 @@
 """The ingress: takes callers' requests over HTTP and answers each with its own outcome."""
 
 import logging
+import select
 import socket
 import threading
 from typing import Protocol
@@ -61,6 +62,7 @@
         self._stopped = threading.Event()
         self._active = ActiveCount()
         self._connections = ActiveCount()
+        self._open: set[socket.socket] = set()
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
         self._desk = Desk(
@@ -79,6 +81,18 @@
         """Requests that are being answered."""
         return self._active.value
 
+    @property
+    def unread(self) -> int:
+        """Connections on which something waits to be read, one that waits to be accepted included.
+
+        A node that gets little processor time has not read what its callers have sent.
+        """
+        poller = select.poll()
+        for sock in (*self._open.copy(), self._listener):
+            if sock is not None and sock.fileno() >= 0:
+                poller.register(sock, select.POLLIN)
+        return len(poller.poll(0))
+
     @property
     def address(self) -> tuple[str, int]:
         """IP number and port that callers reach; the port is known once it listens."""
@@ -123,11 +137,13 @@
             sock.close()
             return
         self._connections.add(1)
+        self._open.add(sock)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._start_thread(sock, remote)
         except (OSError, RuntimeError) as error:
             self._connections.add(-1)
+            self._open.discard(sock)
             _log.warning("closed a connection of %s: %s", remote, error)
             sock.close()
 
@@ -145,4 +161,5 @@
         try:
             CallerConnection(sock, remote, self._desk).run()
         finally:
+            self._open.discard(sock)
             self._connections.add(-1)
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -248,7 +248,7 @@
             limit_s=self._settings.stop_limit_s - STOP_MARGIN_S,
         )
         while True:
-            in_flight = self._in_flight()
+            in_flight = self._in_flight() + self._unread()
             stage = drain.look(time.monotonic(), in_flight)
             if stage.refusing:
                 self._refuse()
@@ -273,6 +273,11 @@
         active: int = self._ingress_proxy.active.get()
         return active + self._dispatcher.in_flight + self._sidecar.in_flight
 
+    def _unread(self) -> int:
+        """Return how many callers' connections have something to be read."""
+        unread: int = self._ingress_proxy.unread.get()
+        return unread
+
     def _check_ready(self) -> None:
         if self._settings.store is not None:
             return
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -912,3 +912,32 @@
         reply = caller.reply()
         assert (reply.status, reply.header("Connection")) == (200, "close")
         assert caller.rest() == b""
+
+
+class _Starved(caller_connection.CallerConnection):
+    """A connection whose thread does not come to read."""
+
+    free = threading.Event()
+
+    def run(self) -> None:
+        self.free.wait(WAIT_S)
+        super().run()
+
+
+def test_what_callers_sent_and_nobody_read_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A node that gets no processor time must not take itself for idle."""
+    monkeypatch.setattr(ingress, "CallerConnection", _Starved)
+    with opened() as bench:
+
+        def unread() -> int:
+            value: int = bench._proxy.unread.get()
+            return value
+
+        caller = bench.caller()
+        until(lambda: unread() == 0)
+        caller.send(GET)
+        until(lambda: unread() == 1)
+        assert bench.active == 0
+        _Starved.free.set()
+        assert caller.reply().status == 200
+        until(lambda: unread() == 0)
