Seal and open datagrams in a module of their own

The gossip actor held two jobs: membership, and the written form of what it sends. Packing, MAC and their checks moved to `datagram` (`seal`, `unseal`) word for word; the actor builds the message as before. Behaviour is the same.

--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -1,6 +1,5 @@
 """The gossip actor: owns the UDP socket and the membership view."""
 
-import hmac
 import logging
 import random
 import socket
@@ -15,17 +14,15 @@
 from roadpass._generated.message_types import Datagram
 from roadpass._ticker import Ticker
 from roadpass.audit import AuditTrail, Kind
+from roadpass.datagram import seal, unseal
 from roadpass.detect import Scores
 from roadpass.errors import FrameError
 from roadpass.hint import HintTable
 from roadpass.member import Member, Members, MemberState, Send
-from roadpass.message import check_gossip
 from roadpass.metric import Metrics
 from roadpass.news import Word
-from roadpass.packing import pack, unpack
 from roadpass.revision import NO_VERSION, Version
 from roadpass.settings import Settings
-from roadpass.stream import MAC_BYTES
 from roadpass.view import PeerNode
 
 TICK_S = 0.1
@@ -242,7 +239,7 @@
 
     def _on_datagram(self, content: bytes) -> None:
         try:
-            message = self._open(content)
+            message = unseal(content, self._settings.keys)
             self._take(message)
         except (FrameError, ValueError, TypeError, OverflowError) as error:
             self._metrics.count("gossip_dropped")
@@ -331,7 +328,7 @@
         """Send a datagram with the latest rumors, or with the own one only."""
         news = [self._members.own] if brief else self._members.rumors()
         while True:
-            content = self._seal(send, news)
+            content = seal(self._message(send, news), self._settings.keys)
             if len(content) <= MAX_DATAGRAM or len(news) == 1:
                 break
             news.pop()
@@ -343,9 +340,9 @@
         self._metrics.count("gossip_sent")
         self._metrics.count("gossip_sent_bytes", len(content))
 
-    def _seal(self, send: Send, news: list[Member]) -> bytes:
+    def _message(self, send: Send, news: list[Member]) -> dict[str, Any]:
         now = time.monotonic()
-        message = {
+        message: dict[str, Any] = {
             "t": send.type,
             "sender": self._settings.vm,
             "n": send.number,
@@ -359,19 +356,7 @@
         hints = self._hints.rows(now)
         if hints:
             message["hints"] = hints
-        payload = pack(message)
-        if not self._settings.keys:
-            return payload
-        return payload + _mac(self._settings.keys[0], payload)
-
-    def _open(self, content: bytes) -> Datagram:
-        payload = content
-        if self._settings.keys:
-            payload, mac = content[:-MAC_BYTES], content[-MAC_BYTES:]
-            macs = (_mac(key, payload) for key in self._settings.keys)
-            if not any(hmac.compare_digest(mac, one) for one in macs):
-                raise FrameError("The datagram is not authentic.")
-        return check_gossip(unpack(payload))
+        return message
 
     def _read(self) -> None:
         while True:
@@ -388,10 +373,6 @@
                 return
 
 
-def _mac(key: bytes, payload: bytes) -> bytes:
-    return hmac.digest(key, payload, "sha256")[:MAC_BYTES]
-
-
 def _node(member: Member) -> PeerNode:
     return PeerNode(
         member.vm,
