Say once when a request is lost with its next attempt

The condition stood twice in `Trip.attempt` and `_wants_proven`; it is `_is_last` now. Properties stand before methods and private methods behind public ones. Behaviour is the same.

--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -80,6 +80,12 @@
         asked = len(self.busy) + len(self.unproven)
         return not self.may_wait and asked < ASKS and self.far_asks < FAR_ASKS
 
+    @property
+    def waits_in_vain(self) -> bool:
+        """Whether no target took it for so long that its caller is better told now."""
+        patience_s = GIVE_UP_SHARE * (self.deadline - self.started)
+        return self.arrivals == 0 and time.monotonic() - self.started > patience_s
+
     def note_not_wanted(self, name: str, refusal: NotRun, *, far: bool) -> None:
         """Note a target that had no free slot or is not proven.
 
@@ -88,8 +94,7 @@
             refusal: Its word.
             far: Whether it is in another data hall.
         """
-        waited = self.may_wait
-        if waited:
+        if self.may_wait:
             self._ask_anew()
         known = self.unproven if refusal.reason is Reason.UNPROVEN else self.busy
         known[name] = refusal.retry_after_ms
@@ -105,20 +110,6 @@
         del self.unproven[name]
         return name
 
-    def _ask_anew(self) -> None:
-        """Ask all targets again after a wait in the queue of one."""
-        self.busy.clear()
-        self.unproven.clear()
-        self.settles = False
-        self.may_wait = False
-        self.far_asks = 0
-
-    @property
-    def waits_in_vain(self) -> bool:
-        """Whether no target took it for so long that its caller is better told now."""
-        patience_s = GIVE_UP_SHARE * (self.deadline - self.started)
-        return self.arrivals == 0 and time.monotonic() - self.started > patience_s
-
     def press(self) -> bool:
         """Let targets that refused for failing or shedding, or were cut off, be asked once more.
 
@@ -187,14 +178,26 @@
             origin=self.request.origin,
             may_wait=self.may_wait,
             pressing=self.pressing,
-            last=not (self.route.repeatable and self.arrivals == 0 and has_repeat),
+            last=self._is_last(has_repeat),
             wants_proven=self._wants_proven(has_repeat),
         )
 
+    def _ask_anew(self) -> None:
+        """Ask all targets again after a wait in the queue of one."""
+        self.busy.clear()
+        self.unproven.clear()
+        self.settles = False
+        self.may_wait = False
+        self.far_asks = 0
+
     def _wants_proven(self, has_repeat: bool) -> bool:
         """Tell whether the next attempt, if lost, loses the request, and a choice is left."""
         if self.settles or self.may_wait or self.pressing:
             return False
+        return self._is_last(has_repeat)
+
+    def _is_last(self, has_repeat: bool) -> bool:
+        """Tell whether the request is lost with the next attempt."""
         return not (self.route.repeatable and self.arrivals == 0 and has_repeat)
 
     def _attempt_s(self, now: float, has_repeat: bool) -> float:
