Give the pages of the administration API a module of their own

`Node` wired the parts and wrote the pages. The pages moved to `pages.Pages`, which reads the parts of a node that `Shown` names; `Node.ready`, which only the page asked, went with them. Same pages, same fields. Run: ruff, mypy, test_platform_path, test_log, test_cli.

--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -9,7 +9,7 @@
 import pykka
 
 from roadpass import __version__
-from roadpass.admin import TEXT, Admin, Handler, Page, Query
+from roadpass.admin import Admin
 from roadpass.audit import AuditTrail, Kind
 from roadpass.catalogue import Catalogue, Policy
 from roadpass.configuration import Configuration, Offer, Store
@@ -39,6 +39,7 @@
 from roadpass.metric import Metrics
 from roadpass.monitor import FleetChanged, HealthMonitor, HintHeard
 from roadpass.news import Word, ask
+from roadpass.pages import Pages, Shown
 from roadpass.patch import offer
 from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
@@ -113,11 +114,6 @@
         self._actors: list[pykka.ActorRef[Any]] = []
         self._next_counters = self._started_at + COUNTERS_S
 
-    @property
-    def ready(self) -> bool:
-        """Whether this node serves callers."""
-        return self._view.ready and not self._view.leaving
-
     def start(self) -> None:
         """Start all parts; the node reports ready once it has the newest configuration."""
         self.audit.record(Kind.START, self._settings.vm, f"version {__version__}")
@@ -133,7 +129,7 @@
             self._start_store_reader(self._settings.store)
         else:
             self._start_reader()
-        self._start(Admin, self._settings, self._pages())
+        self._start(Admin, self._settings, self._pages().handlers())
         self._ingress_proxy = self._start_ingress().proxy()
 
     def _start_gossip(self) -> Any:
@@ -367,51 +363,19 @@
             fleet_size=len(self._view.nodes) + 1,
         )
 
-    def _pages(self) -> dict[str, Handler]:
-        return {
-            "/status": self._page_status,
-            "/targets": self._page_targets,
-            "/members": self._page_members,
-            "/audit": self._page_audit,
-            "/metrics": self._page_metrics,
-            "/metrics.json": lambda _: Page.from_value(self.metrics.summary()),
-            "/health": lambda _: Page.from_value({"healthy": True}),
-            "/ready": self._page_ready,
-        }
-
-    def _page_status(self, _: Query) -> Page:
-        fleet = self._view.fleet
-        return Page.from_value(
-            {
-                "vm": self._settings.vm,
-                "hall": self._settings.hall,
-                "version": __version__,
-                "incarnation": self._incarnation,
-                "uptime_s": round(time.monotonic() - self._started_at, 1),
-                "ready": self._view.ready,
-                "leaving": self._view.leaving,
-                "revision": fleet.revision,
-                "digest": fleet.digest,
-                "readers": self._readers,
-                "members": sum(1 for node in self._view.nodes.values() if node.alive) + 1,
-                "in_flight": self._in_flight(),
-                "platform_age_s": round(self._gossip_proxy.platform_age_s.get(), 1),
-                "pauses": self._pause.pauses,
-            }
+    def _pages(self) -> Pages:
+        return Pages(
+            Shown(
+                self._settings,
+                self._incarnation,
+                self._started_at,
+                self._view,
+                self._pause,
+                self.audit,
+                self.metrics,
+                gossip=self._gossip_proxy,
+                monitor=self._monitor,
+                readers=lambda: self._readers,
+                in_flight=self._in_flight,
+            )
         )
-
-    def _page_targets(self, _: Query) -> Page:
-        return Page.from_value([row._asdict() for row in self._monitor.proxy().statuses().get()])
-
-    def _page_members(self, _: Query) -> Page:
-        return Page.from_value([node._asdict() for node in self._view.nodes.copy().values()])
-
-    def _page_audit(self, query: Query) -> Page:
-        after = int(query.get("after", ["0"])[0])
-        return Page.from_value([event._asdict() for event in self.audit.since(after)])
-
-    def _page_metrics(self, _: Query) -> Page:
-        return Page(200, TEXT, self.metrics.prometheus().encode())
-
-    def _page_ready(self, _: Query) -> Page:
-        return Page.from_value({"ready": self.ready}, status=200 if self.ready else 503)
--- /dev/null
+++ b/roadpass/pages.py
@@ -0,0 +1,108 @@
+"""The pages of the administration API: what a node shows of itself to operators."""
+
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from roadpass import __version__
+from roadpass.admin import TEXT, Handler, Page, Query
+from roadpass.audit import AuditTrail
+from roadpass.metric import Metrics
+from roadpass.pause import PauseWatch
+from roadpass.settings import Settings
+from roadpass.view import View
+
+
+class Shown(NamedTuple):
+    """The parts of a node that its pages read.
+
+    Args:
+        settings: Of the node.
+        incarnation: Of its process.
+        started_at: Monotonic seconds at which it started.
+        view: What it routes by.
+        pause: Its pause watch.
+        audit: Its audit trail.
+        metrics: Its counters.
+        gossip: Proxy of its gossip actor.
+        monitor: Its health monitor.
+        readers: Returns the VMs of its data hall that read the platform.
+        in_flight: Returns how many requests and attempts are under way.
+    """
+
+    settings: Settings
+    incarnation: int
+    started_at: float
+    view: View
+    pause: PauseWatch
+    audit: AuditTrail
+    metrics: Metrics
+    gossip: Any
+    monitor: Any
+    readers: Callable[[], list[str]]
+    in_flight: Callable[[], int]
+
+
+class Pages:
+    """Answers the questions of operators.
+
+    Args:
+        shown: What to read.
+    """
+
+    def __init__(self, shown: Shown) -> None:
+        self._shown = shown
+
+    def handlers(self) -> dict[str, Handler]:
+        """Return the pages by path."""
+        return {
+            "/status": self._status,
+            "/targets": self._targets,
+            "/members": self._members,
+            "/audit": self._audit,
+            "/metrics": self._metrics,
+            "/metrics.json": lambda _: Page.from_value(self._shown.metrics.summary()),
+            "/health": lambda _: Page.from_value({"healthy": True}),
+            "/ready": self._ready,
+        }
+
+    def _status(self, _: Query) -> Page:
+        shown = self._shown
+        view, fleet = shown.view, shown.view.fleet
+        return Page.from_value(
+            {
+                "vm": shown.settings.vm,
+                "hall": shown.settings.hall,
+                "version": __version__,
+                "incarnation": shown.incarnation,
+                "uptime_s": round(time.monotonic() - shown.started_at, 1),
+                "ready": view.ready,
+                "leaving": view.leaving,
+                "revision": fleet.revision,
+                "digest": fleet.digest,
+                "readers": shown.readers(),
+                "members": sum(1 for node in view.nodes.values() if node.alive) + 1,
+                "in_flight": shown.in_flight(),
+                "platform_age_s": round(shown.gossip.platform_age_s.get(), 1),
+                "pauses": shown.pause.pauses,
+            }
+        )
+
+    def _targets(self, _: Query) -> Page:
+        statuses = self._shown.monitor.proxy().statuses().get()
+        return Page.from_value([row._asdict() for row in statuses])
+
+    def _members(self, _: Query) -> Page:
+        return Page.from_value([node._asdict() for node in self._shown.view.nodes.copy().values()])
+
+    def _audit(self, query: Query) -> Page:
+        after = int(query.get("after", ["0"])[0])
+        return Page.from_value([event._asdict() for event in self._shown.audit.since(after)])
+
+    def _metrics(self, _: Query) -> Page:
+        return Page(200, TEXT, self._shown.metrics.prometheus().encode())
+
+    def _ready(self, _: Query) -> Page:
+        """Tell whether the node serves callers."""
+        ready = self._shown.view.ready and not self._shown.view.leaving
+        return Page.from_value({"ready": ready}, status=200 if ready else 503)
