Keep the evidence against a target in a module of its own

`LocalTarget` held two jobs: what is let in to the target, and what its work says about it. The patience in a queue is a method. Behaviour is the same: same decisions, limits and locks; a scan reads the latest stall once and counts the overdue requests before it takes the lock for each.

--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -3,23 +3,21 @@
 import math
 import threading
 import time
-from dataclasses import dataclass
 
 from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
 from roadpass.decision import decided
-from roadpass.detect import Detector, Sample, Scores, threshold
+from roadpass.detect import Scores
 from roadpass.dialect import OWN, Dialect
 from roadpass.door import Door, Visit
 from roadpass.errors import TargetError, TargetRefusedError
+from roadpass.evidence import Evidence, Running, speaks_against
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
-from roadpass.health import pending_limit_ms
 from roadpass.limit import AdaptiveLimit
 from roadpass.message import Attempt, LoadReport, Question
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
-    SERVER_ERROR,
     Answered,
     NotRun,
     Outcome,
@@ -39,17 +37,11 @@
 
 MIN_START_MS = 2.0
 """Milliseconds; with less time left an attempt is not started."""
-EVIDENCE_KEPT_S = 2.0
-"""Seconds without new work after which the evidence against a target is dropped."""
 PROVEN_S = 0.12
 """Seconds for which a request that the target kept shows that the next is kept too: at six
 requests a second half of the targets are proven, and a spell begins in 2 of 100 such times."""
 UNPROVEN_S = 60.0
 """A target not proven for so many seconds counts like one that never was."""
-HANGS_FACTOR = 3.0
-"""A request that runs for so many times the usual one's time is not expected to end soon."""
-HANGING_MS = 1000.0
-"""Milliseconds to expect where all of a target's requests are such."""
 WAIT_FACTOR = 1.5
 WAIT_MIN_S = 0.1
 """A request leaves a target's queue after so many times the wait that was expected, and so many
@@ -59,15 +51,6 @@
 spells last seconds, but a door opens only to who asks."""
 
 
-@dataclass(slots=True)
-class _Running:
-    """A request that the target has; `looks` counts how often it was found to take too long."""
-
-    started: float
-    slow_ms: float
-    looks: int = 0
-
-
 class LocalTarget:
     """Admission, at-most-once start, limit and health of one target.
 
@@ -101,11 +84,9 @@
         self._admission = Admission(
             service.classes, slots=target.slots, queue_limit=service.queue_limit
         )
-        self._detector = Detector(threshold(service.false_ejections_per_target_week))
+        self._evidence = Evidence(service.false_ejections_per_target_week, time.monotonic())
         self._queued: dict[str, Ticket] = {}
-        self._running: dict[str, _Running] = {}
         self._lock = threading.Lock()
-        self._learnt_at = time.monotonic()
         self.leaving = target.leaving
 
     @property
@@ -116,7 +97,7 @@
     @property
     def scores(self) -> Scores:
         """Evidence against the target, seen over all its traffic."""
-        return self._detector.scores
+        return self._evidence.scores
 
     def configure(self, target: Target, service: Service) -> bool:
         """Take over changed settings.
@@ -139,14 +120,14 @@
 
     def report(self, revision: int) -> LoadReport:
         """Return the load report that goes with every answer."""
-        scores = self._detector.scores
+        scores = self._evidence.scores
         return LoadReport(
             in_flight=self._admission.in_use,
             queued=self._admission.waiting,
             limit=self._limit.value,
             failure_score=round(scores.failure, 3),
             slow_score=round(scores.slow, 3),
-            latency_ms=round(self._detector.latency_ms, 1),
+            latency_ms=round(self._evidence.latency_ms, 1),
             revision=revision,
         )
 
@@ -170,10 +151,7 @@
         wait_ms = self._admission.expected_wait_ms(traffic_class)
         if wait_ms <= 0.0:
             return 0.0
-        long_s = HANGS_FACTOR * self._limit.service_ms / 1000.0
-        running = self._running.copy().values()
-        moving = sum(now - one.started < long_s for one in running)
-        return wait_ms * len(running) / moving if moving else max(wait_ms, HANGING_MS)
+        return self._evidence.stretched_wait_ms(now, wait_ms, self._limit.service_ms)
 
     def _new_work_refusal(self, question: Question) -> NotRun | None:
         """Return why the target is given no new work now, `None` if it is, whatever its queue."""
@@ -233,19 +211,14 @@
 
     def scan_running(self, now: float) -> None:
         """Count requests that the target has had for far too long as evidence against it."""
-        for running in self._running.copy().values():
-            limit_ms = pending_limit_ms(running.slow_ms, running.looks)
-            seen_since = max(running.started, self._pause.last_stall)
-            if limit_ms and (now - seen_since) * 1000.0 > limit_ms:
-                running.looks += 1
-                with self._lock:
-                    self._detector.observe_pending()
+        for _ in range(self._evidence.find_overdue(now, self._pause.last_stall)):
+            with self._lock:
+                self._evidence.learn_pending()
 
     def forget_old_evidence(self, now: float) -> None:
         """Drop evidence once no work has come for a while: who returns is judged anew."""
         with self._lock:
-            if now - self._learnt_at > EVIDENCE_KEPT_S and self._detector.samples:
-                self._detector.reset()
+            self._evidence.forget_old(now)
 
     def _admit(self, attempt: Attempt, deadline: float) -> Outcome | None:
         now = time.monotonic()
@@ -269,9 +242,13 @@
                     self._queued[attempt.id] = ticket
         if displaced is not None:
             _wake(displaced)
-        known = self._limit.service_ms > 0.0
-        patience_s = max(WAIT_MIN_S, WAIT_FACTOR * expected_ms / 1000.0) if known else math.inf
-        return self._wait(attempt, ticket, deadline, now + patience_s)
+        return self._wait(attempt, ticket, deadline, now + self._patience_s(expected_ms))
+
+    def _patience_s(self, expected_ms: float) -> float:
+        """Return the seconds that a request waits at the most, by the wait that was expected."""
+        if self._limit.service_ms <= 0.0:
+            return math.inf
+        return max(WAIT_MIN_S, WAIT_FACTOR * expected_ms / 1000.0)
 
     def _wait(
         self, attempt: Attempt, ticket: Ticket, deadline: float, patient_until: float
@@ -313,7 +290,7 @@
 
     def _exchange(self, attempt: Attempt, deadline: float, watch: CallerWatch | None) -> Outcome:
         started = time.monotonic()
-        running = self._running[attempt.id] = _Running(started, attempt.slow_ms)
+        running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
         with self._lock:
             visit = self._door.begin(started)
         lost = False
@@ -331,7 +308,7 @@
             lost = isinstance(error, TargetLostError)
             self._log_loss(attempt, error)
         finally:
-            del self._running[attempt.id]
+            self._evidence.end(attempt.id)
             self._shed_hold.note(time.monotonic(), outcome)
             self._note_door(attempt, outcome, visit, lost=lost)
         self._learn(attempt, outcome, running, kept=visit.survived)
@@ -384,28 +361,16 @@
                 target=self.target.name,
             )
 
-    def _learn(self, attempt: Attempt, outcome: Outcome, running: _Running, *, kept: bool) -> None:
+    def _learn(self, attempt: Attempt, outcome: Outcome, running: Running, *, kept: bool) -> None:
         """Take an attempt's end as evidence; losses at once are the door's, `kept` ones count."""
         service_ms = (time.monotonic() - running.started) * 1000.0
-        match outcome:
-            case Answered(status=status):
-                failed = status >= SERVER_ERROR
-            case NotRun(reason=Reason.SHED) | Unknown(reason=Reason.CANCELLED):
-                return
-            case Unknown(reason=Reason.TARGET_LOST) if not kept:
-                return
-            case _:
-                failed = True
+        failed = speaks_against(outcome, kept=kept)
+        if failed is None:
+            return
         if self._pause.last_stall >= running.started:
             return
         with self._lock:
-            self._learnt_at = time.monotonic()
-            self._detector.observe(
-                Sample(failed, service_ms),
-                slow_ms=attempt.slow_ms,
-                counted_slow=running.looks > 0,
-                at=self._learnt_at,
-            )
+            self._evidence.learn(time.monotonic(), running, service_ms, failed=failed)
             self._limit.observe(
                 time.monotonic(), service_ms, attempt.slow_ms, self._admission.in_use
             )
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,9 +8,10 @@
 
 import pytest
 
+from roadpass.evidence import HANGING_MS
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
-from roadpass.local import HANGING_MS, PROVEN_S
+from roadpass.local import PROVEN_S
 from roadpass.message import Attempt
 from roadpass.outcome import Answered, NotRun, Reason, Unknown
 from roadpass.pause import PauseWatch
