Split the tests of a request's way from those of its outcome

What tests which targets are asked, in which order and until when is in test_trip; both use the fake sidecar of tests/fake_sidecar.

--- /dev/null
+++ b/tests/fake_sidecar.py
@@ -0,0 +1,76 @@
+"""A dispatcher beside a fake sidecar that gives the outcomes of a script."""
+
+import json
+import time
+
+from roadpass.dispatch import Dispatcher
+from roadpass.fence import Verdict
+from roadpass.fleet import Fleet
+from roadpass.message import Attempt, LoadReport, Reply
+from roadpass.outcome import NotRun, Outcome, Reason
+from roadpass.pause import PauseWatch
+from roadpass.peer import PeerPool
+from roadpass.request import CallerWatch, Request
+from roadpass.sidecar import Sidecar
+from roadpass.view import View
+
+VM = "vm-1"
+BEHIND: dict[str, int] = {}
+"""VMs that were reported to hold a newer revision."""
+
+
+class FakeSidecar(Sidecar):
+    """Gives the outcomes of a script, then refuses; notes what was run."""
+
+    def __init__(self, script: list[Outcome]) -> None:
+        self.script = script
+        self.attempts: list[Attempt] = []
+        self.verdict = Verdict.NEVER_STARTS
+        self.load: LoadReport | None = None
+
+    def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
+        self.attempts.append(attempt)
+        refused = NotRun(Reason.QUEUE_FULL)
+        return Reply(self.script.pop(0) if self.script else refused, self.load)
+
+    def fence_key(self, key: str, token: str) -> Verdict:
+        return self.verdict
+
+
+class SlowSidecar(FakeSidecar):
+    """Takes a moment for each attempt."""
+
+    def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
+        time.sleep(0.005)
+        return super().run(attempt, age_s, watch)
+
+
+def fleet(**service: object) -> Fleet:
+    """Return a fleet with one service on one VM."""
+    value = {
+        "services": {"s": {"floor_slots": 1, "retry_ratio": 0.5, **service}},
+        "targets": {
+            f"t{n}": {"service": "s", "vm": VM, "address": f"127.0.0.1:{9000 + n}", "slots": 1}
+            for n in range(4)
+        },
+        "routes": {
+            "get": {"path": "/", "methods": ["GET"], "service": "s", "repeatable": True},
+            "post": {"path": "/", "methods": ["POST"], "service": "s"},
+        },
+    }
+    return Fleet.from_documents([("all", json.dumps(value))], revision=1, digest="d")
+
+
+def dispatcher(sidecar: Sidecar, **service: object) -> Dispatcher:
+    """Return a ready dispatcher on the fleet."""
+    view = View(VM, "hall", "region")
+    view.fleet = fleet(**service)
+    view.ready = True
+    return Dispatcher(
+        view, 1, sidecar, PeerPool({}, ()), PauseWatch(), behind=BEHIND.__setitem__, seed=1
+    )
+
+
+def request(method: str = "POST", **fields: object) -> Request:
+    """Return a request."""
+    return Request("h", method, "/x", [], b"", "c", **fields)  # type: ignore[arg-type]
