Log every opening and shutting of a door, also by time

Cause: a door that opened since trials were kept for a while, or since nothing was tried for long, left no line; only ends of attempts did. Change: one line at each change, with how long ago the target was proven. Measured: its test failed before (no door-open line).

--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -79,6 +79,7 @@
             target.address, max_connections=target.connections, dialect=dialect
         )
         self._door = Door()
+        self._door_told_shut = False
         self._shed_hold = ShedHold()
         self._limit = AdaptiveLimit(target.slots)
         self._admission = Admission(
@@ -171,9 +172,10 @@
                 pressing=question.pressing,
                 spare=question.spare,
             )
-            if admitted:
-                return None
             wait_s = self._door.wait_s(now)
+        self._tell_door(now)
+        if admitted:
+            return None
         return NotRun(Reason.SICK, max(SICK_RETRY_MS, int(wait_s * 1000.0)))
 
     def run(self, attempt: Attempt, deadline: float, watch: CallerWatch | None = None) -> Outcome:
@@ -350,16 +352,25 @@
         now = time.monotonic()
         with self._lock:
             good = isinstance(outcome, Answered)
-            moved = self._door.end(now, visit, good=good, lost=lost)
+            self._door.end(now, visit, good=good, lost=lost)
+        self._tell_door(now, attempt)
+
+    def _tell_door(self, now: float, attempt: Attempt | None = None) -> None:
+        """Log that the door has opened or shut since the last line, by an attempt or by time."""
+        with self._lock:
             shut = self._door.shut
-        if moved:
-            decided(
-                "sidecar",
-                "door-shut" if shut else "door-open",
-                request=attempt.request_id,
-                attempt=attempt.id,
-                target=self.target.name,
-            )
+            if shut is self._door_told_shut:
+                return
+            self._door_told_shut = shut
+            proven_age_s = self._door.proven_age_s(now)
+        decided(
+            "sidecar",
+            "door-shut" if shut else "door-open",
+            request=attempt.request_id if attempt else "",
+            attempt=attempt.id if attempt else None,
+            target=self.target.name,
+            proven_age_s=round(proven_age_s, 3) if math.isfinite(proven_age_s) else None,
+        )
 
     def _learn(self, attempt: Attempt, outcome: Outcome, running: Running, *, kept: bool) -> None:
         """Take an attempt's end as evidence; losses at once are the door's, `kept` ones count."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from roadpass.door import SURVIVED_S
 from roadpass.evidence import HANGING_MS
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
@@ -227,6 +228,22 @@
     assert reason(bench, attempt(4, wants_proven=True, may_wait=False)) is Reason.UNPROVEN
 
 
+def test_the_door_leaves_a_line_when_it_shuts_and_when_it_opens(
+    bench: Bench, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Also when it is time, and no answer, that opens it."""
+    local = bench.sidecar.targets["t"]
+    with caplog.at_level("INFO", logger="roadpass.sidecar"):
+        now = time.monotonic()
+        local._door.end(now, local._door.begin(now), good=False, lost=True)
+        assert reason(bench, attempt(1)) is Reason.SICK
+        assert reason(bench, attempt(2)) is Reason.SICK
+        for visit in (local._door.begin(now), local._door.begin(now)):
+            visit.started -= 2 * SURVIVED_S
+        assert reason(bench, attempt(3)) is None
+    assert [r.message for r in caplog.records if "door" in r.message] == ["door-shut", "door-open"]
+
+
 def occupy(bench: Bench, count: int) -> list[threading.Thread]:
     """Start requests that take long, and wait until the target has them."""
     behaviour = bench.state.behaviour
