Split the making and the sending of an attempt from its step at the ingress

Behaviour is the same; the clock is read just before the threshold of slowness is looked up, not just after.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -12,7 +12,7 @@
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
 from roadpass.load import LoadTable
-from roadpass.message import LoadReport, Reply
+from roadpass.message import Attempt, LoadReport, Reply
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
@@ -206,19 +206,29 @@
             refusal = self._fence_key(trip, attempt_id)
             if refusal is not None:
                 return refusal
-        slow_ms = self._view.service(trip.service.name).slow_ms.get(target.name, 0.0)
         started = time.monotonic()
-        revision = self._view.fleet.revision
-        attempt = trip.attempt(
+        attempt = self._next_attempt(trip, attempt_id, target, started)
+        pending = Pending(trip.service.name, target.name, started)
+        reply = self._send(trip, target, attempt, pending)
+        self._learn(trip, target, reply, pending, started)
+        used = self._loads.load(target.name, started).utilization
+        log_attempt(trip, target, attempt, reply.outcome, started, used)
+        return reply.outcome
+
+    def _next_attempt(self, trip: Trip, attempt_id: str, target: Target, now: float) -> Attempt:
+        slow_ms = self._view.service(trip.service.name).slow_ms.get(target.name, 0.0)
+        return trip.attempt(
             attempt_id,
             target,
-            started,
-            revision=revision,
+            now,
+            revision=self._view.fleet.revision,
             slow_ms=slow_ms,
             has_repeat=self._budget(trip.service).tokens >= 1.0,
         )
-        pending = Pending(trip.service.name, target.name, started)
-        self.pending[attempt_id] = pending
+
+    def _send(self, trip: Trip, target: Target, attempt: Attempt, pending: Pending) -> Reply:
+        """Send an attempt, and count it as under way until its end."""
+        self.pending[attempt.id] = pending
         self._loads.begin(target.name)
         latency_ms: float | None = None
         try:
@@ -228,13 +238,10 @@
                     latency_ms = service_ms
                 case _:
                     pass
+            return reply
         finally:
-            del self.pending[attempt_id]
+            del self.pending[attempt.id]
             self._loads.end(target.name, latency_ms, overdue=pending.looks > 0)
-        self._learn(trip, target, reply, pending, started)
-        used = self._loads.load(target.name, started).utilization
-        log_attempt(trip, target, attempt, reply.outcome, started, used)
-        return reply.outcome
 
     def _fence_key(self, trip: Trip, attempt_id: str) -> Outcome | None:
         """Have every sidecar of the service vouch that a declared repeat's key never started."""
