Call a peer's newer version by another name than news of a source

Two classes were called `News`, and the node used both kinds: the puller's message is `VersionHeard` now. Nothing else changes.

--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -45,7 +45,14 @@
 from roadpass.peer import Address, PeerPool
 from roadpass.platform.dialect import PLATFORM
 from roadpass.platform.store import StoreClient
-from roadpass.reader import News, Puller, Reader, ReaderEvents, Status, choose_readers
+from roadpass.reader import (
+    Puller,
+    Reader,
+    ReaderEvents,
+    Status,
+    VersionHeard,
+    choose_readers,
+)
 from roadpass.reading_turn import Standing
 from roadpass.revision import Version
 from roadpass.settings import Settings, StoreSettings
@@ -318,13 +325,13 @@
     def _on_version(self, version: Version, address: Address) -> None:
         if self._settings.store is not None:
             return
-        self._puller.tell(News(version, address))
+        self._puller.tell(VersionHeard(version, address))
 
     def _on_behind(self, vm: str, revision: int) -> None:
         """Pull from a node that was seen to hold a newer revision."""
         peer = self._view.nodes.get(vm)
         if peer is not None and self._settings.store is None:
-            self._puller.tell(News(Version(revision, ""), (peer.address, peer.stream_port)))
+            self._puller.tell(VersionHeard(Version(revision, ""), (peer.address, peer.stream_port)))
 
     def _on_hint(self, target: str, scores: Scores) -> None:
         self._monitor.tell(HintHeard(target, scores))
--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -207,7 +207,7 @@
             self._audit.record(Kind.PLATFORM, self._settings.platform_url, why)
 
 
-class News(NamedTuple):
+class VersionHeard(NamedTuple):
     """A peer holds a newer version."""
 
     version: Version
@@ -241,12 +241,12 @@
     def handle(self, message: Any) -> None:
         """Handle one message."""
         match message:
-            case News():
+            case VersionHeard():
                 self._on_news(message)
             case _:
                 _log.error("unknown message %r", message)
 
-    def _on_news(self, news: News) -> None:
+    def _on_news(self, news: VersionHeard) -> None:
         now = time.monotonic()
         held = self._store.held
         recent = now - self._offered.get(news.version, float("-inf")) < PULL_S
