--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -22,6 +22,9 @@
 LONG_SHUT_S = 1.5
 """Seconds since the latest loss after which work is tried that is lost if it fails: in a crowded
 moment no other is left, and half the spells have ended by then."""
+LATE_S = 0.1
+"""Seconds after which a loss tells nothing of whether the next request is taken: more than
+`SURVIVED_S`, since a node that gets little processor time notices a loss at once late."""
 STARVED_S = 4.0
 """Seconds shut without repeatable work to try after which it opens for all: evidence is stale."""
 GOODS_TO_OPEN = 2
@@ -116,7 +119,7 @@
         was_shut = self._shut
         self._look(now)
         self._visits.remove(visit)
-        if lost and not visit.survived:
+        if lost and now - visit.started < LATE_S:
             self._lose(now, visit)
         elif good and not visit.survived:
             self._survive(visit)
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -8,7 +8,7 @@
 from roadpass.decision import decided
 from roadpass.detect import Scores
 from roadpass.dialect import OWN, Dialect
-from roadpass.door import Door, Visit
+from roadpass.door import LATE_S, Door, Visit
 from roadpass.errors import TargetError, TargetRefusedError
 from roadpass.evidence import Evidence, Running, speaks_against
 from roadpass.fence import FenceTable
@@ -313,7 +313,7 @@
             self._evidence.end(attempt.id)
             self._shed_hold.note(time.monotonic(), outcome)
             self._note_door(attempt, outcome, visit, lost=lost)
-        self._learn(attempt, outcome, running, kept=visit.survived)
+        self._learn(attempt, outcome, running)
         return outcome
 
     def _ask(self, attempt: Attempt, timeout_s: float, watch: CallerWatch | None) -> TargetAnswer:
@@ -372,10 +372,10 @@
             proven_age_s=round(proven_age_s, 3) if math.isfinite(proven_age_s) else None,
         )
 
-    def _learn(self, attempt: Attempt, outcome: Outcome, running: Running, *, kept: bool) -> None:
-        """Take an attempt's end as evidence; losses at once are the door's, `kept` ones count."""
+    def _learn(self, attempt: Attempt, outcome: Outcome, running: Running) -> None:
+        """Take an attempt's end as evidence; losses at once are the door's, late ones count."""
         service_ms = (time.monotonic() - running.started) * 1000.0
-        failed = speaks_against(outcome, kept=kept)
+        failed = speaks_against(outcome, kept=service_ms >= LATE_S * 1000.0)
         if failed is None:
             return
         if self._pause.last_stall >= running.started:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -7,6 +7,7 @@
     GOODS_TO_OPEN,
     HOLD_MAX_S,
     HOLD_S,
+    LATE_S,
     LONG_SHUT_S,
     STARVED_S,
     SURVIVED_S,
@@ -74,6 +75,15 @@
     assert not door.shut
 
 
+def test_a_loss_that_is_noticed_a_little_late_shuts_it() -> None:
+    """A busy node does not see at once what was lost at once."""
+    door = Door()
+    visit = door.begin(1.0)
+    assert door.admits(1.0 + 2 * SURVIVED_S, repeatable=False)
+    assert door.end(1.0 + 2 * SURVIVED_S, visit, good=False, lost=True)
+    assert not door.admits(1.0 + 2 * SURVIVED_S, repeatable=False)
+
+
 def test_what_would_be_lost_is_tried_only_after_a_long_time() -> None:
     """Then it is better than nothing: without any trial the door would stay shut."""
     door = Door()
@@ -104,7 +114,7 @@
     """The target took the request: its answers may be lost, but not the next request at once."""
     door = Door()
     late = door.begin(1.0)
-    assert not door.end(1.0 + 2 * SURVIVED_S, late, good=False, lost=True)
+    assert not door.end(1.0 + LATE_S, late, good=False, lost=True)
     assert door.admits(1.5, repeatable=False)
     assert door.proven_age_s(1.5) == 0.5
 
--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -76,8 +76,8 @@
     Mechanism(
         "work that must not repeat stays out of a shut door",
         "roadpass/door.py",
-        "        if not repeatable:\n            return False",
-        "        if False:\n            return False",
+        "if not repeatable or not (spare or now - self._lost_at >= LONG_SHUT_S):",
+        "if False:",
         "tests/test_door.py",
     ),
     Mechanism(
