--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -1,4 +1,6 @@
 """Runs that broke a promise by a real fault: its cause by seed, seconds and processes."""
 
-PAUSED_STOP = "a stop that was paused takes the pause for quiet and drops unread requests"
+PAUSED_STOP = (
+    "a stop took a pause, or a lack of processor time, for quiet: unread requests were lost"
+)
 REGRESSIONS = dict.fromkeys([(117, 15.0, 5), (208, 30.0, 6), (214, 30.0, 6)], PAUSED_STOP)
