Read datagrams only once the reader of the store is there

On an idle machine it is a few milliseconds after each start. Change: the gossip begins after the readers. Measured: the new test failed before for a node with a store and passed for one without; now both pass.

--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -130,12 +130,12 @@
         self._gossip_proxy = self._gossip.proxy()
         self._monitor = self._start_monitor()
         self._puller = self._start(Puller, self._peers, self._store, self._offer, self.metrics)
-        self._gossip.tell(Begin())
         self._start(StreamServer, self._settings, self._sidecar)
         if self._settings.store is not None:
             self._start_store_reader(self._settings.store)
         else:
             self._start_reader()
+        self._gossip.tell(Begin())
         self._start(Admin, self._settings, self._pages().handlers())
         self._ingress_proxy = self._start_ingress().proxy()
 
