Read the settings again on SIGHUP, and live on

Change: SIGHUP, or a file that differs, has the settings read again: stop limit, log level and the store's policy are in force at once, a line names the fields that want a restart; a file that cannot be used is an error line, and the old settings stay. It is ignored from the start of main on; in the 0.1 s of imports before it still ends the process. Policies reach the reader as a message.

--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -84,6 +84,10 @@
         """Targets by instance, those included whose entry was withdrawn a moment ago."""
         return self._targets
 
+    def adopt(self, policy: Policy) -> None:
+        """Put another policy in force for the fleets that are built from now on."""
+        self._policy = policy
+
     def source_away(self, now: float) -> None:
         """Note that the source could not be read: withdrawals may be lapses."""
         self._away_until = max(self._away_until, now)
--- a/roadpass/daemon.py
+++ b/roadpass/daemon.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import threading
+import time
 from pathlib import Path
 from types import FrameType
 
@@ -13,6 +14,7 @@
 from roadpass.errors import SettingsError
 from roadpass.node import Node
 from roadpass.settings import Settings
+from roadpass.settings_file import SettingsFile
 
 SWITCH_INTERVAL_S = 0.0005
 TICK_S = 0.25
@@ -26,11 +28,12 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run until SIGTERM or SIGINT.
+    """Run until SIGTERM or SIGINT; SIGHUP says that the settings file changed.
 
     Returns:
         0 after a stop that cut nothing, 1 if the stop limit passed first, 2 for bad settings.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = argparse.ArgumentParser(prog="roadpassd", description="One roadpass node.")
     default = os.environ.get(SETTINGS_VARIABLE)
     parser.add_argument(
@@ -50,20 +53,26 @@
         return EXIT_SETTINGS
     log.set_up(settings.log_level, settings.log_format)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    return _run(Node(settings))
+    return _run(Node(settings), SettingsFile(options.settings, settings))
 
 
-def _run(node: Node) -> int:
+def _run(node: Node, file: SettingsFile) -> int:
     stopping = threading.Event()
+    changed = threading.Event()
 
-    def on_signal(_: int, __: FrameType | None) -> None:
-        stopping.set()
+    def on_signal(number: int, _: FrameType | None) -> None:
+        (changed if number == signal.SIGHUP else stopping).set()
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, on_signal)
     node.start()
     while not stopping.wait(TICK_S):
         node.tick()
+        asked = changed.is_set()
+        changed.clear()
+        settings = file.poll(time.monotonic(), asked=asked)
+        if settings is not None:
+            node.adopt(settings)
     node.leave()
     drained = node.drain()
     if not drained:
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -1,5 +1,6 @@
 """A node: all parts of one `roadpassd` process, wired together."""
 
+import logging
 import random
 import threading
 import time
@@ -179,11 +180,10 @@
         )
 
     def _start_store_reader(self, store: StoreSettings) -> None:
-        policy = Policy(store.floor_share, store.retry_ratio, store.retry_slack)
         self._store_reader = self._start(
             StoreReader,
             StoreClient(store.address, self.metrics),
-            Catalogue(policy),
+            Catalogue(_policy(store)),
             self._journal,
             StoreEvents(
                 on_fleet=self._on_published,
@@ -220,6 +220,18 @@
             self._next_counters = now + COUNTERS_S
             decided("node", "counters", vm=self._settings.vm, counters=self.metrics.counters())
 
+    def adopt(self, settings: Settings) -> None:
+        """Put changed settings in force as far as a running node can; the others want a restart."""
+        logging.getLogger("roadpass").setLevel(settings.log_level.upper())
+        own = self._settings
+        taken = own._replace(stop_limit_s=settings.stop_limit_s, log_level=settings.log_level)
+        if own.store is not None and settings.store is not None:
+            taken = taken._replace(store=settings.store._replace(address=own.store.address))
+            self._store_reader.tell(_policy(settings.store))
+        self._settings = taken
+        left = [name for name in own._fields if getattr(taken, name) != getattr(settings, name)]
+        decided("node", "settings-in-force", vm=own.vm, after_a_restart=left)
+
     def leave(self) -> None:
         """Say that this node leaves, and take no new work; what is in flight goes on.
 
@@ -391,3 +403,8 @@
                 in_flight=self._in_flight,
             )
         )
+
+
+def _policy(store: StoreSettings) -> Policy:
+    """Return what the operators set for all services of a store."""
+    return Policy(store.floor_share, store.retry_ratio, store.retry_slack)
--- /dev/null
+++ b/roadpass/settings_file.py
@@ -0,0 +1,70 @@
+"""The settings file of a running process: read again on a signal, or when it has changed."""
+
+import logging
+import os
+from pathlib import Path
+
+from roadpass.decision import decided
+from roadpass.errors import SettingsError
+from roadpass.settings import Settings
+
+CHECK_S = 1.0
+"""Seconds between looks at whether the file changed, where no signal says so."""
+
+_log = logging.getLogger("roadpass.settings")
+
+
+class SettingsFile:
+    """Watches the file that the settings in force came from.
+
+    Args:
+        path: Of the file.
+        settings: As they were read at the start.
+    """
+
+    def __init__(self, path: Path, settings: Settings) -> None:
+        self._path = path
+        self._settings = settings
+        self._seen = self._signature()
+        self._next_look = 0.0
+
+    def poll(self, now: float, *, asked: bool) -> Settings | None:
+        """Return other settings than those in force, `None` if there are none.
+
+        What cannot be used is logged, and the settings in force stay.
+
+        Args:
+            now: Monotonic seconds.
+            asked: Whether a signal says that the file changed.
+        """
+        if not asked and now < self._next_look:
+            return None
+        self._next_look = now + CHECK_S
+        seen = self._signature()
+        if seen == self._seen and not asked:
+            return None
+        self._seen = seen
+        return self._read()
+
+    def _read(self) -> Settings | None:
+        try:
+            settings = Settings.from_config(self._path)
+        except SettingsError as error:
+            for problem in error.problems:
+                _log.error("settings not read again, the old ones stay: %s", problem)
+            return None
+        old, self._settings = self._settings, settings
+        changed = [
+            name for name in Settings._fields if getattr(old, name) != getattr(settings, name)
+        ]
+        decided("settings", "read-again", changed=changed)
+        return settings if changed else None
+
+    def _signature(self) -> tuple[int, int, int]:
+        """Return what differs once the file was written or replaced."""
+        try:
+            stat = os.stat(self._path)
+        except OSError as error:
+            _log.warning("the settings file cannot be seen: %s", error)
+            return 0, 0, 0
+        return stat.st_mtime_ns, stat.st_ino, stat.st_size
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -15,7 +15,7 @@
 from roadpass._actor import Actor
 from roadpass._ticker import Ticker
 from roadpass.audit import AuditTrail, Kind
-from roadpass.catalogue import Catalogue
+from roadpass.catalogue import Catalogue, Policy
 from roadpass.decision import decided
 from roadpass.errors import PlatformError, StreamError
 from roadpass.fleet import Fleet
@@ -123,6 +123,9 @@
                 self._on_tick()
             case Word():
                 self._on_word(message)
+            case Policy():
+                self._catalogue.adopt(message)
+                self._publish(True)
             case _:
                 _log.error("unknown message %r", message)
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -79,7 +80,7 @@
         self.store.put("servers/i-1", entry(f"{TARGET[0]}:{TARGET[1]}"))
         self.server = store_server((IP, 8104), self.store)
         self.server.start_thread()
-        settings = {
+        settings: dict[str, Any] = {
             "vm": IP,
             "hall": "h",
             "region": "r",
@@ -90,9 +91,10 @@
             "stop_limit_s": "6s",
             "log": {"format": "json"},
         }
-        path = folder / "settings.jsonc"
-        path.write_text(json.dumps(settings))
-        command = [sys.executable, "-m", "roadpass.daemon", f"--settings={path}"]
+        self.settings = settings
+        self.path = folder / "settings.jsonc"
+        self.path.write_text(json.dumps(settings))
+        command = [sys.executable, "-m", "roadpass.daemon", f"--settings={self.path}"]
         self.log = (folder / "log").open("wb")
         self.daemon = subprocess.Popen(command, stdout=self.log, stderr=subprocess.STDOUT)
 
@@ -118,6 +120,13 @@
             time.sleep(0.05)
         raise AssertionError("not in time")
 
+    def wait_for_line(self, part: str, times: int = 1) -> None:
+        """Wait until the daemon has logged so many lines with some text."""
+        deadline = time.monotonic() + 10.0
+        while Path(self.log.name).read_text().count(part) < times:
+            assert time.monotonic() < deadline, "not in time"
+            time.sleep(0.05)
+
     def close(self) -> None:
         """End what was started."""
         self.daemon.kill()
@@ -169,6 +178,29 @@
     assert stage.daemon.wait(timeout=8.0) == 0
 
 
+def test_a_hang_up_reads_the_settings_again_and_ends_nothing(stage: Stage) -> None:
+    """Twice at once, with a file that cannot be used, and with one that can."""
+    stage.path.write_text("{ no settings")
+    for _ in range(2):
+        stage.daemon.send_signal(signal.SIGHUP)
+    stage.wait_for_line("the old ones stay")
+    assert stage.ask("GET", "/a/x") == (200, b"ok")
+    stage.path.write_text(json.dumps({**stage.settings, "stop_limit_s": "5s", "hall": "other"}))
+    stage.daemon.send_signal(signal.SIGHUP)
+    stage.wait_for_line('"after_a_restart": ["hall"]')
+    assert stage.ask("GET", "/a/x") == (200, b"ok")
+    assert stage.daemon.poll() is None
+
+
+def test_a_settings_file_that_changes_without_a_signal_is_read_again(stage: Stage) -> None:
+    """Its budget of repeats is in force then."""
+    store = {**stage.settings["store"], "retry_slack": 90}
+    stage.path.write_text(json.dumps({**stage.settings, "store": store}))
+    stage.wait_for_line("settings-in-force")
+    stage.wait_for_line('"what": "fleet-in-force"', times=2)
+    assert stage.ask("GET", "/a/x") == (200, b"ok")
+
+
 def test_without_a_configuration_it_answers_503_and_not_404(tmp_path: Path) -> None:
     """It does not know its routes yet."""
     stage = Stage(tmp_path)
