Read the source anew after it lost its history, whatever peers still tell

Excluded: the store's rate, and the peers' journals, which start anew with a whole reading. Change: a word that does not go beyond what was held at the loss is left out until a whole reading, the own one or a peer's, is there. Test first: 410, then an older word every 5 ms, then the reading; it failed before (the older word was asked for) and passes now, and a peer's whole reading is still taken.

--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -100,6 +100,7 @@
         self._rng = rng
         self._turn = ReadingTurn(bound_s, rng.random())
         self._revision: int | None = None
+        self._lost_at = 0
         self._confirmed_at = -math.inf
         self._rest_until = -math.inf
         self._failures = 0
@@ -163,7 +164,13 @@
         return self._turn.is_due(self._events.standing(), now - self._confirmed_at)
 
     def _on_word(self, word: Word) -> None:
-        """Take a peer's word; ask it for what this node lacks."""
+        """Take a peer's word; ask it for what this node lacks.
+
+        After the source has lost its history, what peers hold from before tells nothing: only a
+        whole reading, the own one or a peer's, goes on from there.
+        """
+        if self._revision is None and word.revision <= self._lost_at:
+            return
         if self._revision is not None and word.revision <= self._revision:
             if word.at > self._confirmed_at:
                 self._confirm(word.at, own=False)
@@ -175,7 +182,7 @@
             return
         if news.away_at is not None:
             self._source_away(news.away_at)
-        if self._revision is None or news.changes.revision > self._revision:
+        if news.changes.revision > (self._lost_at if self._revision is None else self._revision):
             self._take(news.changes, news.at, origin=word.vm)
 
     def _read(self, now: float) -> None:
@@ -183,6 +190,7 @@
         try:
             changes = self._call(now)
         except HistoryLostError as error:
+            self._lost_at = self._revision or self._lost_at
             self._revision = None
             self._failed(error)
         except PlatformError as error:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -251,6 +251,57 @@
     assert any(event.subject == "servers/bad" for event in audit.since())
 
 
+def test_an_older_word_does_not_stand_in_for_the_reading_after_a_lost_history(
+    bench: Bench,
+) -> None:
+    """A peer that has not noticed yet tells on what it holds: from there no history goes on."""
+    followed = Followed()
+    asked: list[int] = []
+    held = bench.client.snapshot()
+
+    def ask(_: Address, after: int) -> News:
+        asked.append(after)
+        return News(held, time.monotonic())
+
+    ref = start_reader(bench, followed, AuditTrail(), ask=ask)
+    try:
+        followed.wait_for(lambda fleet: fleet.revision == 4)
+        bench.state.put("op/config", config(6, [ROW]))
+        bench.state.forget()
+        deadline = time.monotonic() + LIMIT_S
+        while not any(fleet.revision == 6 for fleet in followed.fleets):
+            assert time.monotonic() < deadline, "not in time"
+            ref.tell(Word(held.revision, time.monotonic(), "vm-2", ("127.0.0.1", 1)))
+            time.sleep(0.005)
+    finally:
+        ref.stop()
+    assert asked == []
+
+
+def test_after_a_lost_history_the_whole_reading_of_a_peer_will_do(bench: Bench) -> None:
+    """It goes on beyond what was lost, so this node need not read itself."""
+    followed = Followed()
+    whole = News(bench.client.snapshot(), 0.0)
+
+    def ask(_: Address, after: int) -> News:
+        return whole
+
+    ref = start_reader(bench, followed, AuditTrail(), ask=ask)
+    try:
+        followed.wait_for(lambda fleet: fleet.revision == 4)
+        bench.state.put("op/config", config(6, [ROW]))
+        whole = News(bench.client.snapshot(), time.monotonic())
+        bench.state.forget()
+        bench.state.range = lambda prefix, after: {"items": None}  # type: ignore[method-assign]
+        deadline = time.monotonic() + LIMIT_S
+        while not any(fleet.revision == 6 for fleet in followed.fleets):
+            assert time.monotonic() < deadline, "not in time"
+            ref.tell(Word(whole.changes.revision, whole.at, "vm-2", ("127.0.0.1", 1)))
+            time.sleep(0.01)
+    finally:
+        ref.stop()
+
+
 def test_a_node_that_is_told_reads_nothing_itself(bench: Bench) -> None:
     """The word of a peer is enough, and what it lacks it asks of that peer."""
     followed = Followed()
