--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -126,7 +126,8 @@
     may_wait: bool
     pressing: bool
     last: bool
-    wants_proven: bool
+    most_bad: int | float
+    most_wait_ms: int | float
 
 
 class CatchUp(TypedDict, total=False):
@@ -170,7 +171,9 @@
     pressing: Required[bool]
     r""" Required property """
 
-    wants_proven: bool
+    most_bad: int | float
+    most_wait_ms: int | float
+    retry: bool
     spare: bool
     traffic_class: Required[str]
     r""" Required property """
@@ -314,6 +317,8 @@
     revision: Required[int]
     r""" Required property """
 
+    bad: int | float
+    wait_ms: int | float
 
 
 Message = Union["Hello", "Attempt", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Pull", "Revision", "CatchUp", "News", "Datagram"]
--- a/roadpass/_generated/settings_types.py
+++ b/roadpass/_generated/settings_types.py
@@ -222,6 +222,21 @@
 
 
 
+_SETTINGS_STORE_RETRY_WINDOW_S_DEFAULT = 10
+r""" Default value of the field path 'settings store retry_window_s' """
+
+
+
+_SETTINGS_STORE_RETRY_WINDOW_S_ONEOF0_DEFAULT = 10
+r""" Default value of the field path 'settings store retry_window_s oneof0' """
+
+
+
+_SETTINGS_STORE_RETRY_WINDOW_S_ONEOF1_DEFAULT = 10
+r""" Default value of the field path 'settings store retry_window_s oneof1' """
+
+
+
 _SETTINGS_THREADS_DEFAULT = 48
 r""" Default value of the field path 'settings threads' """
 
@@ -388,6 +403,15 @@
     default: 0
     """
 
+    retry_window_s: Union["_SettingsStoreRetryWindowSOneof0", "_SettingsStoreRetryWindowSOneof1"]
+    r"""
+    Length of such a window: seconds, or text with a unit.
+
+    default: 10
+
+    Aggregation type: oneOf
+    """
+
 
 
 _SettingsStoreInForceSOneof0 = int | float
@@ -405,3 +429,20 @@
 pattern: ^[0-9]+([.][0-9]+)?(ms|s)$
 """
 
+
+
+_SettingsStoreRetryWindowSOneof0 = int | float
+r"""
+default: 10
+minimum: 1
+maximum: 3600
+"""
+
+
+
+_SettingsStoreRetryWindowSOneof1 = str
+r"""
+default: 10
+pattern: ^[0-9]+([.][0-9]+)?(ms|s)$
+"""
+
--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -124,7 +124,14 @@
         self._service_ms = service_ms
 
     def offer(
-        self, now: float, traffic_class: str, caller: str, remaining_s: float, *, retry: bool
+        self,
+        now: float,
+        traffic_class: str,
+        caller: str,
+        remaining_s: float,
+        *,
+        retry: bool,
+        own_ms: float = 0.0,
     ) -> Decision:
         """Decide on a new request.
 
@@ -134,6 +141,8 @@
             caller: Who asks, for turns among callers.
             remaining_s: Time until its deadline.
             retry: Whether it is a retry, which is shed first.
+            own_ms: Milliseconds that one of its kind usually takes, 0 if unknown: a short one
+                still meets a deadline that the mean of all kinds would miss.
         """
         name = traffic_class if traffic_class in self._classes else self._last_class
         state = self._classes[name]
@@ -143,7 +152,7 @@
             self._take(state)
             return Admitted()
         wait_ms = self._expected_wait_ms(name)
-        if wait_ms + self._service_ms > remaining_s * 1000.0:
+        if wait_ms + (own_ms or self._service_ms) > remaining_s * 1000.0:
             return self._refuse(Reason.TOO_LATE, wait_ms)
         displaced = None
         if not self._has_room(state, caller, retry):
--- a/roadpass/balance.py
+++ b/roadpass/balance.py
@@ -10,6 +10,9 @@
 DRAWS = 4
 EXPLORE_SHARE = 0.02
 """Share of requests that ignore distance, so that an ingress knows how the others fare."""
+BAD_WEIGHT = 10.0
+"""How many times longer a request is taken to last at a target that is surely in a bad spell: about
+ten times the usual time passes until nothing more is expected of it."""
 TIER_PENALTY_MS = (0.0, 3.0, 20.0)
 """Round trip to the same data hall, to others of the region, and to other regions."""
 
@@ -20,10 +23,12 @@
     Args:
         utilization: Requests in flight and queued, over its limit.
         latency_ms: Typical service time.
+        bad: How probable it is that the target is in a bad spell.
     """
 
     utilization: float
     latency_ms: float
+    bad: float = 0.0
 
 
 LoadOf: TypeAlias = Callable[[str], Load]
@@ -75,9 +80,24 @@
     def __init__(self, groups: Sequence[Sequence[Candidate]]) -> None:
         self._all = _tiers(groups, trials=True)
         self._settled = _tiers(groups, trials=False)
+        everybody = [member for group in groups for member in group]
+        self._far = frozenset(
+            member.name for member in everybody if member.tier > 0 and len(groups) == 1
+        )
+        self._near = frozenset(member.name for member in everybody) - self._far
         first = [member._replace(tier=0) for member in groups[0]] if groups else []
         self._anywhere = _tiers([first], trials=False)
 
+    @property
+    def far(self) -> frozenset[str]:
+        """Names of those in other data halls, empty where selectors put groups in an order."""
+        return self._far
+
+    @property
+    def near(self) -> frozenset[str]:
+        """Names of all others."""
+        return self._near
+
     @property
     def names(self) -> list[str]:
         """Names of all candidates, trials included."""
@@ -134,7 +154,7 @@
 
 
 def _cost(load: Load) -> float:
-    return (load.latency_ms + 1.0) * (1.0 + load.utilization)
+    return (load.latency_ms + 1.0) * (1.0 + load.utilization) * (1.0 + BAD_WEIGHT * load.bad)
 
 
 def _tiers(groups: Sequence[Sequence[Candidate]], *, trials: bool) -> list[_Tier]:
--- /dev/null
+++ b/roadpass/belief.py
@@ -0,0 +1,247 @@
+"""One belief per target: how probable it is that it fails what it is given now.
+
+A gray target has bad spells: for some seconds it loses most of what it gets, by a reset at once or
+by saying nothing at all, while its health check stays good. The filter here has two hidden states,
+sound and bad, and learns how often spells begin and how long they last. Every request is evidence
+for the moment at which it was given to the target: an answer, a failure, a loss at once, and also
+the silence so far, measured against the usual time of that kind of request. Silence counts from
+the first moment on, graded, and by kind: nothing has to time out before the next request goes
+elsewhere.
+"""
+
+import math
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from roadpass.usual import UsualTime
+
+BAD_SHARE = 0.75
+"""Share of its requests that a target fails in a bad spell: 0.7 to 0.86 were seen."""
+SOUND_LOSS = 0.001
+"""Share of its requests that a sound target loses at once: so rare that the first loss shuts the
+door even of a target that has just answered."""
+FAILED_IN_SPELL = 0.25
+"""Share of its answers that are failures in a spell of failures; kinds of spells are not told
+apart."""
+FAILED_MIN = 0.02
+FAILURE_MEMORY = 0.05
+"""Weight of one answer in the share of failures that a target usually answers with."""
+SETTLED_S = 0.03
+"""Seconds after which a request was not lost at once: resets came within 5 ms in all but 8 of 617
+losses seen."""
+LATE_S = 0.1
+"""Seconds after which a loss tells nothing of whether the next request is taken: more than
+`SETTLED_S`, since a node that gets little processor time notices a loss at once late."""
+BEGIN_PRIOR_S = 15.0
+LAST_PRIOR_S = 4.0
+"""Seconds from spell to spell, and of a spell, before any was seen: 9 to 20 and 3 to 6 were."""
+IN_SPELL = 0.7
+OUT_OF_SPELL = 0.2
+"""Beliefs from which on a spell is counted as begun, and as over, to learn how often and long."""
+CERTAIN = 0.93
+"""The belief never goes beyond this and its opposite, so that a few good answers turn it."""
+SURE = 0.01
+OPEN_MAX = 64
+"""Requests whose evidence is kept apart; beyond, the oldest count by what they showed so far."""
+KINDS_MAX = 512
+"""Kinds of requests whose usual time is kept, 0.1 KB each; the oldest goes first."""
+MODE_MEMORY = 20.0
+"""Losses of which it is remembered whether they came at once or in silence."""
+
+
+class End(Enum):
+    """How a request at a target ended, as far as it tells of the target."""
+
+    ANSWERED = auto()
+    FAILED = auto()
+    LOST = auto()
+    SILENT = auto()
+    NOTHING = auto()
+
+
+@dataclass(slots=True, eq=False)
+class Visit:
+    """A request that the target has or had.
+
+    Args:
+        kind: Of the request, such as its route.
+        started: Monotonic seconds.
+        trial: Whether it was let in although the target was believed bad.
+        seen_from: From when on its silence counts, monotonic seconds.
+        ratio: How many times more probable what it showed is at a bad target; `None` while it runs.
+        counted: Whether it has become part of the belief for good.
+    """
+
+    kind: str
+    started: float
+    trial: bool
+    seen_from: float
+    ratio: float | None = None
+    counted: bool = False
+
+
+class Belief:
+    """A filter over all that one target shows; pure, the caller's lock guards it.
+
+    Args:
+        now: Monotonic seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._at = now
+        self._usual: dict[str, UsualTime] = {}
+        self._visits: list[Visit] = []
+        self._failed = FAILED_MIN
+        self._resets = 1.0
+        self._silences = 1.0
+        self._in_spell = False
+        self._begun = 1.0
+        self._over = 1.0
+        self._sound_s = BEGIN_PRIOR_S
+        self._bad_s = LAST_PRIOR_S
+        self._looked_at = now
+        self._bad = self._usually_bad
+
+    @property
+    def running(self) -> list[Visit]:
+        """The requests that the target has."""
+        return [visit for visit in self._visits if visit.ratio is None]
+
+    def usual(self, kind: str) -> UsualTime:
+        """Return the usual time of a kind of request at this target."""
+        found = self._usual.get(kind)
+        if found is None:
+            if len(self._usual) >= KINDS_MAX:
+                del self._usual[next(iter(self._usual))]
+            found = self._usual[kind] = UsualTime()
+        return found
+
+    def bad(self, now: float) -> float:
+        """Return how probable it is that the target is in a bad spell, from 0 to 1."""
+        bad, at = self._bad, self._at
+        for visit in self._visits:
+            bad = _weighed(self._drift(bad, visit.started - at), self.ratio(now, visit))
+            at = max(at, visit.started)
+        return self._drift(bad, now - at)
+
+    def ratio(self, now: float, visit: Visit) -> float:
+        """Return how many times more probable what a request shows so far is at a bad target."""
+        if visit.ratio is not None:
+            return visit.ratio
+        age_s = now - visit.seen_from
+        if age_s < SETTLED_S:
+            return 1.0
+        longer = self.usual(visit.kind).longer(age_s * 1000.0)
+        silent = BAD_SHARE * self._silent_share + (1.0 - BAD_SHARE) * longer
+        return silent / longer
+
+    def begin(self, now: float, kind: str, *, trial: bool = False) -> Visit:
+        """Note that the target gets a request; what is returned is to be handed to `end`."""
+        visit = Visit(kind, now, trial, now)
+        self._visits.append(visit)
+        if len(self._visits) > OPEN_MAX:
+            self._count(now, self._visits.pop(0))
+        return visit
+
+    def end(self, now: float, visit: Visit, end: End, *, stalled_at: float = -math.inf) -> None:
+        """Note how a request ended.
+
+        Args:
+            now: Monotonic seconds.
+            visit: What `begin` returned.
+            end: How it ended.
+            stalled_at: When this process last stood still: silence before that tells nothing.
+        """
+        visit.seen_from = max(visit.seen_from, min(now, stalled_at))
+        self._learn(now, visit, end, stalled=stalled_at >= visit.started)
+        visit.ratio = self._final_ratio(now, visit, end)
+        while self._visits and self._visits[0].ratio is not None:
+            self._count(now, self._visits.pop(0))
+        self._look(now)
+
+    def stall(self, now: float) -> None:
+        """Note that this process stood still until now: silence up to here tells nothing."""
+        for visit in self._visits:
+            visit.seen_from = max(visit.seen_from, now)
+
+    @property
+    def _usually_bad(self) -> float:
+        begin, over = self._rates()
+        return begin / (begin + over)
+
+    @property
+    def _silent_share(self) -> float:
+        return self._silences / (self._silences + self._resets)
+
+    def _rates(self) -> tuple[float, float]:
+        """Return how many spells begin, and are over, a second of being sound or bad."""
+        return self._begun / self._sound_s, self._over / self._bad_s
+
+    def _drift(self, bad: float, for_s: float) -> float:
+        """Return the belief after so many seconds without evidence."""
+        if for_s <= 0.0:
+            return bad
+        begin, over = self._rates()
+        usually = begin / (begin + over)
+        return usually + (bad - usually) * math.exp(-(begin + over) * for_s)
+
+    def _final_ratio(self, now: float, visit: Visit, end: End) -> float:
+        match end:
+            case End.ANSWERED:
+                return 1.0 - BAD_SHARE
+            case End.FAILED:
+                return max(1.0, FAILED_IN_SPELL / self._failed)
+            case End.LOST if now - visit.started < LATE_S:
+                return BAD_SHARE / SOUND_LOSS
+            case End.SILENT:
+                return self.ratio(now, visit)
+            case _:
+                return 1.0
+
+    def _learn(self, now: float, visit: Visit, end: End, *, stalled: bool) -> None:
+        """Learn usual times and shares from a request's end."""
+        match end:
+            case End.ANSWERED | End.FAILED:
+                failed = float(end is End.FAILED)
+                self._failed += FAILURE_MEMORY * (failed - self._failed)
+                self._failed = max(FAILED_MIN, self._failed)
+                if not (failed or stalled):
+                    self.usual(visit.kind).add((now - visit.started) * 1000.0)
+            case End.LOST if now - visit.started < LATE_S:
+                self._resets += 1.0
+            case End.SILENT if self.ratio(now, visit) > 1.0 / (1.0 - BAD_SHARE):
+                self._silences += 1.0
+            case _:
+                return
+        if self._resets + self._silences > MODE_MEMORY:
+            self._resets *= 0.5
+            self._silences *= 0.5
+
+    def _count(self, now: float, visit: Visit) -> None:
+        """Make a request's evidence part of the belief for good."""
+        ratio = self.ratio(now, visit)
+        visit.counted = True
+        self._bad = _weighed(self._drift(self._bad, visit.started - self._at), ratio)
+        self._at = max(self._at, visit.started)
+
+    def _look(self, now: float) -> None:
+        """Learn how often spells begin and how long they last."""
+        passed_s = max(0.0, now - self._looked_at)
+        self._looked_at = now
+        if self._in_spell:
+            self._bad_s += passed_s
+        else:
+            self._sound_s += passed_s
+        bad = self.bad(now)
+        if not self._in_spell and bad >= IN_SPELL:
+            self._in_spell = True
+            self._begun += 1.0
+        elif self._in_spell and bad <= OUT_OF_SPELL:
+            self._in_spell = False
+            self._over += 1.0
+
+
+def _weighed(bad: float, ratio: float) -> float:
+    """Return the belief after evidence that is so many times more probable at a bad target."""
+    weighed = bad * ratio / (bad * ratio + 1.0 - bad)
+    return min(CERTAIN, max(SURE, weighed))
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -36,6 +36,12 @@
 """Requests of one service and class that may wait at an ingress: a thread each, 0.1 MB."""
 QUEUE_LIMIT = 24
 """Requests that may wait at a target's sidecar; the expected wait bounds them before that."""
+INGRESS_REPEATS = 4.0
+"""How many times its even part of the slack one ingress may repeat: the targets' sidecars keep the
+sum of all; this only bounds what one ingress asks of them."""
+SLACK_AT_ONCE = 0.5
+"""Part of a window's slack that a target may be given at once; the other comes over the window, so
+that no window holds more than the slack."""
 RETRY_SHARE = 0.85
 """Share of the allowed repeats that is used: nodes see arrivals that others lose sight of, and the
 calls that a repeated run makes count as repeats too."""
@@ -53,11 +59,13 @@
         floor_share: Share of a service's slots that stays in service whatever the evidence.
         retry_ratio: Repeats that a service may get for each request, over the whole fleet.
         retry_slack: Repeats beyond that in each window, over the whole fleet.
+        retry_window_s: Seconds of such a window.
     """
 
     floor_share: float = 0.7
     retry_ratio: float = 0.1
     retry_slack: float = 0.0
+    retry_window_s: float = 10.0
 
 
 class Catalogue:
@@ -190,17 +198,15 @@
     }
     nodes = len({target.vm for target in targets.values()})
     services = {
-        name: _service(name, _slots(targets.values(), name), nodes, config.routes, policy)
+        name: _service(
+            name, [t for t in targets.values() if t.service == name], nodes, config.routes, policy
+        )
         for name in config.services
     }
     routes = {route.name: route for route in config.routes}
     return Fleet(services, targets, routes, (), revision=config.version, digest=str(config.version))
 
 
-def _slots(targets: Iterable[Target], service: str) -> int:
-    return sum(t.slots for t in targets if t.service == service and not t.leaving)
-
-
 def _target(entry: TargetEntry, service: PublishedService) -> Target:
     return Target(
         name=entry.instance,
@@ -216,7 +222,13 @@
     )
 
 
-def _service(name: str, slots: int, nodes: int, routes: Iterable[Route], policy: Policy) -> Service:
+def _service(
+    name: str, targets: list[Target], nodes: int, routes: Iterable[Route], policy: Policy
+) -> Service:
+    serving = [target for target in targets if not target.leaving]
+    slots = sum(target.slots for target in serving)
+    slack = policy.retry_slack * RETRY_SHARE
+    target_slack = slack / max(1, len(serving))
     classes = {
         route.traffic_class or ""
         for route in routes
@@ -224,7 +236,9 @@
     }
     return Service(
         name=name,
-        retry_burst=max(1.0, policy.retry_slack * RETRY_SHARE / max(1, nodes)),
+        retry_burst=max(1.0, INGRESS_REPEATS * slack / max(1, nodes)),
+        target_repeats=max(1.0, SLACK_AT_ONCE * target_slack),
+        target_repeats_per_s=(1.0 - SLACK_AT_ONCE) * target_slack / policy.retry_window_s,
         floor_slots=math.ceil(slots * policy.floor_share),
         false_ejections_per_target_week=DETECTION_DIAL,
         timeout_ms=ATTEMPT_TIMEOUT_MS,
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -6,6 +6,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from roadpass.balance import Load, LoadOf, Picker
 from roadpass.detect import Sample, Scores
@@ -13,6 +14,7 @@
 from roadpass.fleet import Service, Target
 from roadpass.load import LoadTable
 from roadpass.message import Attempt, LoadReport, Reply
+from roadpass.metric import Metrics
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
@@ -30,14 +32,23 @@
 from roadpass.route import Route
 from roadpass.sidecar import Sidecar
 from roadpass.transport import CONNECT_S, Transport
-from roadpass.trip import MIN_ATTEMPT_S, Trip
+from roadpass.trip import MIN_ATTEMPT_S, Offer, Trip
 from roadpass.trip_log import log_attempt, log_end, log_refused
+from roadpass.usual import UsualTime
 from roadpass.view import View
 
 FREE_MOVES = 40
 """Refusals before the first byte reached a target after which a request is given up."""
 REFUSED_AVOID_S = 1.0
 """Seconds to keep away from a target that takes no connection of its sidecar."""
+FAR_LOSS_PER_KB = 0.05
+"""What a kilobyte carried to another data hall costs, as a share of a lost request: where bytes
+between data halls are dear, the way of twenty kilobytes costs as much as a request earns."""
+FAR_OVERHEAD_KB = 0.8
+"""Kilobytes of frames, headers and acknowledgements that come with a request and its answer."""
+SIZE_SMOOTHING = 0.1
+KINDS_MAX = 4096
+"""Routes whose usual time and size is kept, 0.2 KB each; at the limit all are learnt anew."""
 
 _FINAL_REASONS = frozenset((Reason.EXPIRED, Reason.CANCELLED))
 """Refusals that no other target would change."""
@@ -53,6 +64,7 @@
         peers: Streams to the other sidecars.
         pause: Tells when this process stood still.
         behind: Called with a VM and its revision when that is newer than the own one.
+        metrics: Counts bytes to other data halls, `None` for not at all.
         seed: Of the choice among targets, `None` for a random one.
     """
 
@@ -65,17 +77,19 @@
         pause: PauseWatch,
         *,
         behind: Callable[[str, int], None],
+        metrics: Metrics | None = None,
         seed: int | None = None,
     ) -> None:
         self._view = view
         self._prefix = f"{view.vm}/{incarnation}/"
-        self._transport = Transport(view, sidecar, peers)
+        self._transport = Transport(view, sidecar, peers, metrics=metrics)
         self._pause = pause
         self._behind = behind
         self._loads = LoadTable()
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
+        self._kinds: dict[str, _Kind] = {}
         self._waiting: dict[tuple[str, str], int] = {}
         self._lock = threading.Lock()
         self.observations: deque[Observation] = deque(maxlen=100_000)
@@ -109,7 +123,7 @@
         slot = (service.name, service.class_of(route))
         if not self._enter(slot, service.waiting_limit):
             return self._refused(request, NotRun(Reason.WAITING_LIMIT, RETRY_SOON_MS), *slot)
-        trip = _trip(request, route, service, started)
+        trip = _trip(request, route, service, started, self._kind(route))
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
             outcome = self._attempts(trip)
@@ -131,10 +145,10 @@
             if trip.expired:
                 return trip.final(NotRun(Reason.EXPIRED, RETRY_SOON_MS))
             target = self._pick(trip)
-            if target is None and trip.press():
+            if target is None and not trip.offers and trip.press():
                 continue
             if target is None:
-                return trip.final(outcome)
+                return trip.final(_crowded(trip) if trip.offers else outcome)
             outcome = self._attempt(trip, target)
             if trip.waits_in_vain:
                 outcome = _given_up(outcome)
@@ -144,8 +158,7 @@
     def _goes_on(self, trip: Trip, target: Target, outcome: Outcome, budget: RetryBudget) -> bool:
         """Note how an attempt ended; return whether another one may be made."""
         match outcome:
-            case NotRun(reason=Reason.BUSY | Reason.UNPROVEN):
-                trip.note_not_wanted(target.name, outcome, far=self._view.tier(target) > 0)
+            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL):
                 return not trip.waits_in_vain
             case _:
                 trip.tried.add(target.name)
@@ -182,23 +195,28 @@
             trip.tried.add(name)
 
     def _pick_name(self, trip: Trip, picker: Picker, load_of: LoadOf) -> str | None:
-        """Pick a target to ask, one to take as it is, or that with the shortest wait to wait at."""
-        cut = set() if trip.pressing else self._loads.cut_off(time.monotonic())
-        if trip.asks_on:
-            known = trip.tried | trip.busy.keys() | trip.unproven.keys() | cut
-            name = picker.pick(load_of, self._rng, repeatable=trip.route.repeatable, excluded=known)
+        """Pick a near target to ask, a far one that may be worth the way, or the best asked."""
+        now = time.monotonic()
+        cut = set() if trip.pressing else self._loads.cut_off(now)
+        known = trip.tried | trip.offers.keys() | cut
+        repeatable = trip.route.repeatable
+        has_repeat = self._has_repeat(trip)
+        if trip.asks_near:
+            excluded = known | picker.far
+            name = picker.pick(load_of, self._rng, repeatable=repeatable, excluded=excluded)
             if name is not None:
                 return name
-        name = trip.settle()
-        if name is not None:
-            return name
-        trip.may_wait = True
-        left = [name for name in trip.busy if name not in trip.tried]
-        if left:
-            return min(left, key=trip.busy.__getitem__)
-        return picker.pick(
-            load_of, self._rng, repeatable=trip.route.repeatable, excluded=trip.tried | cut
-        )
+        if trip.asks_far(has_repeat):
+            excluded = known | picker.near
+            if not trip.pressing:
+                excluded |= self._loads.avoided(now)
+            name = picker.pick(load_of, self._rng, repeatable=repeatable, excluded=excluded)
+            if name is not None:
+                return name
+        return trip.settle(has_repeat)
+
+    def _has_repeat(self, trip: Trip) -> bool:
+        return self._budget(trip.service).tokens >= 1.0
 
     def _attempt(self, trip: Trip, target: Target) -> Outcome:
         attempt_id = f"{self._prefix}{next(self._numbers)}"
@@ -223,7 +241,7 @@
             now,
             revision=self._view.fleet.revision,
             slow_ms=slow_ms,
-            has_repeat=self._budget(trip.service).tokens >= 1.0,
+            has_repeat=self._has_repeat(trip),
         )
 
     def _send(self, trip: Trip, target: Target, attempt: Attempt, pending: Pending) -> Reply:
@@ -261,6 +279,8 @@
         """Note what an attempt showed of its target, for the choice of targets and their health."""
         now = time.monotonic()
         scores, latency_ms = None, 0.0
+        self._learn_kind(trip, reply.outcome)
+        self._note_offer(trip, target, reply)
         if reply.load is not None:
             self._loads.report(now, target.name, reply.load)
             if reply.load.revision > self._view.fleet.revision:
@@ -274,6 +294,37 @@
             Observation(service, target.name, sample, scores, latency_ms, now, looks > 0)
         )
 
+    def _note_offer(self, trip: Trip, target: Target, reply: Reply) -> None:
+        """Note what a target said that would take the request, but not as it is wanted."""
+        match reply.outcome:
+            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL, retry_after_ms=wait_ms):
+                far = self._view.tier(target) > 0
+                bad = reply.load.bad if reply.load is not None else 0.0
+                trip.note_offer(target.name, Offer(bad, float(wait_ms), far))
+            case _:
+                pass
+
+    def _kind(self, route: Route) -> "_Kind":
+        """Return what is known of the requests of a route."""
+        found = self._kinds.get(route.name)
+        if found is None:
+            if len(self._kinds) >= KINDS_MAX:
+                self._kinds = {}
+            found = self._kinds[route.name] = _Kind(UsualTime())
+        return found
+
+    def _learn_kind(self, trip: Trip, outcome: Outcome) -> None:
+        """Learn how long requests of a route take at a target, and how large they are."""
+        match outcome:
+            case Answered(status=status, body=body, service_ms=service_ms):
+                if status < SERVER_ERROR:
+                    kind = self._kind(trip.route)
+                    kind.usual.add(service_ms)
+                    size_kb = (len(trip.request.body) + len(body)) / 1000.0
+                    kind.size_kb += SIZE_SMOOTHING * (size_kb - kind.size_kb)
+            case _:
+                pass
+
     def _avoid(self, now: float, name: str, outcome: Outcome) -> None:
         """Keep away from a target that refused, for as long as that is likely to last."""
         match outcome:
@@ -317,13 +368,31 @@
             self._waiting[slot] -= 1
 
 
-def _trip(request: Request, route: Route, service: Service, started: float) -> Trip:
+@dataclass(slots=True)
+class _Kind:
+    """What is known of the requests of a route: their time at a target, and their size."""
+
+    usual: UsualTime
+    size_kb: float = 1.0
+
+
+def _trip(request: Request, route: Route, service: Service, started: float, kind: _Kind) -> Trip:
     """Return the state of a request that came at `started`, before its first attempt."""
     deadline = started + (route.timeout_ms or service.timeout_ms) / 1000.0
     if request.deadline is not None:
         deadline = min(deadline, request.deadline)
     key = f"{service.name}:{request.key}" if request.key and not route.repeatable else ""
-    return Trip(request, route, service, started, deadline, key)
+    size_kb = max(kind.size_kb, len(request.body) / 1000.0) + FAR_OVERHEAD_KB
+    return Trip(
+        request,
+        route,
+        service,
+        started,
+        deadline,
+        key,
+        usual_ms=kind.usual.typical_ms,
+        far_loss=FAR_LOSS_PER_KB * size_kb,
+    )
 
 
 def _given_up(outcome: Outcome) -> Outcome:
@@ -335,6 +404,11 @@
             return outcome
 
 
+def _crowded(trip: Trip) -> NotRun:
+    """Return the word on a request that every target would be late for."""
+    return NotRun(Reason.BUSY, max(int(trip.least_wait_ms()), RETRY_SOON_MS))
+
+
 def _may_retry(outcome: Outcome, route: Route) -> bool:
     match outcome:
         case Answered(status=status):
--- a/roadpass/fleet.py
+++ b/roadpass/fleet.py
@@ -42,7 +42,12 @@
 
 
 class Service(NamedTuple):
-    """What the operators set for a service."""
+    """What the operators set for a service.
+
+    Args:
+        target_repeats: Most repeats that one of its targets is given at once, beyond `retry_ratio`.
+        target_repeats_per_s: How many of them each second brings back.
+    """
 
     name: str
     floor_slots: int
@@ -57,6 +62,8 @@
     shed_status: int | None
     classes: tuple[TrafficClass, ...]
     judgement: Judgement = Judgement()
+    target_repeats: float = BURST
+    target_repeats_per_s: float = 0.0
 
     @classmethod
     def from_config(cls, name: str, value: Any) -> "Service":
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -309,8 +309,10 @@
                 self._send(Send((member.address, member.gossip_port), "sync", 0))
 
     def _announce(self) -> None:
+        """Tell some of the own data hall, and one of any, who tells on in its own."""
         self._announcements -= 1
-        for member in self._members.sample(ANNOUNCE_FANOUT):
+        near = self._members.sample(ANNOUNCE_FANOUT - 1, hall=self._settings.hall)
+        for member in {*near, *self._members.sample(1)}:
             self._send(Send((member.address, member.gossip_port), "announce", 0))
 
     def _publish(self) -> None:
@@ -339,6 +341,9 @@
             return
         self._metrics.count("gossip_sent")
         self._metrics.count("gossip_sent_bytes", len(content))
+        if self._members.hall_at(send.to) not in ("", self._settings.hall):
+            self._metrics.count(f"far_{send.type}s")
+            self._metrics.count(f"far_{send.type}_bytes", len(content))
 
     def _message(self, send: Send, news: list[Member]) -> dict[str, Any]:
         now = time.monotonic()
--- a/roadpass/load.py
+++ b/roadpass/load.py
@@ -27,6 +27,7 @@
     latency_ms: float = 0.0
     others: int = 0
     limit: int = DEFAULT_LIMIT
+    bad: float = 0.0
     reported_at: float = float("-inf")
     avoid_until: float = float("-inf")
     cut_until: float = float("-inf")
@@ -56,7 +57,7 @@
         utilization = (entry.own + entry.others * fresh) / entry.limit
         if entry.overdue:
             utilization = FULL + max(utilization, float(entry.overdue))
-        return Load(utilization, entry.latency_ms)
+        return Load(utilization, entry.latency_ms, entry.bad * fresh)
 
     def begin(self, target: str) -> None:
         """Count an attempt that starts."""
@@ -92,6 +93,7 @@
             entry = self._entries.setdefault(target, _Entry())
             entry.others = max(0, report.in_flight + report.queued - entry.own)
             entry.limit = max(1, report.limit)
+            entry.bad = report.bad
             entry.reported_at = now
 
     def avoid(self, now: float, target: str, *, for_s: float = AVOID_S) -> None:
@@ -117,6 +119,10 @@
         """Return the targets to which the way is believed to be cut."""
         return {name for name, entry in self._entries.copy().items() if now < entry.cut_until}
 
+    def avoided(self, now: float) -> set[str]:
+        """Return the targets that refused for a time that is not over."""
+        return {name for name, entry in self._entries.copy().items() if now < entry.avoid_until}
+
     def keep_only(self, targets: set[str]) -> None:
         """Forget targets that are no longer configured."""
         with self._lock:
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -5,10 +5,11 @@
 import time
 
 from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
+from roadpass.belief import LATE_S, Belief, End, Visit
 from roadpass.decision import decided
 from roadpass.detect import Scores
 from roadpass.dialect import OWN, Dialect
-from roadpass.door import LATE_S, Door, Visit
+from roadpass.door import Door
 from roadpass.errors import TargetError, TargetRefusedError
 from roadpass.evidence import Evidence, Running, speaks_against
 from roadpass.fence import FenceTable
@@ -18,6 +19,7 @@
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
+    SERVER_ERROR,
     Answered,
     NotRun,
     Outcome,
@@ -26,6 +28,7 @@
 )
 from roadpass.pause import PauseWatch
 from roadpass.request import CallerWatch
+from roadpass.retry import RepeatAllowance
 from roadpass.shed_hold import ShedHold
 from roadpass.target import (
     CallerLeftError,
@@ -37,11 +40,10 @@
 
 MIN_START_MS = 2.0
 """Milliseconds; with less time left an attempt is not started."""
-PROVEN_S = 0.12
-"""Seconds for which a request that the target kept shows that the next is kept too: at six
-requests a second half of the targets are proven, and a spell begins in 2 of 100 such times."""
-UNPROVEN_S = 60.0
-"""A target not proven for so many seconds counts like one that never was."""
+GATEWAY_TIMEOUT = 504
+"""What a target answers at the end of the time it was given: it was silent until then."""
+GIVEN_UP_SHARE = 0.9
+"""Share of the given time after which such an answer means that the time was over."""
 WAIT_FACTOR = 1.5
 WAIT_MIN_S = 0.1
 """A request leaves a target's queue after so many times the wait that was expected, and so many
@@ -78,9 +80,16 @@
         self._client = TargetClient(
             target.address, max_connections=target.connections, dialect=dialect
         )
-        self._door = Door()
+        self._belief = Belief(time.monotonic())
+        self._door = Door(self._belief)
         self._door_told_shut = False
         self._shed_hold = ShedHold()
+        self._repeats = RepeatAllowance(
+            service.retry_ratio,
+            burst=service.target_repeats,
+            per_s=service.target_repeats_per_s,
+            now=time.monotonic(),
+        )
         self._limit = AdaptiveLimit(target.slots)
         self._admission = Admission(
             service.classes, slots=target.slots, queue_limit=service.queue_limit
@@ -116,12 +125,26 @@
             self.target = target
             self._service = service
             self._limit.resize(target.slots)
+            self._repeats.configure(
+                service.retry_ratio,
+                burst=service.target_repeats,
+                per_s=service.target_repeats_per_s,
+            )
             self.leaving = target.leaving
         return True
 
-    def report(self, revision: int) -> LoadReport:
-        """Return the load report that goes with every answer."""
+    def report(self, revision: int, traffic_class: str = "") -> LoadReport:
+        """Return the load report that goes with every answer.
+
+        Args:
+            revision: Of the configuration in force here.
+            traffic_class: Whose wait for a slot is told.
+        """
         scores = self._evidence.scores
+        now = time.monotonic()
+        with self._lock:
+            bad = self._belief.bad(now)
+            wait_ms = self._expected_wait_ms(now, traffic_class)
         return LoadReport(
             in_flight=self._admission.in_use,
             queued=self._admission.waiting,
@@ -130,21 +153,23 @@
             slow_score=round(scores.slow, 3),
             latency_ms=round(self._evidence.latency_ms, 1),
             revision=revision,
+            bad=round(bad, 3),
+            wait_ms=round(wait_ms),
         )
 
     def refusal(self, question: Question) -> NotRun | None:
         """Return why an attempt would be refused now, `None` if it would be taken."""
         refusal = self._new_work_refusal(question)
-        if refusal is not None or question.may_wait:
+        if refusal is not None:
             return refusal
         now = time.monotonic()
         with self._lock:
             wait_ms = self._expected_wait_ms(now, question.traffic_class)
-            proven_age_s = self._door.proven_age_s(now)
-        if wait_ms > 0.0:
+            bad = self._belief.bad(now)
+        if wait_ms > (question.most_wait_ms if question.may_wait else 0.0):
             return NotRun(Reason.BUSY, int(wait_ms))
-        if question.wants_proven and proven_age_s > PROVEN_S:
-            return NotRun(Reason.UNPROVEN, int(min(proven_age_s, UNPROVEN_S) * 1000.0))
+        if bad > question.most_bad:
+            return NotRun(Reason.DOUBTFUL, 0)
         return None
 
     def _expected_wait_ms(self, now: float, traffic_class: str) -> float:
@@ -156,11 +181,16 @@
 
     def _new_work_refusal(self, question: Question) -> NotRun | None:
         """Return why the target is given no new work now, `None` if it is, whatever its queue."""
-        refusal = self._door_refusal(question)
+        refusal = self._door_refusal(question) or self._repeat_refusal(question)
         if refusal is not None or question.pressing:
             return refusal
         return self._shed_hold.refusal(time.monotonic())
 
+    def _repeat_refusal(self, question: Question) -> NotRun | None:
+        with self._lock:
+            allowed = not question.repeat or self._repeats.has_one(time.monotonic())
+        return None if allowed else NotRun(Reason.REPEATS_SPENT, RETRY_SOON_MS)
+
     def _door_refusal(self, question: Question) -> NotRun | None:
         if self.leaving:
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
@@ -168,9 +198,8 @@
         with self._lock:
             admitted = self._door.admits(
                 now,
-                repeatable=question.may_be_trial,
+                trial=question.may_be_trial and question.spare,
                 pressing=question.pressing,
-                spare=question.spare,
             )
             wait_s = self._door.wait_s(now)
         self._tell_door(now)
@@ -213,6 +242,8 @@
 
     def scan_running(self, now: float) -> None:
         """Count requests that the target has had for far too long as evidence against it."""
+        with self._lock:
+            self._belief.stall(self._pause.last_stall)
         for _ in range(self._evidence.find_overdue(now, self._pause.last_stall)):
             with self._lock:
                 self._evidence.learn_pending()
@@ -232,6 +263,7 @@
                 attempt.caller,
                 deadline - now,
                 retry=attempt.retry,
+                own_ms=self._belief.usual(attempt.route).typical_ms,
             )
             expected_ms = self._admission.expected_wait_ms(attempt.traffic_class)
             match decision:
@@ -294,25 +326,28 @@
         started = time.monotonic()
         running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
         with self._lock:
-            visit = self._door.begin(started)
-        lost = False
+            visit = self._door.begin(started, attempt.route)
+            self._repeats.arrive(started, repeat=attempt.retry)
+        end = End.NOTHING
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
             outcome = self._read_answer(self._ask(attempt, deadline - started, watch))
+            end = _end_of(outcome, time.monotonic() - started, deadline - started)
         except TargetRefusedError as error:
-            outcome, lost = NotRun(Reason.REFUSED, RETRY_LATER_MS), True
+            outcome, end = NotRun(Reason.REFUSED, RETRY_LATER_MS), End.LOST
             self._log_loss(attempt, error)
         except TargetTimeoutError:
-            outcome = Unknown(Reason.TIMEOUT)
+            outcome, end = Unknown(Reason.TIMEOUT), End.SILENT
         except CallerLeftError:
-            outcome = Unknown(Reason.CANCELLED)
+            outcome, end = Unknown(Reason.CANCELLED), End.SILENT
         except TargetError as error:
-            lost = isinstance(error, TargetLostError)
+            if isinstance(error, TargetLostError):
+                end = End.LOST
             self._log_loss(attempt, error)
         finally:
             self._evidence.end(attempt.id)
             self._shed_hold.note(time.monotonic(), outcome)
-            self._note_door(attempt, outcome, visit, lost=lost)
+            self._note_end(attempt, visit, end)
         self._learn(attempt, outcome, running)
         return outcome
 
@@ -348,28 +383,27 @@
             error=str(error),
         )
 
-    def _note_door(self, attempt: Attempt, outcome: Outcome, visit: Visit, *, lost: bool) -> None:
+    def _note_end(self, attempt: Attempt, visit: Visit, end: End) -> None:
         now = time.monotonic()
         with self._lock:
-            good = isinstance(outcome, Answered)
-            self._door.end(now, visit, good=good, lost=lost)
+            self._door.end(now, visit, end, stalled_at=self._pause.last_stall)
         self._tell_door(now, attempt)
 
     def _tell_door(self, now: float, attempt: Attempt | None = None) -> None:
         """Log that the door has opened or shut since the last line, by an attempt or by time."""
         with self._lock:
-            shut = self._door.shut
+            shut = self._door.shut(now)
             if shut is self._door_told_shut:
                 return
             self._door_told_shut = shut
-            proven_age_s = self._door.proven_age_s(now)
+            bad = self._belief.bad(now)
         decided(
             "sidecar",
             "door-shut" if shut else "door-open",
             request=attempt.request_id if attempt else "",
             attempt=attempt.id if attempt else None,
             target=self.target.name,
-            proven_age_s=round(proven_age_s, 3) if math.isfinite(proven_age_s) else None,
+            bad=round(bad, 3),
         )
 
     def _learn(self, attempt: Attempt, outcome: Outcome, running: Running) -> None:
@@ -382,9 +416,10 @@
             return
         with self._lock:
             self._evidence.learn(time.monotonic(), running, service_ms, failed=failed)
-            self._limit.observe(
-                time.monotonic(), service_ms, attempt.slow_ms, self._admission.in_use
-            )
+            if isinstance(outcome, Answered) and outcome.status != GATEWAY_TIMEOUT:
+                self._limit.observe(
+                    time.monotonic(), service_ms, attempt.slow_ms, self._admission.in_use
+                )
             self._admission.set_limit(self._limit.value, self._limit.service_ms)
 
     def _release(self, traffic_class: str) -> None:
@@ -397,6 +432,17 @@
             _wake(ticket)
 
 
+def _end_of(outcome: Outcome, took_s: float, given_s: float) -> End:
+    """Tell what an answer shows of its target."""
+    match outcome:
+        case Answered(status=status) if status == GATEWAY_TIMEOUT:
+            return End.SILENT if took_s >= GIVEN_UP_SHARE * given_s else End.FAILED
+        case Answered(status=status):
+            return End.FAILED if status >= SERVER_ERROR else End.ANSWERED
+        case _:
+            return End.NOTHING
+
+
 def _wake(ticket: Ticket) -> None:
     if isinstance(ticket.signal, threading.Event):
         ticket.signal.set()
--- a/roadpass/member.py
+++ b/roadpass/member.py
@@ -21,7 +21,7 @@
 RELAY_KEPT_S = 2.0
 UNHEARD = 0
 """Incarnation of a node that was not heard yet; its own is always newer."""
-NEAR_PROBES = 0.8
+NEAR_PROBES = 0.95
 """Share of the probes that go to members of the own data hall: bytes between data halls are paid
 for, and each of them has members enough to watch each other."""
 
@@ -104,6 +104,7 @@
         self._own = own
         self._rng = rng
         self._members: dict[str, Member] = {}
+        self._halls: dict[tuple[str, int], str] = {}
         self._order: list[str] = []
         self._rumors: dict[str, int] = {}
         self._probe: _Probe | None = None
@@ -236,6 +237,10 @@
                 chosen.append(member)
         return chosen
 
+    def hall_at(self, address: tuple[str, int]) -> str:
+        """Return the data hall of the member at an address, empty if none is known there."""
+        return self._halls.get(address, "")
+
     def in_hall(self, hall: str) -> list[Member]:
         """Return the other members of a data hall that are not dead."""
         return [member for member in self.alive() if member.hall == hall]
@@ -252,6 +257,7 @@
         if known is not None and member.state is known.state is MemberState.ALIVE:
             spread = spread and known.incarnation != UNHEARD
         self._members[member.vm] = member
+        self._halls[(member.address, member.gossip_port)] = member.hall
         if known is None:
             self._order.insert(self._rng.randint(0, len(self._order)), member.vm)
         if known is None or known.state is not member.state:
@@ -339,7 +345,8 @@
                 self._forget(vm)
 
     def _forget(self, vm: str) -> None:
-        del self._members[vm]
+        member = self._members.pop(vm)
+        self._halls.pop((member.address, member.gossip_port), None)
         self._clocks.since.pop(vm, None)
         self._rumors.pop(vm, None)
 
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -26,6 +26,9 @@
 from roadpass.errors import FrameError
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 
+UNBOUNDED_MS = 1e9
+"""Milliseconds that stand for no bound: no message holds an infinite number."""
+
 Message: TypeAlias = Mapping[str, Any]
 """A checked message; the generated typed dictionaries are its forms."""
 
@@ -62,7 +65,8 @@
         may_wait: Whether it may queue at the target; otherwise it wants a free slot or a refusal.
         pressing: Whether every target refused it before: a failing one is better than none.
         last: Whether no other attempt may follow it.
-        wants_proven: Whether it wants a target that has taken work well just now.
+        most_bad: How probably bad a target it takes, 0 to 1.
+        most_wait_ms: Milliseconds that it would wait for a slot at the most.
     """
 
     id: str
@@ -86,7 +90,8 @@
     may_wait: bool = True
     pressing: bool = False
     last: bool = False
-    wants_proven: bool = False
+    most_bad: float = 1.0
+    most_wait_ms: float = UNBOUNDED_MS
 
     @property
     def may_be_trial(self) -> bool:
@@ -128,8 +133,10 @@
         may_be_trial: Whether it may go where it will probably fail.
         may_wait: Whether it may queue there.
         pressing: Whether every target refused it before.
-        wants_proven: Whether it wants a target that has taken work well just now.
+        most_bad: How probably bad a target it takes, 0 to 1.
+        most_wait_ms: Milliseconds that it would wait for a slot at the most.
         spare: Whether the request is not lost with the attempt.
+        repeat: Whether it repeats one that reached a target.
     """
 
     target: str
@@ -137,8 +144,10 @@
     may_be_trial: bool
     may_wait: bool
     pressing: bool
-    wants_proven: bool = False
+    most_bad: float = 1.0
     spare: bool = True
+    most_wait_ms: float = UNBOUNDED_MS
+    repeat: bool = False
 
     @classmethod
     def of(cls, attempt: Attempt) -> "Question":
@@ -149,8 +158,10 @@
             attempt.may_be_trial,
             attempt.may_wait,
             attempt.pressing,
-            attempt.wants_proven,
+            attempt.most_bad,
             attempt.spare,
+            attempt.most_wait_ms,
+            attempt.retry,
         )
 
     @classmethod
@@ -162,8 +173,10 @@
             message["repeatable"],
             message["may_wait"],
             message["pressing"],
-            message.get("wants_proven", False),
+            message.get("most_bad", 1.0),
             message.get("spare", True),
+            message.get("most_wait_ms", UNBOUNDED_MS),
+            message.get("retry", False),
         )
 
     def to_message(self) -> Message:
@@ -175,8 +188,10 @@
             "repeatable": self.may_be_trial,
             "may_wait": self.may_wait,
             "pressing": self.pressing,
-            "wants_proven": self.wants_proven,
+            "most_bad": self.most_bad,
             "spare": self.spare,
+            "most_wait_ms": self.most_wait_ms,
+            "retry": self.repeat,
         }
 
 
@@ -185,6 +200,8 @@
 
     Args:
         latency_ms: 95th percentile of its service time, 0 while too few samples tell.
+        bad: How probable it is that the target is in a bad spell, 0 to 1.
+        wait_ms: Milliseconds that who asked would wait for a slot there.
     """
 
     in_flight: int
@@ -194,6 +211,8 @@
     slow_score: float
     latency_ms: float
     revision: int
+    bad: float = 0.0
+    wait_ms: float = 0.0
 
 
 class Reply(NamedTuple):
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -112,6 +112,7 @@
             self._peers,
             self._pause,
             behind=self._on_behind,
+            metrics=self.metrics,
         )
         self._platform = Platform(settings.platform_url, self.metrics)
         self._readers: list[str] = []
@@ -407,4 +408,4 @@
 
 def _policy(store: StoreSettings) -> Policy:
     """Return what the operators set for all services of a store."""
-    return Policy(store.floor_share, store.retry_ratio, store.retry_slack)
+    return Policy(store.floor_share, store.retry_ratio, store.retry_slack, store.retry_window_s)
--- a/roadpass/settings.py
+++ b/roadpass/settings.py
@@ -33,6 +33,7 @@
     floor_share: float = 0.7
     retry_ratio: float = 0.1
     retry_slack: float = 0.0
+    retry_window_s: float = 10.0
     in_force_s: float = 2.0
 
 
@@ -128,8 +129,10 @@
 
 
 def _store(value: Mapping[str, Any]) -> StoreSettings:
-    in_force_s = _seconds(value.get("in_force_s", 2.0))
-    return StoreSettings(**{**value, "in_force_s": in_force_s})
+    times = {
+        name: _seconds(value[name]) for name in ("in_force_s", "retry_window_s") if name in value
+    }
+    return StoreSettings(**{**value, **times})
 
 
 def _address(text: str) -> tuple[str, int]:
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -13,7 +13,7 @@
 from roadpass.fence import FenceTable, Verdict
 from roadpass.fleet import Fleet
 from roadpass.local import LocalTarget
-from roadpass.message import Attempt, Message, Question, Reply
+from roadpass.message import Attempt, LoadReport, Message, Question, Reply
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
 from roadpass.request import CallerWatch
@@ -108,8 +108,9 @@
         match refusal:
             case None:
                 return {"t": "accepted"}
-            case NotRun(reason=Reason.BUSY):
-                return Reply(refusal, local.report(self._fleet.revision)).to_message()
+            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL):
+                report = local.report(self._fleet.revision, question.traffic_class)
+                return Reply(refusal, report).to_message()
             case _:
                 return Reply(refusal).to_message()
 
@@ -127,9 +128,12 @@
         if refusal is not None or local is None:
             self.refused += 1
             outcome: Outcome = refusal or NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
-            return Reply(outcome, local.report(self._fleet.revision) if local else None)
+            return Reply(outcome, self._report(local, attempt) if local else None)
         outcome = local.run(attempt, deadline, watch)
-        return Reply(outcome, local.report(self._fleet.revision))
+        return Reply(outcome, self._report(local, attempt))
+
+    def _report(self, local: LocalTarget, attempt: Attempt) -> LoadReport:
+        return local.report(self._fleet.revision, attempt.traffic_class)
 
     def fence(self, attempt_id: str) -> Verdict:
         """Promise that an attempt never starts here, or cancel it if it runs."""
--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -49,6 +49,9 @@
         sock: Connected socket; the stream owns it from now on.
         keys: The first signs, all are accepted; empty for no MAC.
         client: Whether this side opened the connection.
+
+    Attributes:
+        carried: Bytes of frames sent and received since it was last set to zero.
     """
 
     def __init__(self, sock: socket.socket, keys: Sequence[bytes], *, client: bool) -> None:
@@ -62,6 +65,7 @@
         self._buffer = bytearray()
         self.peer_incarnation = 0
         self.idle_since = 0.0
+        self.carried = 0
 
     @classmethod
     def connect(
@@ -151,6 +155,7 @@
         try:
             self._sock.settimeout(FRAME_LIMIT_S)
             self._sock.sendall(frame)
+            self.carried += len(frame)
         except OSError as error:
             raise StreamError(f"The frame was not written: {error}.") from error
 
@@ -175,6 +180,7 @@
             if length > MAX_FRAME_BYTES + MAC_BYTES:
                 raise FrameError("The received frame is too long.")
             frame = self._read(length)
+            self.carried += _HEADER.size + length
         except OSError as error:
             raise StreamError(f"The connection is lost: {error}.") from error
         return self._open(frame)
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -1,12 +1,14 @@
 """One attempt's way from an ingress to the sidecar of its target, and what became of it."""
 
 import time
+from typing import NamedTuple
 
 from roadpass._generated.message_types import Fence, FenceKey
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
 from roadpass.fleet import Target
 from roadpass.message import Attempt, Question, Reply
+from roadpass.metric import Metrics
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
 from roadpass.peer import Address, PeerPool
 from roadpass.request import CallerWatch
@@ -26,6 +28,13 @@
 """Seconds to a connection or a word where no other target is left: two losses are mended then."""
 
 
+class _Refusal(NamedTuple):
+    """Why there is no stream for an attempt, and the bytes that asking took."""
+
+    reply: Reply
+    carried: int = 0
+
+
 class Transport:
     """Carries attempts; used by the threads of all callers at once.
 
@@ -33,9 +42,13 @@
         view: Where the nodes are.
         sidecar: This VM's own.
         peers: Streams to the other sidecars.
+        metrics: Counts bytes to and from other data halls, `None` for not at all.
     """
 
-    def __init__(self, view: View, sidecar: Sidecar, peers: PeerPool) -> None:
+    def __init__(
+        self, view: View, sidecar: Sidecar, peers: PeerPool, *, metrics: Metrics | None = None
+    ) -> None:
+        self._metrics = metrics or Metrics()
         self._view = view
         self._sidecar = sidecar
         self._peers = peers
@@ -54,12 +67,23 @@
         if address is None:
             return Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
         started = time.monotonic()
+        far = self._view.tier(target) > 0
         opened = self._open(address, attempt)
-        if isinstance(opened, Reply):
-            return opened
+        self._count("question", opened.carried, far=far)
+        if isinstance(opened, _Refusal):
+            return opened.reply
+        asked = opened.carried
         spent_ms = (time.monotonic() - started) * 1000.0
         attempt = attempt._replace(remaining_ms=attempt.remaining_ms - spent_ms)
-        return self._exchange(opened, address, attempt, watch)
+        reply = self._exchange(opened, address, attempt, watch)
+        self._count("attempt", opened.carried - asked, far=far)
+        return reply
+
+    def _count(self, kind: str, carried: int, *, far: bool) -> None:
+        """Count what a message of a kind carried to another data hall and back."""
+        if far:
+            self._metrics.count(f"far_{kind}s")
+            self._metrics.count(f"far_{kind}_bytes", carried)
 
     def fence_key(self, vm: str, key: str, token: str, timeout_s: float) -> Verdict:
         """Have a VM's sidecar promise that only the attempt `token` may start with a key."""
@@ -75,7 +99,7 @@
         except (StreamError, ValueError):
             return Verdict.CANNOT_VOUCH
 
-    def _open(self, address: Address, attempt: Attempt) -> Stream | Reply:
+    def _open(self, address: Address, attempt: Attempt) -> "Stream | _Refusal":
         """Return a stream on which the sidecar has just agreed, or why there is none.
 
         Until here nothing of the attempt was sent: a way that is cut, be it in one direction,
@@ -87,7 +111,8 @@
         try:
             stream = self._peers.acquire(address, timeout_s=connect_s)
         except ConnectError:
-            return Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
+            return _Refusal(Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS)))
+        stream.carried = 0
         try:
             stream.send(Question.of(attempt).to_message())
             word = stream.receive(check_s).message
@@ -96,9 +121,10 @@
             refusal = Reply.from_message(word)
         except StreamError:
             stream.close()
-            return Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
+            unreachable = Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
+            return _Refusal(unreachable, stream.carried)
         self._peers.release(address, stream)
-        return refusal
+        return _Refusal(refusal, stream.carried)
 
     def _exchange(
         self, stream: Stream, address: Address, attempt: Attempt, watch: CallerWatch | None
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -1,7 +1,9 @@
 """The state of one request on its way through attempts."""
 
+import math
 import time
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from roadpass.fleet import Service, Target
 from roadpass.message import Attempt
@@ -11,9 +13,26 @@
 from roadpass.transport import FENCE_S
 
 ASKS = 6
-FAR_ASKS = 3
-"""Targets, and those in other data halls, asked for a free slot before a request waits at one: a
-way there and back takes 0.4 to 3 ms, one request ahead in a queue 100 ms; far bytes cost."""
+FAR_ASKS = 2
+FAR_ASKS_PRESSED = 4
+"""Targets of the own data hall, and of others, asked before a request takes one that is not as
+wanted: a way there and back takes 0.4 to 3 ms, one request ahead in a queue 100 ms. Of other data
+halls more are asked where the request would come late at all others."""
+WANTED_BAD = 0.04
+"""How probably bad a target may be that is taken at once by a request that is lost if it fails;
+just after an answer a target is about so sure."""
+SPARE_BAD = 0.4
+"""The same for a request that would be repeated: what it costs is a repeat, what it shows helps."""
+SPARE_LOSS = 0.3
+"""What a failure of an attempt that is repeated costs, as a share of a lost request."""
+LATE_LOSS = 0.9
+"""What an answer after the objective costs, as a share of a lost request."""
+FAR_HOPE = 0.05
+"""How probably bad a target of another data hall is hoped to be before it was asked."""
+WAIT_LEAST_MS = 30.0
+"""Milliseconds that a request waits for a slot, however little is left of its objective."""
+USUAL_UNKNOWN_SHARE = 0.3
+"""Share of the objective that a request is taken to last while nobody knows."""
 GIVE_UP_SHARE = 0.45
 """Share of its time after which a request that no target was free for is given up: of 170 that got
 that far on a crowded day 28 were answered in the end, the others only waited for nothing."""
@@ -21,6 +40,20 @@
 """Seconds; with less time left no attempt is made."""
 
 
+class Offer(NamedTuple):
+    """What a target said that was asked and is not as wanted.
+
+    Args:
+        bad: How probable it is that it is in a bad spell.
+        wait_ms: Milliseconds until it has a free slot.
+        far: Whether it is in another data hall.
+    """
+
+    bad: float
+    wait_ms: float
+    far: bool
+
+
 @dataclass(slots=True)
 class Trip:
     """One request, where it has been, and what became of it there.
@@ -32,15 +65,14 @@
         started: Monotonic seconds at which it came.
         deadline: Monotonic seconds by which it must have an outcome.
         key: Idempotency key as sidecars know it, empty for none.
+        usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
+        far_loss: What its way to another data hall costs, as a share of a lost request.
         tried: Targets that are not asked again.
-        busy: Expected wait, in milliseconds, of targets that had no free slot when asked.
+        offers: What targets said that had no free slot, or are doubtful.
         refused: Why targets refused before the request reached them.
         arrivals: Attempts that reached a target.
         moves: Attempts refused before that.
-        far_asks: Targets in other data halls that had no free slot.
-        unproven: Milliseconds since targets that are free, but not proven lately, took work well.
-        settles: Whether it takes a target that is not proven lately, as none that was asked is.
-        may_wait: Whether it waits at a target now, as none that was asked had a free slot.
+        settles: Whether it takes the best of those that were asked, as none is as wanted.
         pressing: All targets have refused it: those that might yet take it are asked again.
         may_have_run: Latest outcome that is no proof that the request did not run.
     """
@@ -51,15 +83,14 @@
     started: float
     deadline: float
     key: str
+    usual_ms: float = 0.0
+    far_loss: float = 0.0
     tried: set[str] = field(default_factory=set)
-    busy: dict[str, int] = field(default_factory=dict)
+    offers: dict[str, Offer] = field(default_factory=dict)
     refused: dict[str, Reason] = field(default_factory=dict)
     arrivals: int = 0
     moves: int = 0
-    far_asks: int = 0
-    unproven: dict[str, int] = field(default_factory=dict)
     settles: bool = False
-    may_wait: bool = False
     pressing: bool = False
     may_have_run: Outcome | None = None
 
@@ -75,10 +106,35 @@
         return self.deadline - time.monotonic() < MIN_ATTEMPT_S
 
     @property
-    def asks_on(self) -> bool:
-        """Whether more targets are asked before it takes one that is not as wanted."""
-        asked = len(self.busy) + len(self.unproven)
-        return not self.may_wait and asked < ASKS and self.far_asks < FAR_ASKS
+    def asks_near(self) -> bool:
+        """Whether more targets of the own data hall are asked."""
+        asked = sum(not offer.far for offer in self.offers.values())
+        return not self.settles and asked < ASKS
+
+    def asks_far(self, has_repeat: bool) -> bool:
+        """Whether a target of another data hall is asked: it may well be worth the way."""
+        asked = sum(offer.far for offer in self.offers.values())
+        costs = [self.cost(offer, has_repeat) for offer in self.offers.values()]
+        least = min(costs, default=math.inf)
+        if self.settles or asked >= (FAR_ASKS if least < LATE_LOSS else FAR_ASKS_PRESSED):
+            return False
+        return least > self.cost(Offer(FAR_HOPE, 0.0, True), has_repeat)
+
+    def most_wait_ms(self) -> float:
+        """Return how long it would wait for a slot at the most: longer, and it would be late."""
+        now = time.monotonic()
+        objective_ms = self.route.target_latency_ms
+        if objective_ms is None:
+            return (self.deadline - now) * 1000.0
+        usual_ms = self.usual_ms or USUAL_UNKNOWN_SHARE * objective_ms
+        left_ms = objective_ms - (now - self.started) * 1000.0 - usual_ms
+        return max(WAIT_LEAST_MS, left_ms)
+
+    def cost(self, offer: Offer, has_repeat: bool) -> float:
+        """Return what an offer costs in expectation, as a share of a lost request."""
+        loss = 1.0 if self._is_last(has_repeat) else SPARE_LOSS
+        late = min(1.0, offer.wait_ms / self.most_wait_ms()) * LATE_LOSS
+        return offer.bad * loss + late + (self.far_loss if offer.far else 0.0)
 
     @property
     def waits_in_vain(self) -> bool:
@@ -86,29 +142,28 @@
         patience_s = GIVE_UP_SHARE * (self.deadline - self.started)
         return self.arrivals == 0 and time.monotonic() - self.started > patience_s
 
-    def note_not_wanted(self, name: str, refusal: NotRun, *, far: bool) -> None:
-        """Note a target that had no free slot or is not proven.
-
-        Args:
-            name: Of the target.
-            refusal: Its word.
-            far: Whether it is in another data hall.
-        """
-        if self.may_wait:
+    def note_offer(self, name: str, offer: Offer) -> None:
+        """Note a target that had no free slot or is doubtful."""
+        if self.settles:
             self._ask_anew()
-        known = self.unproven if refusal.reason is Reason.UNPROVEN else self.busy
-        known[name] = refusal.retry_after_ms
-        self.far_asks += far
+        self.offers[name] = offer
 
-    def settle(self) -> str | None:
-        """Take the target that was proven last, of those that were asked; `None` without any."""
-        left = [name for name in self.unproven if name not in self.tried]
+    def settle(self, has_repeat: bool) -> str | None:
+        """Take the best of the targets that were asked; `None` if it would be late at all."""
+        most_wait_ms = self.most_wait_ms()
+        left = [
+            name
+            for name, offer in self.offers.items()
+            if name not in self.tried and offer.wait_ms <= most_wait_ms
+        ]
         if not left:
             return None
         self.settles = True
-        name = min(left, key=self.unproven.__getitem__)
-        del self.unproven[name]
-        return name
+        return min(left, key=lambda name: self.cost(self.offers[name], has_repeat))
+
+    def least_wait_ms(self) -> float:
+        """Return the shortest wait that a target told, 0 without any."""
+        return min((offer.wait_ms for offer in self.offers.values()), default=0.0)
 
     def press(self) -> bool:
         """Let targets that refused for failing or shedding, or were cut off, be asked once more.
@@ -176,25 +231,23 @@
             repeat=bool(self.key) and self.request.repeat,
             request_id=self.request.id,
             origin=self.request.origin,
-            may_wait=self.may_wait,
+            may_wait=self.settles,
             pressing=self.pressing,
             last=self._is_last(has_repeat),
-            wants_proven=self._wants_proven(has_repeat),
+            most_bad=self._most_bad(has_repeat),
+            most_wait_ms=self.most_wait_ms(),
         )
 
     def _ask_anew(self) -> None:
-        """Ask all targets again after a wait in the queue of one."""
-        self.busy.clear()
-        self.unproven.clear()
+        """Ask all targets again after a wait in the queue of one, or where the best has changed."""
+        self.offers.clear()
         self.settles = False
-        self.may_wait = False
-        self.far_asks = 0
 
-    def _wants_proven(self, has_repeat: bool) -> bool:
-        """Tell whether the next attempt, if lost, loses the request, and a choice is left."""
-        if self.settles or self.may_wait or self.pressing:
-            return False
-        return self._is_last(has_repeat)
+    def _most_bad(self, has_repeat: bool) -> float:
+        """Return how probably bad a target the next attempt takes."""
+        if self.settles or self.pressing:
+            return 1.0
+        return WANTED_BAD if self._is_last(has_repeat) else SPARE_BAD
 
     def _is_last(self, has_repeat: bool) -> bool:
         """Tell whether the request is lost with the next attempt."""
--- a/roadpass/trip_log.py
+++ b/roadpass/trip_log.py
@@ -73,6 +73,7 @@
         request=trip.request.id,
         route=trip.route.name,
         service=trip.service.name,
+        caller=trip.request.caller,
         outcome=_name(outcome),
         arrivals=trip.arrivals,
         moves=trip.moves,
--- /dev/null
+++ b/roadpass/usual.py
@@ -0,0 +1,60 @@
+"""How long requests of one kind usually take, learnt from those that were answered."""
+
+import math
+
+KNOWN_FROM = 3
+"""Answers from which on the usual time is taken as known; fewer say nothing of the spread."""
+MEMORY = 40
+"""Answers over which is averaged: some ten seconds of one target, so that it follows its speed."""
+SPREAD = 0.5
+"""Spread of the logarithm expected before there are answers, and the weight of that, in answers;
+work seen on three deployments spreads by 0.3 to 0.8."""
+SPREAD_WEIGHT = 4.0
+SPREAD_MIN = 0.3
+TAIL = 0.02
+"""Share of sound requests of which nothing is expected: one in a hundred took 5 times as long."""
+
+
+class UsualTime:
+    """A lognormal estimate of the time that sound requests of one kind take."""
+
+    __slots__ = ("_count", "_mean", "_variance")
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._mean = 0.0
+        self._variance = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Whether enough were answered to tell."""
+        return self._count >= KNOWN_FROM
+
+    @property
+    def typical_ms(self) -> float:
+        """Milliseconds that half of them take at most, 0 while unknown."""
+        return math.exp(self._mean) if self.known else 0.0
+
+    def add(self, took_ms: float) -> None:
+        """Take in the time of one that was answered, in milliseconds."""
+        self._count = min(MEMORY, self._count + 1)
+        step = 1.0 / self._count
+        off = math.log(max(1.0, took_ms)) - self._mean
+        self._mean += step * off
+        self._variance = (1.0 - step) * (self._variance + step * off * off)
+
+    def longer(self, ms: float) -> float:
+        """Return the share of sound requests that take longer, 1 while unknown."""
+        if not self.known or ms <= 1.0:
+            return 1.0
+        z = (math.log(ms) - self._mean) / (self._spread() * math.sqrt(2.0))
+        return TAIL + (1.0 - TAIL) * 0.5 * math.erfc(z)
+
+    def most_ms(self, spreads: float) -> float:
+        """Return the time that many spreads above the typical one, 0 while unknown."""
+        return math.exp(self._mean + spreads * self._spread()) if self.known else 0.0
+
+    def _spread(self) -> float:
+        weight = self._count + SPREAD_WEIGHT
+        variance = (self._count * self._variance + SPREAD_WEIGHT * SPREAD**2) / weight
+        return max(SPREAD_MIN, math.sqrt(variance))
