Let short requests wait before long ones, and break off what a bad target lost while a repeat is left

Excluded: telling calls from callers' requests by their address (both come from the VM's own) or by a name (nothing on the wire says it). Change: a request that usually takes at most half the mean time waits before all others (shortest first); what may repeat and has a repeat left is broken off as unknown once its target's door is shut and its own silence is three times more probable there.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -174,6 +174,7 @@
     most_bad: int | float
     most_wait_ms: int | float
     retry: bool
+    route: str
     spare: bool
     traffic_class: Required[str]
     r""" Required property """
--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -9,6 +9,9 @@
 from roadpass.outcome import Reason
 
 MIN_RETRY_AFTER_MS = 100
+SHORT_SHARE = 0.5
+"""A request that usually takes at most this share of the mean time goes before all that wait: it
+delays them by little, and is often a call that a running request waits for, slot in hand."""
 RETRY_QUEUE_SHARE = 0.25
 """Retries wait only while the queue is under this share of its limit: they are shed first."""
 
@@ -16,13 +19,16 @@
 class Ticket:
     """A request that waits for a slot; `signal` belongs to whoever waits."""
 
-    __slots__ = ("caller", "expires_at", "granted", "signal", "traffic_class")
+    __slots__ = ("caller", "expires_at", "granted", "short", "signal", "traffic_class")
 
-    def __init__(self, traffic_class: str, caller: str, expires_at: float) -> None:
+    def __init__(
+        self, traffic_class: str, caller: str, expires_at: float, *, short: bool = False
+    ) -> None:
         self.traffic_class = traffic_class
         self.caller = caller
         self.expires_at = expires_at
         self.granted = False
+        self.short = short
         self.signal: object = None
 
 
@@ -105,6 +111,7 @@
         self._queue_limit = queue_limit
         self._classes = {entry.name: _ClassState(entry.reserved) for entry in classes}
         self._last_class = classes[-1].name
+        self._short: deque[Ticket] = deque()
         self._in_use = 0
         self._service_ms = 0.0
 
@@ -116,7 +123,7 @@
     @property
     def waiting(self) -> int:
         """Requests in the queue."""
-        return sum(state.waiting for state in self._classes.values())
+        return len(self._short) + sum(state.waiting for state in self._classes.values())
 
     def set_limit(self, slots: int, service_ms: float) -> None:
         """Take over the adaptive limit and the measured service time."""
@@ -148,10 +155,11 @@
         state = self._classes[name]
         if remaining_s * 1000.0 <= 0.0:
             return Refused(Reason.EXPIRED, MIN_RETRY_AFTER_MS)
-        if state.waiting == 0 and self._may_run(name):
+        if not self._short and state.waiting == 0 and self._may_run(name):
             self._take(state)
             return Admitted()
-        wait_ms = self._expected_wait_ms(name)
+        short = self._is_short(own_ms)
+        wait_ms = self._expected_wait_ms(name, short=short)
         if wait_ms + (own_ms or self._service_ms) > remaining_s * 1000.0:
             return self._refuse(Reason.TOO_LATE, wait_ms)
         displaced = None
@@ -159,16 +167,24 @@
             displaced = None if retry else self._displace(state)
             if displaced is None:
                 return self._refuse(Reason.QUEUE_FULL, wait_ms)
-        ticket = Ticket(name, caller, now + remaining_s)
-        state.push(ticket)
+        ticket = Ticket(name, caller, now + remaining_s, short=short)
+        if short:
+            self._short.append(ticket)
+        else:
+            state.push(ticket)
         return Queued(ticket, displaced)
 
-    def expected_wait_ms(self, traffic_class: str) -> float:
-        """Return how long a new request of a class would probably wait, 0 if a slot is free."""
+    def expected_wait_ms(self, traffic_class: str, own_ms: float = 0.0) -> float:
+        """Return how long a new request of a class would probably wait, 0 if a slot is free.
+
+        Args:
+            traffic_class: Name of its class.
+            own_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
+        """
         name = traffic_class if traffic_class in self._classes else self._last_class
         if self.waiting == 0 and self._may_run(name):
             return 0.0
-        return max(1.0, self._expected_wait_ms(name))
+        return max(1.0, self._expected_wait_ms(name, short=self._is_short(own_ms)))
 
     def release(self, now: float, traffic_class: str) -> list[Ticket]:
         """Give a slot back.
@@ -186,11 +202,14 @@
         """Give up a ticket, whether it was granted in the meantime or not."""
         if ticket.granted:
             return self.release(now, ticket.traffic_class)
-        self._classes[ticket.traffic_class].remove(ticket)
+        if not ticket.short:
+            self._classes[ticket.traffic_class].remove(ticket)
+        elif ticket in self._short:
+            self._short.remove(ticket)
         return []
 
     def _grant(self, now: float) -> list[Ticket]:
-        granted = []
+        granted = self._grant_short(now)
         for name, state in self._classes.items():
             while state.waiting and self._may_run(name):
                 ticket = state.pop()
@@ -201,6 +220,21 @@
                 granted.append(ticket)
         return granted
 
+    def _grant_short(self, now: float) -> list[Ticket]:
+        """Grant slots to short requests, in the order in which they came."""
+        granted = []
+        while self._short and self._may_run(self._short[0].traffic_class):
+            ticket = self._short.popleft()
+            if ticket.expires_at <= now:
+                continue
+            self._take(self._classes[ticket.traffic_class])
+            ticket.granted = True
+            granted.append(ticket)
+        return granted
+
+    def _is_short(self, own_ms: float) -> bool:
+        return 0.0 < own_ms <= SHORT_SHARE * self._service_ms
+
     def _take(self, state: _ClassState) -> None:
         state.in_use += 1
         self._in_use += 1
@@ -232,10 +266,12 @@
                 return ticket
         return None
 
-    def _expected_wait_ms(self, name: str) -> float:
+    def _expected_wait_ms(self, name: str, *, short: bool) -> float:
         """Estimate the wait from what runs before this request and the service time."""
         names = list(self._classes)
-        ahead = sum(self._classes[n].waiting for n in names[: names.index(name) + 1])
+        ahead = len(self._short)
+        if not short:
+            ahead += sum(self._classes[n].waiting for n in names[: names.index(name) + 1])
         rounds = (ahead + 1) / max(1, self._slots)
         return rounds * self._service_ms
 
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -42,6 +42,9 @@
 """Milliseconds; with less time left an attempt is not started."""
 GATEWAY_TIMEOUT = 504
 """What a target answers at the end of the time it was given: it was silent until then."""
+LOST_RATIO = 3.0
+"""How many times more probable the silence of a request is at a bad target before it is broken off,
+once its target is probably bad by all that it shows."""
 GIVEN_UP_SHARE = 0.9
 """Share of the given time after which such an answer means that the time was over."""
 WAIT_FACTOR = 1.5
@@ -96,6 +99,8 @@
         )
         self._evidence = Evidence(service.false_ejections_per_target_week, time.monotonic())
         self._queued: dict[str, Ticket] = {}
+        self._spare: dict[str, Visit] = {}
+        self._given_up: set[str] = set()
         self._lock = threading.Lock()
         self.leaving = target.leaving
 
@@ -133,18 +138,19 @@
             self.leaving = target.leaving
         return True
 
-    def report(self, revision: int, traffic_class: str = "") -> LoadReport:
+    def report(self, revision: int, traffic_class: str = "", route: str = "") -> LoadReport:
         """Return the load report that goes with every answer.
 
         Args:
             revision: Of the configuration in force here.
-            traffic_class: Whose wait for a slot is told.
+            traffic_class: Whose wait for a slot is told,
+            route: and of which route.
         """
         scores = self._evidence.scores
         now = time.monotonic()
         with self._lock:
             bad = self._belief.bad(now)
-            wait_ms = self._expected_wait_ms(now, traffic_class)
+            wait_ms = self._expected_wait_ms(now, traffic_class, route)
         return LoadReport(
             in_flight=self._admission.in_use,
             queued=self._admission.waiting,
@@ -164,7 +170,7 @@
             return refusal
         now = time.monotonic()
         with self._lock:
-            wait_ms = self._expected_wait_ms(now, question.traffic_class)
+            wait_ms = self._expected_wait_ms(now, question.traffic_class, question.route)
             bad = self._belief.bad(now)
         if wait_ms > (question.most_wait_ms if question.may_wait else 0.0):
             return NotRun(Reason.BUSY, int(wait_ms))
@@ -172,9 +178,10 @@
             return NotRun(Reason.DOUBTFUL, 0)
         return None
 
-    def _expected_wait_ms(self, now: float, traffic_class: str) -> float:
+    def _expected_wait_ms(self, now: float, traffic_class: str, route: str) -> float:
         """Return how long a new request would wait: long where the slots' requests hang."""
-        wait_ms = self._admission.expected_wait_ms(traffic_class)
+        own_ms = self._belief.usual(route).typical_ms if route else 0.0
+        wait_ms = self._admission.expected_wait_ms(traffic_class, own_ms)
         if wait_ms <= 0.0:
             return 0.0
         return self._evidence.stretched_wait_ms(now, wait_ms, self._limit.service_ms)
@@ -244,10 +251,29 @@
         """Count requests that the target has had for far too long as evidence against it."""
         with self._lock:
             self._belief.stall(self._pause.last_stall)
+        self._give_up_lost(now)
         for _ in range(self._evidence.find_overdue(now, self._pause.last_stall)):
             with self._lock:
                 self._evidence.learn_pending()
 
+    def _give_up_lost(self, now: float) -> None:
+        """Break off what its target has probably lost and what has a repeat left.
+
+        It gains the time between the moment at which others show that the target is bad and the
+        end of the attempt: a quarter of the objective and more.
+        """
+        with self._lock:
+            if not (self._spare and self._door.shut(now)):
+                return
+            lost = [
+                attempt_id
+                for attempt_id, visit in self._spare.items()
+                if self._belief.ratio(now, visit) >= LOST_RATIO
+            ]
+            self._given_up.update(lost)
+        for attempt_id in lost:
+            self._client.cancel(attempt_id)
+
     def forget_old_evidence(self, now: float) -> None:
         """Drop evidence once no work has come for a while: who returns is judged anew."""
         with self._lock:
@@ -257,15 +283,16 @@
         now = time.monotonic()
         with self._lock:
             self._admission.set_limit(self._limit.value, self._limit.service_ms)
+            own_ms = self._belief.usual(attempt.route).typical_ms
             decision = self._admission.offer(
                 now,
                 attempt.traffic_class,
                 attempt.caller,
                 deadline - now,
                 retry=attempt.retry,
-                own_ms=self._belief.usual(attempt.route).typical_ms,
+                own_ms=own_ms,
             )
-            expected_ms = self._admission.expected_wait_ms(attempt.traffic_class)
+            expected_ms = self._admission.expected_wait_ms(attempt.traffic_class, own_ms)
             match decision:
                 case Admitted():
                     return None
@@ -328,6 +355,8 @@
         with self._lock:
             visit = self._door.begin(started, attempt.route)
             self._repeats.arrive(started, repeat=attempt.retry)
+            if attempt.repeatable and not attempt.last:
+                self._spare[attempt.id] = visit
         end = End.NOTHING
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
@@ -339,7 +368,8 @@
         except TargetTimeoutError:
             outcome, end = Unknown(Reason.TIMEOUT), End.SILENT
         except CallerLeftError:
-            outcome, end = Unknown(Reason.CANCELLED), End.SILENT
+            left = attempt.id not in self._given_up
+            outcome, end = Unknown(Reason.CANCELLED if left else Reason.TIMEOUT), End.SILENT
         except TargetError as error:
             if isinstance(error, TargetLostError):
                 end = End.LOST
@@ -386,6 +416,8 @@
     def _note_end(self, attempt: Attempt, visit: Visit, end: End) -> None:
         now = time.monotonic()
         with self._lock:
+            self._spare.pop(attempt.id, None)
+            self._given_up.discard(attempt.id)
             self._door.end(now, visit, end, stalled_at=self._pause.last_stall)
         self._tell_door(now, attempt)
 
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -137,6 +137,7 @@
         most_wait_ms: Milliseconds that it would wait for a slot at the most.
         spare: Whether the request is not lost with the attempt.
         repeat: Whether it repeats one that reached a target.
+        route: Of the request, by which its usual time is known.
     """
 
     target: str
@@ -148,6 +149,7 @@
     spare: bool = True
     most_wait_ms: float = UNBOUNDED_MS
     repeat: bool = False
+    route: str = ""
 
     @classmethod
     def of(cls, attempt: Attempt) -> "Question":
@@ -162,6 +164,7 @@
             attempt.spare,
             attempt.most_wait_ms,
             attempt.retry,
+            attempt.route,
         )
 
     @classmethod
@@ -177,6 +180,7 @@
             message.get("spare", True),
             message.get("most_wait_ms", UNBOUNDED_MS),
             message.get("retry", False),
+            message.get("route", ""),
         )
 
     def to_message(self) -> Message:
@@ -192,6 +196,7 @@
             "spare": self.spare,
             "most_wait_ms": self.most_wait_ms,
             "retry": self.repeat,
+            "route": self.route,
         }
 
 
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -109,7 +109,7 @@
             case None:
                 return {"t": "accepted"}
             case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL):
-                report = local.report(self._fleet.revision, question.traffic_class)
+                report = local.report(self._fleet.revision, question.traffic_class, question.route)
                 return Reply(refusal, report).to_message()
             case _:
                 return Reply(refusal).to_message()
@@ -133,7 +133,7 @@
         return Reply(outcome, self._report(local, attempt))
 
     def _report(self, local: LocalTarget, attempt: Attempt) -> LoadReport:
-        return local.report(self._fleet.revision, attempt.traffic_class)
+        return local.report(self._fleet.revision, attempt.traffic_class, attempt.route)
 
     def fence(self, attempt_id: str) -> Verdict:
         """Promise that an attempt never starts here, or cancel it if it runs."""
--- a/roadpass/trip_log.py
+++ b/roadpass/trip_log.py
@@ -74,6 +74,7 @@
         route=trip.route.name,
         service=trip.service.name,
         caller=trip.request.caller,
+        traffic_class=trip.service.class_of(trip.route),
         outcome=_name(outcome),
         arrivals=trip.arrivals,
         moves=trip.moves,
