Ask all targets again after an attempt that failed, and take full targets at their word for a moment

Change: an arrival clears what targets said, and what has reached a target waits as long as its time allows, since it is late already; a word that a target is full holds 60 ms near and 300 ms far; what is short beside its service's other requests may come later than its objective by as much; hints are told on within the data hall.

--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -9,7 +9,7 @@
 from roadpass.outcome import Reason
 
 MIN_RETRY_AFTER_MS = 100
-SHORT_SHARE = 0.5
+SHORT_SHARE = 0.75
 """A request that usually takes at most this share of the mean time goes before all that wait: it
 delays them by little, and is often a call that a running request waits for, slot in hand."""
 RETRY_QUEUE_SHARE = 0.25
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -47,6 +47,10 @@
 FAR_OVERHEAD_KB = 0.8
 """Kilobytes of frames, headers and acknowledgements that come with a request and its answer."""
 SIZE_SMOOTHING = 0.1
+SERVICE = "service "
+"""Begins the name by which the usual time of all requests of a service is kept."""
+PATIENCE_MAX = 4.0
+"""How many times its objective a request may take at the most that is short beside the others."""
 KINDS_MAX = 4096
 """Routes whose usual time and size is kept, 0.2 KB each; at the limit all are learnt anew."""
 
@@ -123,7 +127,8 @@
         slot = (service.name, service.class_of(route))
         if not self._enter(slot, service.waiting_limit):
             return self._refused(request, NotRun(Reason.WAITING_LIMIT, RETRY_SOON_MS), *slot)
-        trip = _trip(request, route, service, started, self._kind(route))
+        trip = _trip(request, route, service, started, self._kind(route.name))
+        trip.patience = self._patience(trip)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
             outcome = self._attempts(trip)
@@ -170,9 +175,9 @@
                     return False
                 return reason not in _FINAL_REASONS
             case NotRun():
-                trip.arrivals += 1
+                trip.note_arrival()
             case _:
-                trip.arrivals += 1
+                trip.note_arrival()
                 trip.may_have_run = outcome
         return _may_retry(outcome, trip.route) and trip.may_arrive and budget.take()
 
@@ -197,6 +202,7 @@
     def _pick_name(self, trip: Trip, picker: Picker, load_of: LoadOf) -> str | None:
         """Pick a near target to ask, a far one that may be worth the way, or the best asked."""
         now = time.monotonic()
+        self._recall(trip, picker, now)
         cut = set() if trip.pressing else self._loads.cut_off(now)
         known = trip.tried | trip.offers.keys() | cut
         repeatable = trip.route.repeatable
@@ -215,6 +221,14 @@
                 return name
         return trip.settle(has_repeat)
 
+    def _recall(self, trip: Trip, picker: Picker, now: float) -> None:
+        """Take targets at their word that said a moment ago that they are full or doubtful."""
+        if trip.settles:
+            return
+        for name, said in self._loads.words(now):
+            if name in picker.far or name in picker.near:
+                trip.offers.setdefault(name, Offer(said.bad, said.wait_ms, name in picker.far))
+
     def _has_repeat(self, trip: Trip) -> bool:
         return self._budget(trip.service).tokens >= 1.0
 
@@ -280,7 +294,7 @@
         now = time.monotonic()
         scores, latency_ms = None, 0.0
         self._learn_kind(trip, reply.outcome)
-        self._note_offer(trip, target, reply)
+        self._note_offer(now, trip, target, reply)
         if reply.load is not None:
             self._loads.report(now, target.name, reply.load)
             if reply.load.revision > self._view.fleet.revision:
@@ -294,31 +308,41 @@
             Observation(service, target.name, sample, scores, latency_ms, now, looks > 0)
         )
 
-    def _note_offer(self, trip: Trip, target: Target, reply: Reply) -> None:
+    def _note_offer(self, now: float, trip: Trip, target: Target, reply: Reply) -> None:
         """Note what a target said that would take the request, but not as it is wanted."""
         match reply.outcome:
             case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL, retry_after_ms=wait_ms):
                 far = self._view.tier(target) > 0
                 bad = reply.load.bad if reply.load is not None else 0.0
                 trip.note_offer(target.name, Offer(bad, float(wait_ms), far))
+                last = trip.is_last(self._has_repeat(trip))
+                self._loads.note_word(now, target.name, bad, float(wait_ms), far=far, last=last)
             case _:
-                pass
+                self._loads.forget_word(target.name)
 
-    def _kind(self, route: Route) -> "_Kind":
-        """Return what is known of the requests of a route."""
-        found = self._kinds.get(route.name)
+    def _kind(self, name: str) -> "_Kind":
+        """Return what is known of the requests of a route or service."""
+        found = self._kinds.get(name)
         if found is None:
             if len(self._kinds) >= KINDS_MAX:
                 self._kinds = {}
-            found = self._kinds[route.name] = _Kind(UsualTime())
+            found = self._kinds[name] = _Kind(UsualTime())
         return found
 
+    def _patience(self, trip: Trip) -> float:
+        """Return how many times its objective a request may take."""
+        others_ms = self._kind(f"{SERVICE}{trip.service.name}").usual.typical_ms
+        if trip.usual_ms <= 0.0:
+            return 1.0
+        return min(PATIENCE_MAX, max(1.0, others_ms / trip.usual_ms))
+
     def _learn_kind(self, trip: Trip, outcome: Outcome) -> None:
         """Learn how long requests of a route take at a target, and how large they are."""
         match outcome:
             case Answered(status=status, body=body, service_ms=service_ms):
                 if status < SERVER_ERROR:
-                    kind = self._kind(trip.route)
+                    self._kind(f"{SERVICE}{trip.service.name}").usual.add(service_ms)
+                    kind = self._kind(trip.route.name)
                     kind.usual.add(service_ms)
                     size_kb = (len(trip.request.body) + len(body)) / 1000.0
                     kind.size_kb += SIZE_SMOOTHING * (size_kb - kind.size_kb)
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -154,6 +154,7 @@
         self._version = NO_VERSION
         self._agreeing: set[str] = set()
         self._announcements = 0
+        self._tells_on = False
         self._platform_seen_at = float("-inf")
         self._last_tick = time.monotonic()
         self._told_leaving = False
@@ -231,6 +232,9 @@
         self._last_tick = now
         if self._announcements > 0:
             self._announce()
+        elif self._tells_on:
+            self._announce(far=False)
+        self._tells_on = False
         if self._members.size == 1:
             for seed in self._settings.seeds:
                 self._send(Send(seed, "sync", 0))
@@ -259,7 +263,7 @@
             hint = self._hints.hear(now, row)
             if hint is not None:
                 self._events.on_hint(hint.target, hint.scores)
-                self._announcements = max(self._announcements, 1)
+                self._tells_on = True
         self._hear_of_source(now, message)
         for answer in answers:
             self._send(answer)
@@ -308,11 +312,11 @@
             for member in self._members.sample(SYNC_PEERS, hall=self._settings.hall):
                 self._send(Send((member.address, member.gossip_port), "sync", 0))
 
-    def _announce(self) -> None:
+    def _announce(self, *, far: bool = True) -> None:
         """Tell some of the own data hall, and one of any, who tells on in its own."""
-        self._announcements -= 1
-        near = self._members.sample(ANNOUNCE_FANOUT - 1, hall=self._settings.hall)
-        for member in {*near, *self._members.sample(1)}:
+        self._announcements = max(0, self._announcements - 1)
+        near = self._members.sample(ANNOUNCE_FANOUT - far, hall=self._settings.hall)
+        for member in {*near, *self._members.sample(int(far))}:
             self._send(Send((member.address, member.gossip_port), "announce", 0))
 
     def _publish(self) -> None:
--- a/roadpass/load.py
+++ b/roadpass/load.py
@@ -2,6 +2,7 @@
 
 import threading
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from roadpass.balance import Load
 from roadpass.message import LoadReport
@@ -16,6 +17,10 @@
 CUT_MAX_S = 4.0
 """Seconds for which a target to which the way is cut is not asked, the first time and at most:
 asking costs a request 0.1 s, cuts last for seconds."""
+WORD_S = 0.06
+FAR_WORD_S = 0.3
+"""Seconds for which a target is taken at its word that it is full or doubtful: asked again by every
+request, the near ones cost time, the far ones bytes. One slot in five is free after 0.1 s."""
 DEFAULT_LIMIT = 10
 FULL = 1.0
 
@@ -34,11 +39,26 @@
     cut_s: float = 0.0
 
 
+class Said(NamedTuple):
+    """A target's word that it has no free slot or is doubtful.
+
+    Args:
+        bad: How probable it is that it is in a bad spell.
+        wait_ms: Milliseconds until it has a free slot.
+        until: Monotonic seconds up to which the word is taken.
+    """
+
+    bad: float
+    wait_ms: float
+    until: float
+
+
 class LoadTable:
     """Own attempts in flight, the sidecars' reports and smoothed latencies; for any thread."""
 
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
+        self._words: dict[str, Said] = {}
         self._lock = threading.Lock()
 
     def load(self, target: str, now: float) -> Load:
@@ -119,6 +139,33 @@
         """Return the targets to which the way is believed to be cut."""
         return {name for name, entry in self._entries.copy().items() if now < entry.cut_until}
 
+    def note_word(
+        self, now: float, target: str, bad: float, wait_ms: float, *, far: bool, last: bool
+    ) -> None:
+        """Note what a target said of itself.
+
+        Args:
+            now: Monotonic seconds.
+            target: Its name.
+            bad: How probable it is that it is in a bad spell.
+            wait_ms: Milliseconds until it has a free slot.
+            far: Whether it is in another data hall.
+            last: Whether the request that asked wanted a target that is as good as sure: one that
+                would be repeated takes others.
+        """
+        if wait_ms <= 0.0 and last:
+            return
+        until = now + (FAR_WORD_S if far else WORD_S)
+        self._words[target] = Said(bad, wait_ms, until)
+
+    def forget_word(self, target: str) -> None:
+        """Note that a target's word does not hold any more."""
+        self._words.pop(target, None)
+
+    def words(self, now: float) -> list[tuple[str, Said]]:
+        """Return the words that are still taken."""
+        return [(name, said) for name, said in self._words.copy().items() if said.until > now]
+
     def avoided(self, now: float) -> set[str]:
         """Return the targets that refused for a time that is not over."""
         return {name for name, entry in self._entries.copy().items() if now < entry.avoid_until}
@@ -128,3 +175,5 @@
         with self._lock:
             for name in [n for n, e in self._entries.items() if n not in targets and not e.own]:
                 del self._entries[name]
+            for name in [name for name in self._words if name not in targets]:
+                del self._words[name]
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -66,6 +66,9 @@
         deadline: Monotonic seconds by which it must have an outcome.
         key: Idempotency key as sidecars know it, empty for none.
         usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
+        patience: How many times its objective it may take: more for what is short beside the
+            service's other requests, since it delays them by little, and often another waits for
+            it.
         far_loss: What its way to another data hall costs, as a share of a lost request.
         tried: Targets that are not asked again.
         offers: What targets said that had no free slot, or are doubtful.
@@ -84,6 +87,7 @@
     deadline: float
     key: str
     usual_ms: float = 0.0
+    patience: float = 1.0
     far_loss: float = 0.0
     tried: set[str] = field(default_factory=set)
     offers: dict[str, Offer] = field(default_factory=dict)
@@ -121,18 +125,23 @@
         return least > self.cost(Offer(FAR_HOPE, 0.0, True), has_repeat)
 
     def most_wait_ms(self) -> float:
-        """Return how long it would wait for a slot at the most: longer, and it would be late."""
+        """Return how long it would wait for a slot at the most: longer, and it would be late.
+
+        One that reached a target already is late in any case where that failed: what is left of
+        its time is what bounds it.
+        """
         now = time.monotonic()
         objective_ms = self.route.target_latency_ms
-        if objective_ms is None:
-            return (self.deadline - now) * 1000.0
-        usual_ms = self.usual_ms or USUAL_UNKNOWN_SHARE * objective_ms
-        left_ms = objective_ms - (now - self.started) * 1000.0 - usual_ms
+        left_ms = (self.deadline - now) * 1000.0 - self.usual_ms
+        if objective_ms is not None and self.arrivals == 0:
+            usual_ms = self.usual_ms or USUAL_UNKNOWN_SHARE * objective_ms
+            aim_ms = objective_ms * self.patience - (now - self.started) * 1000.0 - usual_ms
+            left_ms = min(left_ms, aim_ms)
         return max(WAIT_LEAST_MS, left_ms)
 
     def cost(self, offer: Offer, has_repeat: bool) -> float:
         """Return what an offer costs in expectation, as a share of a lost request."""
-        loss = 1.0 if self._is_last(has_repeat) else SPARE_LOSS
+        loss = 1.0 if self.is_last(has_repeat) else SPARE_LOSS
         late = min(1.0, offer.wait_ms / self.most_wait_ms()) * LATE_LOSS
         return offer.bad * loss + late + (self.far_loss if offer.far else 0.0)
 
@@ -142,6 +151,11 @@
         patience_s = GIVE_UP_SHARE * (self.deadline - self.started)
         return self.arrivals == 0 and time.monotonic() - self.started > patience_s
 
+    def note_arrival(self) -> None:
+        """Note that it reached a target: for another attempt all are asked again."""
+        self.arrivals += 1
+        self._ask_anew()
+
     def note_offer(self, name: str, offer: Offer) -> None:
         """Note a target that had no free slot or is doubtful."""
         if self.settles:
@@ -233,7 +247,7 @@
             origin=self.request.origin,
             may_wait=self.settles,
             pressing=self.pressing,
-            last=self._is_last(has_repeat),
+            last=self.is_last(has_repeat),
             most_bad=self._most_bad(has_repeat),
             most_wait_ms=self.most_wait_ms(),
         )
@@ -247,9 +261,9 @@
         """Return how probably bad a target the next attempt takes."""
         if self.settles or self.pressing:
             return 1.0
-        return WANTED_BAD if self._is_last(has_repeat) else SPARE_BAD
+        return WANTED_BAD if self.is_last(has_repeat) else SPARE_BAD
 
-    def _is_last(self, has_repeat: bool) -> bool:
+    def is_last(self, has_repeat: bool) -> bool:
         """Tell whether the request is lost with the next attempt."""
         return not (self.route.repeatable and self.arrivals == 0 and has_repeat)
 
