See attempts of a node that leaves to their end, and let long requests have every third turn

Short requests give every third turn to the others, so that a flood of internal ones crowds out nobody.

--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -12,6 +12,9 @@
 SHORT_SHARE = 0.75
 """A request that usually takes at most this share of the mean time goes before all that wait: it
 delays them by little, and is often a call that a running request waits for, slot in hand."""
+SHORT_TURNS = 2
+"""Turns in a row that short requests take before one of the others has its turn: a flood of short
+ones never starves them."""
 RETRY_QUEUE_SHARE = 0.25
 """Retries wait only while the queue is under this share of its limit: they are shed first."""
 
@@ -112,6 +115,7 @@
         self._classes = {entry.name: _ClassState(entry.reserved) for entry in classes}
         self._last_class = classes[-1].name
         self._short: deque[Ticket] = deque()
+        self._short_turns = 0
         self._in_use = 0
         self._service_ms = 0.0
 
@@ -209,28 +213,28 @@
         return []
 
     def _grant(self, now: float) -> list[Ticket]:
-        granted = self._grant_short(now)
-        for name, state in self._classes.items():
-            while state.waiting and self._may_run(name):
-                ticket = state.pop()
-                if ticket is None or ticket.expires_at <= now:
-                    continue
-                self._take(state)
-                ticket.granted = True
-                granted.append(ticket)
-        return granted
-
-    def _grant_short(self, now: float) -> list[Ticket]:
-        """Grant slots to short requests, in the order in which they came."""
-        granted = []
-        while self._short and self._may_run(self._short[0].traffic_class):
-            ticket = self._short.popleft()
+        granted: list[Ticket] = []
+        while True:
+            ticket = self._next()
+            if ticket is None:
+                return granted
             if ticket.expires_at <= now:
                 continue
             self._take(self._classes[ticket.traffic_class])
             ticket.granted = True
             granted.append(ticket)
-        return granted
+
+    def _next(self) -> Ticket | None:
+        """Take the next that waits and may run: short ones first, but for every third turn."""
+        short = bool(self._short) and self._may_run(self._short[0].traffic_class)
+        if short and self._short_turns < SHORT_TURNS:
+            self._short_turns += 1
+            return self._short.popleft()
+        for name, state in self._classes.items():
+            if state.waiting and self._may_run(name):
+                self._short_turns = 0
+                return state.pop()
+        return self._short.popleft() if short else None
 
     def _is_short(self, own_ms: float) -> bool:
         return 0.0 < own_ms <= SHORT_SHARE * self._service_ms
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -230,7 +230,8 @@
                 trip.offers.setdefault(name, Offer(said.bad, said.wait_ms, name in picker.far))
 
     def _has_repeat(self, trip: Trip) -> bool:
-        return self._budget(trip.service).tokens >= 1.0
+        """Tell whether another attempt may follow; a node that leaves sees each to its end."""
+        return not self._view.leaving and self._budget(trip.service).tokens >= 1.0
 
     def _attempt(self, trip: Trip, target: Target) -> Outcome:
         attempt_id = f"{self._prefix}{next(self._numbers)}"
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -3,6 +3,7 @@
 import math
 import threading
 import time
+from collections.abc import Callable
 
 from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
 from roadpass.belief import LATE_S, Belief, End, Visit
@@ -15,7 +16,7 @@
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
 from roadpass.limit import AdaptiveLimit
-from roadpass.message import Attempt, LoadReport, Question
+from roadpass.message import Attempt, LoadReport, Question, ingress_of
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
@@ -65,6 +66,7 @@
         fences: The sidecar's table.
         pause: The node's pause watch.
         dialect: How the target is spoken to.
+        stopping: Tells whether a VM's node is leaving: its attempts are seen to their end.
     """
 
     def __init__(
@@ -75,7 +77,9 @@
         pause: PauseWatch,
         *,
         dialect: Dialect = OWN,
+        stopping: Callable[[str], bool] = lambda _: False,
     ) -> None:
+        self._stopping = stopping
         self.target = target
         self._service = service
         self._fences = fences
@@ -269,6 +273,7 @@
                 attempt_id
                 for attempt_id, visit in self._spare.items()
                 if self._belief.ratio(now, visit) >= LOST_RATIO
+                and not self._stopping(ingress_of(attempt_id))
             ]
             self._given_up.update(lost)
         for attempt_id in lost:
--- a/tests/fake_sidecar.py
+++ b/tests/fake_sidecar.py
@@ -7,6 +7,7 @@
 from roadpass.dispatch import Dispatcher
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
+from roadpass.load import WORD_S
 from roadpass.message import Attempt, LoadReport, Reply
 from roadpass.outcome import NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
@@ -47,6 +48,15 @@
         return super().run(attempt, age_s, watch)
 
 
+class WaitingSidecar(FakeSidecar):
+    """Takes longer for an attempt that may wait than a word of a full target holds."""
+
+    def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
+        if attempt.may_wait:
+            time.sleep(1.5 * WORD_S)
+        return super().run(attempt, age_s, watch)
+
+
 def fleet(**service: object) -> Fleet:
     """Return a fleet with one service on one VM."""
     value = {
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -150,3 +150,39 @@
         elif twin.running[rank]:
             started = [numbers[ticket] for ticket in one.release(0.0, name)]
             assert started == twin.release(rank)
+
+
+def crowded() -> tuple[Admission, list[Ticket]]:
+    """Return an admission whose slots are taken, and requests that wait: long and short ones."""
+    one = admission()
+    fill(one)
+    tickets = []
+    for number, own_ms in enumerate([10.0, 10.0, 2.0, 2.0, 2.0, 2.0]):
+        decision = one.offer(0.0, "members", f"c{number}", 1.0, retry=False, own_ms=own_ms)
+        assert isinstance(decision, Queued)
+        tickets.append(decision.ticket)
+    return one, tickets
+
+
+def test_short_requests_go_first_but_never_starve_the_others() -> None:
+    """A call that a running request waits for delays the others by little; a flood would not."""
+    one, (long_1, long_2, *short) = crowded()
+    order = [ticket for _ in range(6) for ticket in one.release(0.1, "members")]
+    assert order == [short[0], short[1], long_1, short[2], short[3], long_2]
+
+
+def test_a_short_request_is_told_the_wait_that_it_has() -> None:
+    """Only short ones are before it; its deadline is judged by its own time."""
+    one, _ = crowded()
+    assert one.expected_wait_ms("members", 2.0) < one.expected_wait_ms("members", 10.0)
+    late = one.offer(0.0, "members", "x", 0.008, retry=False)
+    in_time = one.offer(0.0, "members", "y", 0.008, retry=False, own_ms=2.0)
+    assert isinstance(late, Refused)
+    assert isinstance(in_time, Queued)
+
+
+def test_a_short_request_that_leaves_is_not_granted() -> None:
+    """Its place goes to the next."""
+    one, (_, _, first, second, *_) = crowded()
+    assert one.abandon(0.05, first) == []
+    assert one.release(0.1, "members") == [second]
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,6 +1,6 @@
 """Beliefs of the targets' load: cut ways are asked later and later, until a word comes."""
 
-from roadpass.load import AVOIDED, CUT_GROWTH, CUT_MAX_S, CUT_S, LoadTable
+from roadpass.load import AVOIDED, CUT_GROWTH, CUT_MAX_S, CUT_S, FAR_WORD_S, WORD_S, LoadTable
 
 
 def test_a_cut_way_is_asked_later_and_later() -> None:
@@ -35,3 +35,25 @@
     loads.avoid(0.0, "t")
     loads.note_reached("other")
     assert loads.cut_off(0.5) == set()
+
+
+def test_a_full_target_is_taken_at_its_word_for_a_moment() -> None:
+    """Longer where the question costs bytes between data halls; its next answer ends it."""
+    loads = LoadTable()
+    loads.note_word(0.0, "near", 0.0, 90.0, far=False, last=True)
+    loads.note_word(0.0, "far", 0.2, 90.0, far=True, last=True)
+    loads.note_word(0.0, "sure", 0.1, 0.0, far=True, last=True)
+    assert [name for name, _ in loads.words(WORD_S / 2)] == ["near", "far"]
+    assert [(name, said.bad) for name, said in loads.words(2 * WORD_S)] == [("far", 0.2)]
+    assert loads.words(FAR_WORD_S) == []
+    loads.note_word(1.0, "near", 0.0, 90.0, far=False, last=True)
+    loads.forget_word("near")
+    assert loads.words(1.0) == []
+
+
+def test_words_of_targets_that_are_gone_are_forgotten() -> None:
+    """The table does not grow with replaced targets."""
+    loads = LoadTable()
+    loads.note_word(0.0, "t", 0.0, 90.0, far=True, last=True)
+    loads.keep_only({"other"})
+    assert loads.words(0.0) == []
--- a/tests/test_trip.py
+++ b/tests/test_trip.py
@@ -6,7 +6,13 @@
 from roadpass.message import LoadReport, Reply
 from roadpass.outcome import RETRY_SOON_MS, Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.trip import GIVE_UP_SHARE, SPARE_BAD, WANTED_BAD
-from tests.fake_sidecar import FakeSidecar, SlowSidecar, dispatcher, request
+from tests.fake_sidecar import (
+    FakeSidecar,
+    SlowSidecar,
+    WaitingSidecar,
+    dispatcher,
+    request,
+)
 
 
 def test_the_first_attempt_leaves_time_for_another_only_where_there_may_be_one() -> None:
@@ -106,7 +112,7 @@
 def test_a_request_whose_wait_at_a_target_ends_asks_the_others_again() -> None:
     """Meanwhile they may have a free slot."""
     busy = [NotRun(Reason.BUSY, wait_ms) for wait_ms in (40, 30, 20, 50)]
-    sidecar = FakeSidecar([*busy, NotRun(Reason.BUSY, 500), Answered(200, [], b"ok")])
+    sidecar = WaitingSidecar([*busy, NotRun(Reason.BUSY, 500), Answered(200, [], b"ok")])
     assert isinstance(dispatcher(sidecar).dispatch(request("POST")).outcome, Answered)
     made = sidecar.attempts
     assert [attempt.may_wait for attempt in made] == [False] * 4 + [True, False]
