Add the expected wait to an attempt's limit, and let short requests wait by all requests' usual time

Excluded: doors shut for too long (trials end a spell about 0.9 s late, one target in 20 s). Change: the limit of a first attempt grows by the wait it was told; how much later than its objective a short request may come is measured against all requests that this ingress sees, not its service's alone; a far target's word that it is full holds as long as the wait it told.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -47,8 +47,6 @@
 FAR_OVERHEAD_KB = 0.8
 """Kilobytes of frames, headers and acknowledgements that come with a request and its answer."""
 SIZE_SMOOTHING = 0.1
-SERVICE = "service "
-"""Begins the name by which the usual time of all requests of a service is kept."""
 PATIENCE_MAX = 4.0
 """How many times its objective a request may take at the most that is short beside the others."""
 KINDS_MAX = 4096
@@ -94,6 +92,7 @@
         self._numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
         self._kinds: dict[str, _Kind] = {}
+        self._all_kinds = UsualTime()
         self._waiting: dict[tuple[str, str], int] = {}
         self._lock = threading.Lock()
         self.observations: deque[Observation] = deque(maxlen=100_000)
@@ -322,7 +321,7 @@
                 self._loads.forget_word(target.name)
 
     def _kind(self, name: str) -> "_Kind":
-        """Return what is known of the requests of a route or service."""
+        """Return what is known of the requests of a route."""
         found = self._kinds.get(name)
         if found is None:
             if len(self._kinds) >= KINDS_MAX:
@@ -332,7 +331,7 @@
 
     def _patience(self, trip: Trip) -> float:
         """Return how many times its objective a request may take."""
-        others_ms = self._kind(f"{SERVICE}{trip.service.name}").usual.typical_ms
+        others_ms = self._all_kinds.typical_ms
         if trip.usual_ms <= 0.0:
             return 1.0
         return min(PATIENCE_MAX, max(1.0, others_ms / trip.usual_ms))
@@ -342,7 +341,7 @@
         match outcome:
             case Answered(status=status, body=body, service_ms=service_ms):
                 if status < SERVER_ERROR:
-                    self._kind(f"{SERVICE}{trip.service.name}").usual.add(service_ms)
+                    self._all_kinds.add(service_ms)
                     kind = self._kind(trip.route.name)
                     kind.usual.add(service_ms)
                     size_kb = (len(trip.request.body) + len(body)) / 1000.0
--- a/roadpass/load.py
+++ b/roadpass/load.py
@@ -20,7 +20,8 @@
 WORD_S = 0.06
 FAR_WORD_S = 0.3
 """Seconds for which a target is taken at its word that it is full or doubtful: asked again by every
-request, the near ones cost time, the far ones bytes. One slot in five is free after 0.1 s."""
+request, the near ones cost time, the far ones bytes. A far one's word holds as long as the wait
+that it told, up to the latter."""
 DEFAULT_LIMIT = 10
 FULL = 1.0
 
@@ -155,7 +156,8 @@
         """
         if wait_ms <= 0.0 and last:
             return
-        until = now + (FAR_WORD_S if far else WORD_S)
+        held_s = min(FAR_WORD_S, max(WORD_S, wait_ms / 1000.0)) if far else WORD_S
+        until = now + held_s
         self._words[target] = Said(bad, wait_ms, until)
 
     def forget_word(self, target: str) -> None:
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -66,9 +66,8 @@
         deadline: Monotonic seconds by which it must have an outcome.
         key: Idempotency key as sidecars know it, empty for none.
         usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
-        patience: How many times its objective it may take: more for what is short beside the
-            service's other requests, since it delays them by little, and often another waits for
-            it.
+        patience: How many times its objective it may take: more for what is short beside other
+            requests, since it delays them by little, and often one of them waits for it.
         far_loss: What its way to another data hall costs, as a share of a lost request.
         tried: Targets that are not asked again.
         offers: What targets said that had no free slot, or are doubtful.
@@ -76,6 +75,7 @@
         arrivals: Attempts that reached a target.
         moves: Attempts refused before that.
         settles: Whether it takes the best of those that were asked, as none is as wanted.
+        waits_ms: Milliseconds that it is expected to wait there; its attempt lasts longer by them.
         pressing: All targets have refused it: those that might yet take it are asked again.
         may_have_run: Latest outcome that is no proof that the request did not run.
     """
@@ -95,6 +95,7 @@
     arrivals: int = 0
     moves: int = 0
     settles: bool = False
+    waits_ms: float = 0.0
     pressing: bool = False
     may_have_run: Outcome | None = None
 
@@ -173,7 +174,9 @@
         if not left:
             return None
         self.settles = True
-        return min(left, key=lambda name: self.cost(self.offers[name], has_repeat))
+        name = min(left, key=lambda name: self.cost(self.offers[name], has_repeat))
+        self.waits_ms = self.offers[name].wait_ms
+        return name
 
     def least_wait_ms(self) -> float:
         """Return the shortest wait that a target told, 0 without any."""
@@ -256,6 +259,7 @@
         """Ask all targets again after a wait in the queue of one, or where the best has changed."""
         self.offers.clear()
         self.settles = False
+        self.waits_ms = 0.0
 
     def _most_bad(self, has_repeat: bool) -> float:
         """Return how probably bad a target the next attempt takes."""
@@ -279,5 +283,6 @@
         limit_s = self.service.attempt_timeout_ms / 1000.0
         repeats = has_repeat and self.may_arrive and self.arrivals == 0
         if self.route.target_latency_ms is not None and repeats:
-            limit_s = min(limit_s, self.route.target_latency_ms / 1000.0)
+            aim_ms = self.route.target_latency_ms + self.waits_ms
+            limit_s = min(limit_s, aim_ms / 1000.0)
         return min(left, limit_s)
