--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -103,6 +103,7 @@
             pull=self._on_pull,
             behind=self._on_behind,
             dialect=self._dialect,
+            stopping=self._is_stopping,
         )
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         self._dispatcher = Dispatcher(
@@ -112,6 +113,7 @@
             self._peers,
             self._pause,
             behind=self._on_behind,
+            metrics=self.metrics,
         )
         self._platform = Platform(settings.platform_url, self.metrics)
         self._readers: list[str] = []
@@ -350,6 +352,13 @@
         if peer is not None and self._settings.store is None:
             self._puller.tell(VersionHeard(Version(revision, ""), (peer.address, peer.stream_port)))
 
+    def _is_stopping(self, vm: str) -> bool:
+        """Tell whether a VM's node, this one included, has said that it leaves."""
+        if vm == self._settings.vm:
+            return self._view.leaving
+        node = self._view.nodes.get(vm)
+        return node is not None and node.leaving
+
     def _on_hint(self, target: str, scores: Scores) -> None:
         self._monitor.tell(HintHeard(target, scores))
 
@@ -407,4 +416,4 @@
 
 def _policy(store: StoreSettings) -> Policy:
     """Return what the operators set for all services of a store."""
-    return Policy(store.floor_share, store.retry_ratio, store.retry_slack)
+    return Policy(store.floor_share, store.retry_ratio, store.retry_slack, store.retry_window_s)
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -13,7 +13,7 @@
 from roadpass.fence import FenceTable, Verdict
 from roadpass.fleet import Fleet
 from roadpass.local import LocalTarget
-from roadpass.message import Attempt, Message, Question, Reply
+from roadpass.message import Attempt, LoadReport, Message, Question, Reply
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
 from roadpass.request import CallerWatch
@@ -39,6 +39,7 @@
         pull: Answers a peer that asks for the configuration or for news of the source.
         behind: Called with an ingress's VM and its revision when that is newer than the own one.
         dialect: How the targets are spoken to.
+        stopping: Tells whether a VM's node is leaving.
     """
 
     def __init__(
@@ -50,8 +51,10 @@
         pull: Callable[[Message], Message],
         behind: Callable[[str, int], None],
         dialect: Dialect = OWN,
+        stopping: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self._dialect = dialect
+        self._stopping = stopping
         self._vm = vm
         self._incarnation = incarnation
         self._pause = pause
@@ -84,7 +87,12 @@
             local = self._targets.get(target.name)
             if local is None or not local.configure(target, service):
                 local = LocalTarget(
-                    target, service, self._fences, self._pause, dialect=self._dialect
+                    target,
+                    service,
+                    self._fences,
+                    self._pause,
+                    dialect=self._dialect,
+                    stopping=self._stopping,
                 )
             targets[target.name] = local
         gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
@@ -108,8 +116,9 @@
         match refusal:
             case None:
                 return {"t": "accepted"}
-            case NotRun(reason=Reason.BUSY):
-                return Reply(refusal, local.report(self._fleet.revision)).to_message()
+            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL):
+                report = local.report(self._fleet.revision, question.traffic_class, question.route)
+                return Reply(refusal, report).to_message()
             case _:
                 return Reply(refusal).to_message()
 
@@ -127,9 +136,12 @@
         if refusal is not None or local is None:
             self.refused += 1
             outcome: Outcome = refusal or NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
-            return Reply(outcome, local.report(self._fleet.revision) if local else None)
+            return Reply(outcome, self._report(local, attempt) if local else None)
         outcome = local.run(attempt, deadline, watch)
-        return Reply(outcome, local.report(self._fleet.revision))
+        return Reply(outcome, self._report(local, attempt))
+
+    def _report(self, local: LocalTarget, attempt: Attempt) -> LoadReport:
+        return local.report(self._fleet.revision, attempt.traffic_class, attempt.route)
 
     def fence(self, attempt_id: str) -> Verdict:
         """Promise that an attempt never starts here, or cancel it if it runs."""
--- a/tests/fake_sidecar.py
+++ b/tests/fake_sidecar.py
@@ -2,10 +2,12 @@
 
 import json
 import time
+from collections.abc import Sequence
 
 from roadpass.dispatch import Dispatcher
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
+from roadpass.load import WORD_S
 from roadpass.message import Attempt, LoadReport, Reply
 from roadpass.outcome import NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
@@ -22,8 +24,8 @@
 class FakeSidecar(Sidecar):
     """Gives the outcomes of a script, then refuses; notes what was run."""
 
-    def __init__(self, script: list[Outcome]) -> None:
-        self.script = script
+    def __init__(self, script: Sequence[Outcome | Reply]) -> None:
+        self.script: list[Outcome | Reply] = list(script)
         self.attempts: list[Attempt] = []
         self.verdict = Verdict.NEVER_STARTS
         self.load: LoadReport | None = None
@@ -31,7 +33,8 @@
     def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
         self.attempts.append(attempt)
         refused = NotRun(Reason.QUEUE_FULL)
-        return Reply(self.script.pop(0) if self.script else refused, self.load)
+        word = self.script.pop(0) if self.script else refused
+        return word if isinstance(word, Reply) else Reply(word, self.load)
 
     def fence_key(self, key: str, token: str) -> Verdict:
         return self.verdict
@@ -45,6 +48,15 @@
         return super().run(attempt, age_s, watch)
 
 
+class WaitingSidecar(FakeSidecar):
+    """Takes longer for an attempt that may wait than a word of a full target holds."""
+
+    def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
+        if attempt.may_wait:
+            time.sleep(1.5 * WORD_S)
+        return super().run(attempt, age_s, watch)
+
+
 def fleet(**service: object) -> Fleet:
     """Return a fleet with one service on one VM."""
     value = {
