Try a new stream where a kept one fell silent, and close the other kept ones

Cause: open connections may go silent for good, without a reset, while new ones work; a question on one that was kept then counted as a cut way, and the target was not asked for 1 to 4 s. Excluded: TCP's own keep-alive, which tells after seconds. Change: silence on a stream that was used before is asked once more over a new one, and the node's other kept streams are closed; a target connection that was used before and ends in a timeout is distrusted as one that was lost. Test first: the second question was not asked before.

--- a/roadpass/peer.py
+++ b/roadpass/peer.py
@@ -55,6 +55,13 @@
                 return stream
             stream.close()
 
+    def drop(self, address: Address) -> None:
+        """Close the idle streams to a node: one of them fell silent, and so may the others."""
+        with self._lock:
+            streams = self._idle.pop(address, [])
+        for stream in streams:
+            stream.close()
+
     def release(self, address: Address, stream: Stream) -> None:
         """Take a stream back after a whole exchange."""
         stream.idle_since = time.monotonic()
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -164,6 +164,10 @@
         try:
             raw, service_ms = self._exchange(connection, call, deadline, watch)
             keep_s = _idle_limit_s(raw)
+        except TargetTimeoutError:
+            if connection.reused:
+                self._distrust(connection)
+            raise
         except TargetLostError as error:
             if connection.reused:
                 self._distrust(connection)
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -29,10 +29,17 @@
 
 
 class _Refusal(NamedTuple):
-    """Why there is no stream for an attempt, and the bytes that asking took."""
+    """Why there is no stream for an attempt.
+
+    Args:
+        reply: What the ingress is told.
+        carried: Bytes that asking took.
+        silent: Whether a stream was there, and no word came over it.
+    """
 
     reply: Reply
     carried: int = 0
+    silent: bool = False
 
 
 class Transport:
@@ -103,28 +110,38 @@
         """Return a stream on which the sidecar has just agreed, or why there is none.
 
         Until here nothing of the attempt was sent: a way that is cut, be it in one direction,
-        costs a moment, and the request is free to go elsewhere.
+        costs a moment, and the request is free to go elsewhere. A connection may fall silent for
+        good while new ones work: silence on one that was used before proves no cut.
         """
+        opened, reused = self._try_open(address, attempt)
+        if not (reused and isinstance(opened, _Refusal) and opened.silent):
+            return opened
+        self._peers.drop(address)
+        return self._try_open(address, attempt)[0]
+
+    def _try_open(self, address: Address, attempt: Attempt) -> "tuple[Stream | _Refusal, bool]":
+        """Open one stream, and tell whether it was used before."""
         left_s = attempt.remaining_ms / 1000.0
         connect_s = min(PRESSING_S if attempt.pressing else CONNECT_S, left_s)
         check_s = min(PRESSING_S if attempt.pressing else CHECK_S, left_s)
         try:
             stream = self._peers.acquire(address, timeout_s=connect_s)
         except ConnectError:
-            return _Refusal(Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS)))
+            return _Refusal(Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))), False
+        reused = stream.idle_since > 0.0
         stream.carried = 0
         try:
             stream.send(Question.of(attempt).to_message())
             word = stream.receive(check_s).message
             if word["t"] == "accepted":
-                return stream
+                return stream, reused
             refusal = Reply.from_message(word)
         except StreamError:
             stream.close()
             unreachable = Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
-            return _Refusal(unreachable, stream.carried)
+            return _Refusal(unreachable, stream.carried, silent=True), reused
         self._peers.release(address, stream)
-        return _Refusal(refusal, stream.carried)
+        return _Refusal(refusal, stream.carried), reused
 
     def _exchange(
         self, stream: Stream, address: Address, attempt: Attempt, watch: CallerWatch | None
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,8 +10,8 @@
 from roadpass.errors import ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
-from roadpass.message import LoadReport, Message
-from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.message import Attempt, LoadReport, Message
+from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown, status_of
 from roadpass.peer import Address, PeerPool
 from roadpass.request import CallerWatch
 from roadpass.retry import RetryBudget
@@ -176,6 +176,7 @@
         self.error = error
         self.closed = False
         self.peer_incarnation = 7
+        self.idle_since = 0.0
         self.sent: list[str] = []
 
     def send(self, message: Message) -> None:
@@ -245,3 +246,67 @@
     assert [stream.closed for stream in peers.lent] == [True] * sent
     assert [stream.sent for stream in peers.lent] == [["check", "attempt"]] * sent
     assert peers.returned == []
+
+
+class SilentPeers(FakePeers):
+    """Lends a stream that was used before and fell silent, then new ones that work or do not."""
+
+    def __init__(self, *, new_ones_work: bool) -> None:
+        super().__init__(None, StreamError("lost"))
+        self.new_ones_work = new_ones_work
+        self.dropped: list[Address] = []
+
+    def acquire(self, address: Address, *, timeout_s: float) -> Stream:
+        stream = SilentStream(StreamError("lost"))
+        stream.works = self.new_ones_work and bool(self.lent)
+        stream.idle_since = 0.0 if self.lent else 1.0
+        self.lent.append(stream)
+        return stream
+
+    def drop(self, address: Address) -> None:
+        self.dropped.append(address)
+
+
+class SilentStream(FakeStream):
+    """Says nothing, unless it works."""
+
+    works = False
+
+    def receive(self, timeout_s: float, *, caller: CallerWatch | None = None) -> Received:
+        if not self.works:
+            raise ReplyTimeoutError("The peer did not reply in time.")
+        if self.sent[-1] == "check":
+            return Received({"t": "accepted"}, 0.0)
+        answer = {"t": "answered", "status": 200, "headers": [], "body": b"", "service_ms": 1.0}
+        return Received(answer, 0.0)
+
+
+@pytest.mark.parametrize(("new_ones_work", "status"), [(True, 200), (False, 503)])
+def test_a_kept_stream_that_fell_silent_is_no_cut_way(new_ones_work: bool, status: int) -> None:
+    """A new one is tried at once, and the other kept ones are closed; nothing was sent yet."""
+    peers = SilentPeers(new_ones_work=new_ones_work)
+    view = View("vm-2", "hall", "region")
+    view.nodes[VM] = PeerNode(VM, "127.0.0.1", 1, "hall", "region")
+    sidecar = FakeSidecar([])
+    sent = dispatcher(sidecar)
+    target = sent._view.fleet.targets["t0"]
+    attempt = Attempt(
+        id="vm-2/1/1",
+        target="t0",
+        route="post",
+        method="POST",
+        path="/",
+        headers=[],
+        body=b"",
+        remaining_ms=1000.0,
+        traffic_class="default",
+        caller="c",
+        repeatable=False,
+        retry=False,
+        revision=1,
+        slow_ms=0.0,
+    )
+    outcome = Transport(view, sidecar, peers).send(target, attempt, None).outcome
+    assert status_of(outcome) == status
+    assert len(peers.dropped) == 1
+    assert [stream.closed for stream in peers.lent] == [True, not new_ones_work]
