Ask that target of another data hall which is believed least loaded

Change: a target without a fresh report is taken to have the load that targets usually report, and of the far ones the best of eight is asked instead of the better of two.

--- a/roadpass/balance.py
+++ b/roadpass/balance.py
@@ -8,6 +8,8 @@
 
 SPILL_UTILIZATION = 1.0
 DRAWS = 4
+COMPARED = 8
+"""Targets compared where the best is wanted; the best of eight is among the best eighth."""
 EXPLORE_SHARE = 0.02
 """Share of requests that ignore distance, so that an ingress knows how the others fare."""
 BAD_WEIGHT = 10.0
@@ -140,6 +142,25 @@
                 best_name, best_cost = name, cost
         return best_name
 
+    def pick_best(
+        self,
+        load_of: LoadOf,
+        rng: random.Random,
+        *,
+        repeatable: bool,
+        excluded: Collection[str] = (),
+    ) -> str | None:
+        """Pick the target that is believed best, of a few where there are many.
+
+        For where asking one that is full costs more than comparing them all; see `pick`.
+        """
+        for tier in self._all if repeatable else self._settled:
+            left = [name for name in tier.names if name not in excluded]
+            if left:
+                some = rng.sample(left, min(COMPARED, len(left)))
+                return min(some, key=lambda name: _cost(load_of(name)))
+        return None
+
     @staticmethod
     def _better_of_two(
         tier: _Tier, load_of: LoadOf, rng: random.Random, excluded: Collection[str]
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -215,7 +215,7 @@
             excluded = known | picker.near
             if not trip.pressing:
                 excluded |= self._loads.avoided(now)
-            name = picker.pick(load_of, self._rng, repeatable=repeatable, excluded=excluded)
+            name = picker.pick_best(load_of, self._rng, repeatable=repeatable, excluded=excluded)
             if name is not None:
                 return name
         return trip.settle(has_repeat)
--- a/roadpass/load.py
+++ b/roadpass/load.py
@@ -10,6 +10,9 @@
 REPORT_S = 1.0
 """A report older than this is not believed; between, its weight falls off linearly."""
 SMOOTHING = 0.1
+USUAL_SMOOTHING = 0.02
+"""Weight of one report in the load that a target is believed to have of others while its own report
+is old: were it taken for idle, in a crowded moment the full ones would be asked again and again."""
 AVOID_S = 2.0
 AVOIDED = Load(1e6, 1e6)
 CUT_S = 1.0
@@ -60,6 +63,7 @@
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
         self._words: dict[str, Said] = {}
+        self._usual_others = 0.0
         self._lock = threading.Lock()
 
     def load(self, target: str, now: float) -> Load:
@@ -71,11 +75,12 @@
         """
         entry = self._entries.get(target)
         if entry is None:
-            return Load(0.0, 0.0)
+            return Load(self._usual_others, 0.0)
         if now < entry.avoid_until:
             return AVOIDED
         fresh = max(0.0, 1.0 - (now - entry.reported_at) / REPORT_S)
-        utilization = (entry.own + entry.others * fresh) / entry.limit
+        others = entry.others * fresh + self._usual_others * entry.limit * (1.0 - fresh)
+        utilization = (entry.own + others) / entry.limit
         if entry.overdue:
             utilization = FULL + max(utilization, float(entry.overdue))
         return Load(utilization, entry.latency_ms, entry.bad * fresh)
@@ -114,6 +119,8 @@
             entry = self._entries.setdefault(target, _Entry())
             entry.others = max(0, report.in_flight + report.queued - entry.own)
             entry.limit = max(1, report.limit)
+            used = entry.others / entry.limit
+            self._usual_others += USUAL_SMOOTHING * (used - self._usual_others)
             entry.bad = report.bad
             entry.reported_at = now
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -68,3 +68,16 @@
     for begin, end in zip(history, history[10:], strict=False):
         most = BURST + ratio * (end[0] - begin[0])
         assert end[1] - begin[1] <= most
+
+
+@given(st.integers(0, 2**16), st.sets(st.integers(0, 5)))
+def test_the_best_of_few_is_the_least_loaded_that_is_left(seed: int, gone: set[int]) -> None:
+    """Where asking a full one is dear; nobody is picked who is excluded."""
+    rng = random.Random(seed)
+    loads = {f"t{n}": Load(rng.random(), 10.0, rng.random()) for n in range(6)}
+    picker = Picker([[Candidate(name, 1, 1.0) for name in loads]])
+    excluded = {f"t{n}" for n in gone}
+    picked = picker.pick_best(loads.__getitem__, rng, repeatable=False, excluded=excluded)
+    left = sorted(set(loads) - excluded)
+    cost = {n: (1.0 + loads[n].utilization) * (1.0 + 10.0 * loads[n].bad) for n in left}
+    assert picked == (min(left, key=cost.__getitem__) if left else None)
