Take back the breaking off of what a bad target has probably lost

Tried: what may repeat was broken off at a target whose door was shut. A leaving node's own attempts were spared before; one broken off before the stop is not. Conclusion: silence alone is no reason to end an answer sooner; it only keeps the next request away. Its code and test go; a leaving node still lets its attempts have all their time.

--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -3,7 +3,6 @@
 import math
 import threading
 import time
-from collections.abc import Callable
 
 from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
 from roadpass.belief import LATE_S, Belief, End, Visit
@@ -16,7 +15,7 @@
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
 from roadpass.limit import AdaptiveLimit
-from roadpass.message import Attempt, LoadReport, Question, ingress_of
+from roadpass.message import Attempt, LoadReport, Question
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
@@ -43,9 +42,6 @@
 """Milliseconds; with less time left an attempt is not started."""
 GATEWAY_TIMEOUT = 504
 """What a target answers at the end of the time it was given: it was silent until then."""
-LOST_RATIO = 3.0
-"""How many times more probable the silence of a request is at a bad target before it is broken off,
-once its target is probably bad by all that it shows."""
 GIVEN_UP_SHARE = 0.9
 """Share of the given time after which such an answer means that the time was over."""
 WAIT_FACTOR = 1.5
@@ -66,7 +62,6 @@
         fences: The sidecar's table.
         pause: The node's pause watch.
         dialect: How the target is spoken to.
-        stopping: Tells whether a VM's node is leaving: its attempts are seen to their end.
     """
 
     def __init__(
@@ -77,9 +72,7 @@
         pause: PauseWatch,
         *,
         dialect: Dialect = OWN,
-        stopping: Callable[[str], bool] = lambda _: False,
     ) -> None:
-        self._stopping = stopping
         self.target = target
         self._service = service
         self._fences = fences
@@ -103,8 +96,6 @@
         )
         self._evidence = Evidence(service.false_ejections_per_target_week, time.monotonic())
         self._queued: dict[str, Ticket] = {}
-        self._spare: dict[str, Visit] = {}
-        self._given_up: set[str] = set()
         self._lock = threading.Lock()
         self.leaving = target.leaving
 
@@ -255,30 +246,10 @@
         """Count requests that the target has had for far too long as evidence against it."""
         with self._lock:
             self._belief.stall(self._pause.last_stall)
-        self._give_up_lost(now)
         for _ in range(self._evidence.find_overdue(now, self._pause.last_stall)):
             with self._lock:
                 self._evidence.learn_pending()
 
-    def _give_up_lost(self, now: float) -> None:
-        """Break off what its target has probably lost and what has a repeat left.
-
-        It gains the time between the moment at which others show that the target is bad and the
-        end of the attempt: a quarter of the objective and more.
-        """
-        with self._lock:
-            if not (self._spare and self._door.shut(now)):
-                return
-            lost = [
-                attempt_id
-                for attempt_id, visit in self._spare.items()
-                if self._belief.ratio(now, visit) >= LOST_RATIO
-                and not self._stopping(ingress_of(attempt_id))
-            ]
-            self._given_up.update(lost)
-        for attempt_id in lost:
-            self._client.cancel(attempt_id)
-
     def forget_old_evidence(self, now: float) -> None:
         """Drop evidence once no work has come for a while: who returns is judged anew."""
         with self._lock:
@@ -360,8 +331,6 @@
         with self._lock:
             visit = self._door.begin(started, attempt.route)
             self._repeats.arrive(started, repeat=attempt.retry)
-            if attempt.repeatable and not attempt.last:
-                self._spare[attempt.id] = visit
         end = End.NOTHING
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
@@ -373,8 +342,7 @@
         except TargetTimeoutError:
             outcome, end = Unknown(Reason.TIMEOUT), End.SILENT
         except CallerLeftError:
-            left = attempt.id not in self._given_up
-            outcome, end = Unknown(Reason.CANCELLED if left else Reason.TIMEOUT), End.SILENT
+            outcome, end = Unknown(Reason.CANCELLED), End.SILENT
         except TargetError as error:
             if isinstance(error, TargetLostError):
                 end = End.LOST
@@ -421,8 +389,6 @@
     def _note_end(self, attempt: Attempt, visit: Visit, end: End) -> None:
         now = time.monotonic()
         with self._lock:
-            self._spare.pop(attempt.id, None)
-            self._given_up.discard(attempt.id)
             self._door.end(now, visit, end, stalled_at=self._pause.last_stall)
         self._tell_door(now, attempt)
 
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -50,11 +50,6 @@
 }
 
 
-def ingress_of(attempt_id: str) -> str:
-    """Return the VM of the ingress that made an attempt."""
-    return attempt_id.split("/", 1)[0]
-
-
 class Attempt(NamedTuple):
     """One attempt at a request, as the sidecar gets it; times in milliseconds.
 
@@ -111,7 +106,7 @@
     @property
     def ingress(self) -> str:
         """VM of the ingress that made it."""
-        return ingress_of(self.id)
+        return self.id.split("/", 1)[0]
 
     @classmethod
     def from_message(cls, message: Message) -> "Attempt":
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -103,7 +103,6 @@
             pull=self._on_pull,
             behind=self._on_behind,
             dialect=self._dialect,
-            stopping=self._is_stopping,
         )
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         self._dispatcher = Dispatcher(
@@ -352,13 +351,6 @@
         if peer is not None and self._settings.store is None:
             self._puller.tell(VersionHeard(Version(revision, ""), (peer.address, peer.stream_port)))
 
-    def _is_stopping(self, vm: str) -> bool:
-        """Tell whether a VM's node, this one included, has said that it leaves."""
-        if vm == self._settings.vm:
-            return self._view.leaving
-        node = self._view.nodes.get(vm)
-        return node is not None and node.leaving
-
     def _on_hint(self, target: str, scores: Scores) -> None:
         self._monitor.tell(HintHeard(target, scores))
 
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -39,7 +39,6 @@
         pull: Answers a peer that asks for the configuration or for news of the source.
         behind: Called with an ingress's VM and its revision when that is newer than the own one.
         dialect: How the targets are spoken to.
-        stopping: Tells whether a VM's node is leaving.
     """
 
     def __init__(
@@ -51,10 +50,8 @@
         pull: Callable[[Message], Message],
         behind: Callable[[str, int], None],
         dialect: Dialect = OWN,
-        stopping: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self._dialect = dialect
-        self._stopping = stopping
         self._vm = vm
         self._incarnation = incarnation
         self._pause = pause
@@ -87,12 +84,7 @@
             local = self._targets.get(target.name)
             if local is None or not local.configure(target, service):
                 local = LocalTarget(
-                    target,
-                    service,
-                    self._fences,
-                    self._pause,
-                    dialect=self._dialect,
-                    stopping=self._stopping,
+                    target, service, self._fences, self._pause, dialect=self._dialect
                 )
             targets[target.name] = local
         gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -346,32 +346,3 @@
     assert reason(bench, attempt(1, key="s:k")) is None
     assert reason(bench, attempt(2, key="s:k")) is Reason.KEY_USED
     assert bench.runs == 1
-
-
-@pytest.mark.parametrize(("stopping", "broken_off"), [(False, True), (True, False)])
-def test_what_a_silent_target_lost_is_broken_off_for_its_repeat_but_not_for_a_node_that_leaves(
-    bench: Bench, stopping: bool, broken_off: bool
-) -> None:
-    """Its ingress sends it elsewhere; one that is stopping sees each attempt to its end."""
-    local = bench.sidecar.targets["t"]
-    local._stopping = lambda vm: stopping and vm == "vm-2"
-    for number in range(20):
-        assert reason(bench, attempt(number)) is None
-    behaviour = bench.state.behaviour
-    behaviour.median_ms, behaviour.spread = 600.0, 0.0
-    reasons: list[Reason | None] = []
-    threads = [
-        threading.Thread(
-            target=lambda n=n: reasons.append(
-                reason(bench, attempt(100 + n, repeatable=True, caller=f"c{n}"))
-            )
-        )
-        for n in range(2)
-    ]
-    for thread in threads:
-        thread.start()
-    time.sleep(0.25)
-    local.scan_running(time.monotonic())
-    for thread in threads:
-        thread.join()
-    assert set(reasons) == ({Reason.TIMEOUT} if broken_off else {None})
