Send what cannot be repeated in time to surer targets, and shorten questions

Change: when a loss is usually noticed is learnt by route; where a repeat would come late its loss weighs as being late, and it wants a target bad with 0.12 at the most (0.4 before). Sidecars log the belief that a start rested on. Mechanisms of the choice are listed in tools/mechanism_off, which can switch one off in a tree to measure it.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -47,6 +47,9 @@
 FAR_OVERHEAD_KB = 0.8
 """Kilobytes of frames, headers and acknowledgements that come with a request and its answer."""
 SIZE_SMOOTHING = 0.1
+LOST_SMOOTHING = 0.2
+"""Weights of one answer in the size, and of one loss in the time after which losses are noticed,
+that requests of a route are taken to have."""
 PATIENCE_MAX = 4.0
 """How many times its objective a request may take at the most that is short beside the others."""
 KINDS_MAX = 4096
@@ -91,7 +94,7 @@
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
-        self._kinds: dict[str, _Kind] = {}
+        self._kinds: dict[str, Kind] = {}
         self._all_kinds = UsualTime()
         self._waiting: dict[tuple[str, str], int] = {}
         self._lock = threading.Lock()
@@ -126,7 +129,7 @@
         slot = (service.name, service.class_of(route))
         if not self._enter(slot, service.waiting_limit):
             return self._refused(request, NotRun(Reason.WAITING_LIMIT, RETRY_SOON_MS), *slot)
-        trip = _trip(request, route, service, started, self._kind(route.name))
+        trip = make_trip(request, route, service, started, self._kind(route.name))
         trip.patience = self._patience(trip)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
@@ -293,7 +296,7 @@
         """Note what an attempt showed of its target, for the choice of targets and their health."""
         now = time.monotonic()
         scores, latency_ms = None, 0.0
-        self._learn_kind(trip, reply.outcome)
+        self._learn_kind(trip, reply.outcome, (now - started) * 1000.0)
         self._note_offer(now, trip, target, reply)
         if reply.load is not None:
             self._loads.report(now, target.name, reply.load)
@@ -320,13 +323,13 @@
             case _:
                 self._loads.forget_word(target.name)
 
-    def _kind(self, name: str) -> "_Kind":
+    def _kind(self, name: str) -> "Kind":
         """Return what is known of the requests of a route."""
         found = self._kinds.get(name)
         if found is None:
             if len(self._kinds) >= KINDS_MAX:
                 self._kinds = {}
-            found = self._kinds[name] = _Kind(UsualTime())
+            found = self._kinds[name] = Kind(UsualTime())
         return found
 
     def _patience(self, trip: Trip) -> float:
@@ -336,16 +339,20 @@
             return 1.0
         return min(PATIENCE_MAX, max(1.0, others_ms / trip.usual_ms))
 
-    def _learn_kind(self, trip: Trip, outcome: Outcome) -> None:
-        """Learn how long requests of a route take at a target, and how large they are."""
+    def _learn_kind(self, trip: Trip, outcome: Outcome, took_ms: float) -> None:
+        """Learn of a route how long and large its requests are, and when a loss is noticed."""
+        kind = self._kind(trip.route.name)
         match outcome:
             case Answered(status=status, body=body, service_ms=service_ms):
                 if status < SERVER_ERROR:
                     self._all_kinds.add(service_ms)
-                    kind = self._kind(trip.route.name)
                     kind.usual.add(service_ms)
                     size_kb = (len(trip.request.body) + len(body)) / 1000.0
                     kind.size_kb += SIZE_SMOOTHING * (size_kb - kind.size_kb)
+                else:
+                    kind.lost_ms += LOST_SMOOTHING * (took_ms - kind.lost_ms)
+            case Unknown(reason=Reason.TIMEOUT | Reason.TARGET_LOST | Reason.STREAM_LOST):
+                kind.lost_ms += LOST_SMOOTHING * (took_ms - kind.lost_ms)
             case _:
                 pass
 
@@ -393,14 +400,15 @@
 
 
 @dataclass(slots=True)
-class _Kind:
+class Kind:
     """What is known of the requests of a route: their time at a target, and their size."""
 
     usual: UsualTime
     size_kb: float = 1.0
+    lost_ms: float = 0.0
 
 
-def _trip(request: Request, route: Route, service: Service, started: float, kind: _Kind) -> Trip:
+def make_trip(request: Request, route: Route, service: Service, started: float, kind: Kind) -> Trip:
     """Return the state of a request that came at `started`, before its first attempt."""
     deadline = started + (route.timeout_ms or service.timeout_ms) / 1000.0
     if request.deadline is not None:
@@ -415,6 +423,7 @@
         deadline,
         key,
         usual_ms=kind.usual.typical_ms,
+        lost_ms=kind.lost_ms,
         far_loss=FAR_LOSS_PER_KB * size_kb,
     )
 
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -329,8 +329,19 @@
         started = time.monotonic()
         running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
         with self._lock:
+            bad = self._belief.bad(started)
             visit = self._door.begin(started, attempt.route)
             self._repeats.arrive(started, repeat=attempt.retry)
+        decided(
+            "sidecar",
+            "start",
+            request=attempt.request_id,
+            attempt=attempt.id,
+            target=self.target.name,
+            bad=round(bad, 3),
+            trial=visit.trial,
+            running=self._admission.in_use,
+        )
         end = End.NOTHING
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -184,20 +184,26 @@
         )
 
     def to_message(self) -> Message:
-        """Return the written form."""
-        return {
+        """Return the written form, without what is as usual: questions are many."""
+        message: dict[str, Any] = {
             "t": "check",
             "target": self.target,
             "traffic_class": self.traffic_class,
             "repeatable": self.may_be_trial,
             "may_wait": self.may_wait,
             "pressing": self.pressing,
-            "most_bad": self.most_bad,
-            "spare": self.spare,
-            "most_wait_ms": self.most_wait_ms,
-            "retry": self.repeat,
-            "route": self.route,
         }
+        if self.most_bad < 1.0:
+            message["most_bad"] = self.most_bad
+        if self.most_wait_ms < UNBOUNDED_MS:
+            message["most_wait_ms"] = int(self.most_wait_ms)
+        if not self.spare:
+            message["spare"] = False
+        if self.repeat:
+            message["retry"] = True
+        if self.route:
+            message["route"] = self.route
+        return message
 
 
 class LoadReport(NamedTuple):
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -25,6 +25,8 @@
 """The same for a request that would be repeated: what it costs is a repeat, what it shows helps."""
 SPARE_LOSS = 0.3
 """What a failure of an attempt that is repeated costs, as a share of a lost request."""
+SPARE_LATE_BAD = 0.12
+"""How probably bad a target is taken by a request whose repeat would come late."""
 LATE_LOSS = 0.9
 """What an answer after the objective costs, as a share of a lost request."""
 FAR_HOPE = 0.05
@@ -66,6 +68,7 @@
         deadline: Monotonic seconds by which it must have an outcome.
         key: Idempotency key as sidecars know it, empty for none.
         usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
+        lost_ms: Milliseconds after which an attempt of its kind is usually known to be lost.
         patience: How many times its objective it may take: more for what is short beside other
             requests, since it delays them by little, and often one of them waits for it.
         far_loss: What its way to another data hall costs, as a share of a lost request.
@@ -87,6 +90,7 @@
     deadline: float
     key: str
     usual_ms: float = 0.0
+    lost_ms: float = 0.0
     patience: float = 1.0
     far_loss: float = 0.0
     tried: set[str] = field(default_factory=set)
@@ -105,6 +109,14 @@
         most = self.route.max_attempts
         return most is None or self.arrivals < most
 
+    @property
+    def repeats_in_time(self) -> bool:
+        """Whether a repeat of a lost attempt would still meet the objective."""
+        objective_ms = self.route.target_latency_ms
+        if objective_ms is None:
+            return True
+        return self.lost_ms + self.usual_ms <= objective_ms * self.patience
+
     @property
     def expired(self) -> bool:
         """Whether too little time is left for an attempt."""
@@ -142,7 +154,7 @@
 
     def cost(self, offer: Offer, has_repeat: bool) -> float:
         """Return what an offer costs in expectation, as a share of a lost request."""
-        loss = 1.0 if self.is_last(has_repeat) else SPARE_LOSS
+        loss = self._loss(has_repeat)
         late = min(1.0, offer.wait_ms / self.most_wait_ms()) * LATE_LOSS
         return offer.bad * loss + late + (self.far_loss if offer.far else 0.0)
 
@@ -265,7 +277,15 @@
         """Return how probably bad a target the next attempt takes."""
         if self.settles or self.pressing:
             return 1.0
-        return WANTED_BAD if self.is_last(has_repeat) else SPARE_BAD
+        if self.is_last(has_repeat):
+            return WANTED_BAD
+        return SPARE_BAD if self.repeats_in_time else SPARE_LATE_BAD
+
+    def _loss(self, has_repeat: bool) -> float:
+        """Return what a failure of the next attempt costs, as a share of a lost request."""
+        if self.is_last(has_repeat):
+            return 1.0
+        return SPARE_LOSS if self.repeats_in_time else LATE_LOSS
 
     def is_last(self, has_repeat: bool) -> bool:
         """Tell whether the request is lost with the next attempt."""
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -100,3 +100,17 @@
     assert (changed, unusable) == (False, [bad])
     held.expire(100.0)
     assert set(held.targets) == {"t1", "t2"}
+
+
+def test_the_doors_of_a_service_share_out_what_the_fleet_may_repeat() -> None:
+    """Together no more than the slack of a window; one ingress may ask for more than its part."""
+    catalogue = Catalogue(Policy(0.7, 0.2, 60.0, 10.0))
+    entries = [
+        TargetPublished(TargetEntry(f"t{n}", "a", f"10.0.0.{n}:80", "h", 4, leaving=False))
+        for n in range(12)
+    ]
+    catalogue.take(0.0, Changes(3, (config(5), *entries), whole=True))
+    service = catalogue.fleet().services["a"]
+    in_window = 12 * (service.target_repeats + 10.0 * service.target_repeats_per_s)
+    assert 0.7 * 60.0 <= in_window <= 60.0
+    assert 2.0 * 60.0 / 12 <= service.retry_burst <= 60.0 / 2
--- a/tests/test_trip.py
+++ b/tests/test_trip.py
@@ -2,15 +2,19 @@
 
 import time
 
+from roadpass.dispatch import Kind, make_trip
 from roadpass.fleet import Fleet
+from roadpass.load import WORD_S
 from roadpass.message import LoadReport, Reply
 from roadpass.outcome import RETRY_SOON_MS, Answered, NotRun, Outcome, Reason, Unknown
-from roadpass.trip import GIVE_UP_SHARE, SPARE_BAD, WANTED_BAD
+from roadpass.trip import GIVE_UP_SHARE, SPARE_BAD, WANTED_BAD, Offer, Trip
+from roadpass.usual import UsualTime
 from tests.fake_sidecar import (
     FakeSidecar,
     SlowSidecar,
     WaitingSidecar,
     dispatcher,
+    fleet,
     request,
 )
 
@@ -146,3 +150,50 @@
     assert outcome == NotRun(Reason.BUSY, RETRY_SOON_MS)
     took_s = time.monotonic() - started
     assert GIVE_UP_SHARE <= took_s < 0.5
+
+
+def trip(*, size_kb: float = 5.0) -> Trip:
+    """Return a request that must not repeat, with an objective of 800 ms, before any attempt."""
+    made = fleet()
+    route = made.routes["post"]._replace(target_latency_ms=800)
+    kind = Kind(UsualTime(), size_kb)
+    now = time.monotonic()
+    return make_trip(request("POST"), route, made.services["s"], now, kind)
+
+
+def test_another_data_hall_is_asked_only_where_it_is_worth_the_bytes() -> None:
+    """A small request goes there for less than a large one; with no offer at all, any does."""
+    for size_kb, bad, asks in ((5.0, 0.1, False), (5.0, 0.6, True), (0.1, 0.2, True)):
+        made = trip(size_kb=size_kb)
+        assert made.asks_far(has_repeat=False)
+        made.note_offer("t0", Offer(bad, 0.0, far=False))
+        assert made.asks_far(has_repeat=False) is asks, (size_kb, bad)
+
+
+def test_of_two_alike_the_near_one_is_taken() -> None:
+    """The way to the other costs bytes."""
+    made = trip()
+    made.note_offer("far", Offer(0.1, 0.0, far=True))
+    made.note_offer("near", Offer(0.2, 0.0, far=False))
+    assert made.settle(has_repeat=False) == "near"
+
+
+def test_a_short_request_may_come_later_than_its_objective() -> None:
+    """It delays others by little, and often one of them waits for it."""
+    sidecar = FakeSidecar([Answered(200, [], b"", 400.0)] * 40)
+    one = dispatcher(sidecar)
+    held = one._view.fleet
+    slow = held.routes["post"]._replace(target_latency_ms=800)
+    quick = slow._replace(name="quick", path="/quick")
+    one._view.fleet = Fleet(held.services, held.targets, {"post": slow, "quick": quick}, ())
+    for _ in range(20):
+        one.dispatch(request("POST"))
+    sidecar.script[:] = [Answered(200, [], b"", 40.0)] * 10
+    for _ in range(10):
+        one.dispatch(request("POST")._replace(path="/quick"))
+    sidecar.script[:] = [NotRun(Reason.BUSY, 1200)] * 9
+    assert one.dispatch(request("POST")).outcome == NotRun(Reason.BUSY, 1200)
+    sidecar.script[:] = [*[NotRun(Reason.BUSY, 1200)] * 4, Answered(200, [], b"", 40.0)]
+    time.sleep(2.0 * WORD_S)
+    outcome = one.dispatch(request("POST")._replace(path="/quick")).outcome
+    assert isinstance(outcome, Answered)
--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -76,8 +76,8 @@
     Mechanism(
         "work that must not repeat stays out of a shut door",
         "roadpass/door.py",
-        "if not repeatable or not (spare or now - self._lost_at >= LONG_SHUT_S):",
-        "if False:",
+        "        if not trial:\n            return False",
+        "        if False:\n            return False",
         "tests/test_door.py",
     ),
     Mechanism(
@@ -229,13 +229,94 @@
     ),
 )
 
+OF_CHOICE = (
+    Mechanism(
+        "silence counts against a target",
+        "roadpass/belief.py",
+        "        return silent / longer\n",
+        "        return 1.0\n",
+        "tests/test_belief.py",
+    ),
+    Mechanism(
+        "losses shut a door",
+        "roadpass/belief.py",
+        "                return BAD_SHARE / SOUND_LOSS\n",
+        "                return 1.0\n",
+        "tests/test_door.py",
+    ),
+    Mechanism(
+        "what is lost if it fails goes to a sure target",
+        "roadpass/trip.py",
+        "        return WANTED_BAD if self.is_last(has_repeat) else SPARE_BAD\n",
+        "        return 1.0\n",
+        "tests/test_trip.py",
+    ),
+    Mechanism(
+        "the way to another data hall has a price",
+        "roadpass/dispatch.py",
+        "far_loss=FAR_LOSS_PER_KB * size_kb,",
+        "far_loss=0.0,",
+        "tests/test_trip.py",
+    ),
+    Mechanism(
+        "a full target is taken at its word",
+        "roadpass/load.py",
+        "        if wait_ms <= 0.0 and last:\n",
+        "        if True:\n",
+        "tests/test_load.py",
+    ),
+    Mechanism(
+        "what would be late is refused",
+        "roadpass/trip.py",
+        "if name not in self.tried and offer.wait_ms <= most_wait_ms",
+        "if name not in self.tried",
+        "tests/test_trip.py",
+    ),
+    Mechanism(
+        "short requests wait before long ones",
+        "roadpass/admission.py",
+        "return 0.0 < own_ms <= SHORT_SHARE * self._service_ms",
+        "return False",
+        "tests/test_admission.py",
+    ),
+    Mechanism(
+        "short requests may come later",
+        "roadpass/dispatch.py",
+        "trip.patience = self._patience(trip)",
+        "trip.patience = 1.0",
+        "tests/test_trip.py",
+    ),
+    Mechanism(
+        "doors share out the repeats",
+        "roadpass/catalogue.py",
+        "INGRESS_REPEATS = 4.0\n",
+        "INGRESS_REPEATS = 1.0\n",
+        "tests/test_catalogue.py",
+    ),
+)
+"""Mechanisms of the choice among targets, which docs/DECISIONS.md also measures one by one."""
+
 MECHANISMS = (
     *ELSEWHERE,
+    *OF_CHOICE,
     *(one._replace(test=MACHINE) for one in ELSEWHERE if one.name in SEEN_TWICE),
     *OF_MACHINE,
 )
 
 
+def switch_off(mechanism: Mechanism, tree: Path) -> None:
+    """Change a tree so that it lacks a mechanism.
+
+    Raises:
+        ValueError: The mechanism's place is not there exactly once.
+    """
+    file = tree / mechanism.file
+    text = file.read_text()
+    if text.count(mechanism.on) != 1:
+        raise ValueError(f"{mechanism.name}: its place is not there exactly once")
+    file.write_text(text.replace(mechanism.on, mechanism.off))
+
+
 def fails_without(mechanism: Mechanism) -> bool:
     """Run a mechanism's test with it off and tell whether the test fails."""
     with tempfile.TemporaryDirectory(prefix="mechanism-off-") as folder:
@@ -246,11 +327,7 @@
                 shutil.copytree(source, copy / name)
             else:
                 shutil.copy(source, copy / name)
-        file = copy / mechanism.file
-        text = file.read_text()
-        if text.count(mechanism.on) != 1:
-            raise ValueError(f"{mechanism.name}: its place is not there exactly once")
-        file.write_text(text.replace(mechanism.on, mechanism.off))
+        switch_off(mechanism, copy)
         run = subprocess.run(
             [sys.executable, "-m", "pytest", "-q", "-x", mechanism.test],
             cwd=copy,
@@ -267,7 +344,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--only", default="", help="only mechanisms whose name contains this")
     parser.add_argument("--test", default="", help="only those whose test's name contains this")
+    parser.add_argument(
+        "--in", dest="tree", type=Path, help="switch the only one off in this tree, to measure it"
+    )
     options = parser.parse_args()
+    if options.tree is not None:
+        (mechanism,) = (one for one in OF_CHOICE if options.only in one.name)
+        switch_off(mechanism, options.tree)
+        return 0
     unseen = 0
     for mechanism in MECHANISMS:
         if options.only not in mechanism.name or options.test not in mechanism.test:
