Learn from the first request that falls silent that a target's spells are silent

Excluded: the spells' rates (one in 20 s, as assumed), the tail of the usual time. Change: a request counts as lost in silence as soon as its silence is four times more probable at a bad target, and is taken back if it is answered; the first loss of either kind tells the kind.

--- a/roadpass/belief.py
+++ b/roadpass/belief.py
@@ -45,6 +45,9 @@
 """Requests whose evidence is kept apart; beyond, the oldest count by what they showed so far."""
 KINDS_MAX = 512
 """Kinds of requests whose usual time is kept, 0.1 KB each; the oldest goes first."""
+MODE_PRIOR = 0.5
+"""Losses at once, and in silence, that are taken to have been seen before any was: so few that the
+first of either kind tells which kind of spells a target has."""
 MODE_MEMORY = 20.0
 """Losses of which it is remembered whether they came at once or in silence."""
 
@@ -69,7 +72,7 @@
         trial: Whether it was let in although the target was believed bad.
         seen_from: From when on its silence counts, monotonic seconds.
         ratio: How many times more probable what it showed is at a bad target; `None` while it runs.
-        counted: Whether it has become part of the belief for good.
+        silent: Whether it was counted as lost in silence.
     """
 
     kind: str
@@ -77,7 +80,7 @@
     trial: bool
     seen_from: float
     ratio: float | None = None
-    counted: bool = False
+    silent: bool = False
 
 
 class Belief:
@@ -92,8 +95,8 @@
         self._usual: dict[str, UsualTime] = {}
         self._visits: list[Visit] = []
         self._failed = FAILED_MIN
-        self._resets = 1.0
-        self._silences = 1.0
+        self._resets = MODE_PRIOR
+        self._silences = MODE_PRIOR
         self._in_spell = False
         self._begun = 1.0
         self._over = 1.0
@@ -164,6 +167,16 @@
         for visit in self._visits:
             visit.seen_from = max(visit.seen_from, now)
 
+    def watch(self, now: float) -> None:
+        """Count what is probably lost in silence as soon as it is, not when its time is over."""
+        for visit in self.running:
+            self._count_silence(now, visit)
+
+    def _count_silence(self, now: float, visit: Visit) -> None:
+        if not visit.silent and self.ratio(now, visit) > 1.0 / (1.0 - BAD_SHARE):
+            visit.silent = True
+            self._silences += 1.0
+
     @property
     def _usually_bad(self) -> float:
         begin, over = self._rates()
@@ -205,12 +218,13 @@
                 failed = float(end is End.FAILED)
                 self._failed += FAILURE_MEMORY * (failed - self._failed)
                 self._failed = max(FAILED_MIN, self._failed)
+                self._silences = max(MODE_PRIOR, self._silences - visit.silent)
                 if not (failed or stalled):
                     self.usual(visit.kind).add((now - visit.started) * 1000.0)
             case End.LOST if now - visit.started < LATE_S:
                 self._resets += 1.0
-            case End.SILENT if self.ratio(now, visit) > 1.0 / (1.0 - BAD_SHARE):
-                self._silences += 1.0
+            case End.SILENT:
+                self._count_silence(now, visit)
             case _:
                 return
         if self._resets + self._silences > MODE_MEMORY:
@@ -220,7 +234,6 @@
     def _count(self, now: float, visit: Visit) -> None:
         """Make a request's evidence part of the belief for good."""
         ratio = self.ratio(now, visit)
-        visit.counted = True
         self._bad = _weighed(self._drift(self._bad, visit.started - self._at), ratio)
         self._at = max(self._at, visit.started)
 
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -246,6 +246,7 @@
         """Count requests that the target has had for far too long as evidence against it."""
         with self._lock:
             self._belief.stall(self._pause.last_stall)
+            self._belief.watch(now)
         for _ in range(self._evidence.find_overdue(now, self._pause.last_stall)):
             with self._lock:
                 self._evidence.learn_pending()
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -25,7 +25,7 @@
 """The same for a request that would be repeated: what it costs is a repeat, what it shows helps."""
 SPARE_LOSS = 0.3
 """What a failure of an attempt that is repeated costs, as a share of a lost request."""
-SPARE_LATE_BAD = 0.12
+SPARE_LATE_BAD = 0.08
 """How probably bad a target is taken by a request whose repeat would come late."""
 LATE_LOSS = 0.9
 """What an answer after the objective costs, as a share of a lost request."""
--- a/tests/test_belief.py
+++ b/tests/test_belief.py
@@ -143,3 +143,16 @@
                 running.append(belief.begin(now, kind))
         assert SURE / 2 <= belief.bad(now) <= CERTAIN
         assert len(belief.running) <= OPEN_MAX
+
+
+def test_silence_is_known_as_the_way_of_a_target_before_its_requests_time_out() -> None:
+    """The next silent one tells more; one that is answered after all is taken back."""
+    belief, now = learnt()
+    visit = belief.begin(now, KIND)
+    early = belief.ratio(now + 0.8, visit)
+    belief.watch(now + 0.8)
+    assert belief.ratio(now + 0.8, visit) > 1.2 * early
+    belief.end(now + 0.9, visit, End.ANSWERED)
+    later = now + 30.0
+    again = belief.begin(later, KIND)
+    assert abs(belief.ratio(later + 0.8, again) - early) < 0.2 * early
