Tell a target's sidecar what is usual, and take no kept request for a proof before the first reset

Excluded: spells' rates. Change: until the first reset losses count as silent; two answers make a kind known; an attempt carries what its ingress takes for typical, which counts until the target has answered.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -128,6 +128,7 @@
     last: bool
     most_bad: int | float
     most_wait_ms: int | float
+    usual_ms: int | float
 
 
 class CatchUp(TypedDict, total=False):
--- a/roadpass/belief.py
+++ b/roadpass/belief.py
@@ -45,9 +45,10 @@
 """Requests whose evidence is kept apart; beyond, the oldest count by what they showed so far."""
 KINDS_MAX = 512
 """Kinds of requests whose usual time is kept, 0.1 KB each; the oldest goes first."""
-MODE_PRIOR = 0.5
+RESETS_PRIOR = 0.1
+SILENCES_PRIOR = 0.9
 """Losses at once, and in silence, that are taken to have been seen before any was: so few that the
-first of either kind tells which kind of spells a target has."""
+first reset tells how the target fails; until then a request that is kept proves nothing."""
 MODE_MEMORY = 20.0
 """Losses of which it is remembered whether they came at once or in silence."""
 
@@ -71,6 +72,7 @@
         started: Monotonic seconds.
         trial: Whether it was let in although the target was believed bad.
         seen_from: From when on its silence counts, monotonic seconds.
+        told_ms: What its ingress says is typical for its kind, 0 for nothing.
         ratio: How many times more probable what it showed is at a bad target; `None` while it runs.
         silent: Whether it was counted as lost in silence.
     """
@@ -79,6 +81,7 @@
     started: float
     trial: bool
     seen_from: float
+    told_ms: float = 0.0
     ratio: float | None = None
     silent: bool = False
 
@@ -95,8 +98,8 @@
         self._usual: dict[str, UsualTime] = {}
         self._visits: list[Visit] = []
         self._failed = FAILED_MIN
-        self._resets = MODE_PRIOR
-        self._silences = MODE_PRIOR
+        self._resets = RESETS_PRIOR
+        self._silences = SILENCES_PRIOR
         self._in_spell = False
         self._begun = 1.0
         self._over = 1.0
@@ -134,13 +137,20 @@
         age_s = now - visit.seen_from
         if age_s < SETTLED_S:
             return 1.0
-        longer = self.usual(visit.kind).longer(age_s * 1000.0)
+        longer = self.usual(visit.kind).longer(age_s * 1000.0, visit.told_ms)
         silent = BAD_SHARE * self._silent_share + (1.0 - BAD_SHARE) * longer
         return silent / longer
 
-    def begin(self, now: float, kind: str, *, trial: bool = False) -> Visit:
-        """Note that the target gets a request; what is returned is to be handed to `end`."""
-        visit = Visit(kind, now, trial, now)
+    def begin(self, now: float, kind: str, *, trial: bool = False, told_ms: float = 0.0) -> Visit:
+        """Note that the target gets a request; what is returned is to be handed to `end`.
+
+        Args:
+            now: Monotonic seconds.
+            kind: Of the request.
+            trial: Whether it is let in although the target is believed bad.
+            told_ms: What its ingress says is typical for its kind, 0 for nothing.
+        """
+        visit = Visit(kind, now, trial, now, told_ms)
         self._visits.append(visit)
         if len(self._visits) > OPEN_MAX:
             self._count(now, self._visits.pop(0))
@@ -218,7 +228,7 @@
                 failed = float(end is End.FAILED)
                 self._failed += FAILURE_MEMORY * (failed - self._failed)
                 self._failed = max(FAILED_MIN, self._failed)
-                self._silences = max(MODE_PRIOR, self._silences - visit.silent)
+                self._silences = max(SILENCES_PRIOR, self._silences - visit.silent)
                 if not (failed or stalled):
                     self.usual(visit.kind).add((now - visit.started) * 1000.0)
             case End.LOST if now - visit.started < LATE_S:
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -56,9 +56,9 @@
             return False
         return pressing or (not self._tries(now) and now >= self._hold_until)
 
-    def begin(self, now: float, kind: str) -> Visit:
-        """Note that an admitted request of a kind starts."""
-        return self._belief.begin(now, kind, trial=self.shut(now))
+    def begin(self, now: float, kind: str, *, told_ms: float = 0.0) -> Visit:
+        """Note that an admitted request of a kind starts; see `Belief.begin`."""
+        return self._belief.begin(now, kind, trial=self.shut(now), told_ms=told_ms)
 
     def end(self, now: float, visit: Visit, end: End, *, stalled_at: float = float("-inf")) -> None:
         """Note how a request ended; see `Belief.end`."""
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -331,7 +331,7 @@
         running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
         with self._lock:
             bad = self._belief.bad(started)
-            visit = self._door.begin(started, attempt.route)
+            visit = self._door.begin(started, attempt.route, told_ms=attempt.usual_ms)
             self._repeats.arrive(started, repeat=attempt.retry)
         decided(
             "sidecar",
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -67,6 +67,7 @@
         last: Whether no other attempt may follow it.
         most_bad: How probably bad a target it takes, 0 to 1.
         most_wait_ms: Milliseconds that it would wait for a slot at the most.
+        usual_ms: Milliseconds that one of its kind usually takes, 0 if the ingress does not know.
     """
 
     id: str
@@ -92,6 +93,7 @@
     last: bool = False
     most_bad: float = 1.0
     most_wait_ms: float = UNBOUNDED_MS
+    usual_ms: float = 0.0
 
     @property
     def may_be_trial(self) -> bool:
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -270,6 +270,7 @@
             last=self.is_last(has_repeat),
             most_bad=self._most_bad(has_repeat),
             most_wait_ms=self.most_wait_ms(),
+            usual_ms=round(self.usual_ms),
         )
 
     def _ask_anew(self) -> None:
--- a/roadpass/usual.py
+++ b/roadpass/usual.py
@@ -2,8 +2,9 @@
 
 import math
 
-KNOWN_FROM = 3
-"""Answers from which on the usual time is taken as known; fewer say nothing of the spread."""
+KNOWN_FROM = 2
+"""Answers from which on the usual time is taken as known; what is expected of its spread has the
+weight of some more."""
 MEMORY = 40
 """Answers over which is averaged: some ten seconds of one target, so that it follows its speed."""
 SPREAD = 0.5
@@ -43,11 +44,17 @@
         self._mean += step * off
         self._variance = (1.0 - step) * (self._variance + step * off * off)
 
-    def longer(self, ms: float) -> float:
-        """Return the share of sound requests that take longer, 1 while unknown."""
-        if not self.known or ms <= 1.0:
+    def longer(self, ms: float, told_ms: float = 0.0) -> float:
+        """Return the share of sound requests that take longer, 1 while unknown.
+
+        Args:
+            ms: Milliseconds.
+            told_ms: What others say is typical, 0 for nothing; taken while it is unknown here.
+        """
+        if ms <= 1.0 or not (self.known or told_ms > 1.0):
             return 1.0
-        z = (math.log(ms) - self._mean) / (self._spread() * math.sqrt(2.0))
+        mean = self._mean if self.known else math.log(told_ms)
+        z = (math.log(ms) - mean) / (self._spread() * math.sqrt(2.0))
         return TAIL + (1.0 - TAIL) * 0.5 * math.erfc(z)
 
     def most_ms(self, spreads: float) -> float:
--- a/tests/test_belief.py
+++ b/tests/test_belief.py
@@ -148,6 +148,8 @@
 def test_silence_is_known_as_the_way_of_a_target_before_its_requests_time_out() -> None:
     """The next silent one tells more; one that is answered after all is taken back."""
     belief, now = learnt()
+    for _ in range(4):
+        belief.end(now + 0.003, belief.begin(now, KIND), End.LOST)
     visit = belief.begin(now, KIND)
     early = belief.ratio(now + 0.8, visit)
     belief.watch(now + 0.8)
@@ -156,3 +158,22 @@
     later = now + 30.0
     again = belief.begin(later, KIND)
     assert abs(belief.ratio(later + 0.8, again) - early) < 0.2 * early
+
+
+def test_where_nothing_is_known_yet_silence_is_measured_by_what_the_ingress_says() -> None:
+    """A target that begins in a spell has no answers to learn from."""
+    told, untold = Belief(0.0), Belief(0.0)
+    for number in range(2):
+        told.begin(0.1 * number, KIND, told_ms=100.0)
+        untold.begin(0.1 * number, KIND)
+    assert told.bad(1.0) > 0.7
+    assert untold.bad(1.0) < 0.4
+
+
+def test_a_request_that_is_kept_proves_nothing_before_the_first_reset() -> None:
+    """Where targets fall silent it would be the wrong way round."""
+    belief = Belief(0.0)
+    before = belief.bad(0.0)
+    for number in range(5):
+        belief.begin(0.01 * number, KIND)
+    assert belief.bad(0.1) > 0.6 * before
