Ask fewer far targets, and look again at a target that worsened while a request waited there

Requests that must not repeat started at targets that had fallen silent while they waited. Change: two far targets at the most, each expected to cost 0.1 besides its way; a far word that it is full holds 0.15 to 0.4 s. What is lost if it fails and has waited is refused as doubtful where the belief rose by 0.15 meanwhile (test first).

--- a/roadpass/load.py
+++ b/roadpass/load.py
@@ -21,10 +21,11 @@
 """Seconds for which a target to which the way is cut is not asked, the first time and at most:
 asking costs a request 0.1 s, cuts last for seconds."""
 WORD_S = 0.06
-FAR_WORD_S = 0.3
+FAR_WORD_MIN_S = 0.15
+FAR_WORD_S = 0.4
 """Seconds for which a target is taken at its word that it is full or doubtful: asked again by every
 request, the near ones cost time, the far ones bytes. A far one's word holds as long as the wait
-that it told, up to the latter."""
+that it told, within the latter two."""
 DEFAULT_LIMIT = 10
 FULL = 1.0
 
@@ -163,7 +164,7 @@
         """
         if wait_ms <= 0.0 and last:
             return
-        held_s = min(FAR_WORD_S, max(WORD_S, wait_ms / 1000.0)) if far else WORD_S
+        held_s = min(FAR_WORD_S, max(FAR_WORD_MIN_S, wait_ms / 1000.0)) if far else WORD_S
         until = now + held_s
         self._words[target] = Said(bad, wait_ms, until)
 
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -42,6 +42,9 @@
 """What a target answers at the end of the time it was given: it was silent until then."""
 GIVEN_UP_SHARE = 0.9
 """Share of the given time after which such an answer means that the time was over."""
+WORSE_BY = 0.15
+"""How much more probably bad a target may have become while a request waited that is lost if it
+fails: about what the way to another costs."""
 SICK_RETRY_MS = 600
 """Milliseconds after which to ask again at a shut door, at the least: every ingress asks, and
 spells last seconds, but a door opens only to who asks."""
@@ -217,12 +220,13 @@
             return refusal
         with self._lock:
             own_ms = self._belief.usual(attempt.route).typical_ms
+            bad = self._belief.bad(time.monotonic())
         refusal = self._slots.take(attempt, deadline, own_ms)
         if refusal is not None:
             return refusal
         try:
             self._pause.settle()
-            unclaimed = self._claim(attempt, deadline, watch)
+            unclaimed = self._worsened(attempt, bad) or self._claim(attempt, deadline, watch)
             if unclaimed is not None:
                 return unclaimed
             return self._exchange(attempt, deadline, watch)
@@ -252,6 +256,14 @@
         with self._lock:
             self._evidence.forget_old(now)
 
+    def _worsened(self, attempt: Attempt, bad: float) -> NotRun | None:
+        """Return why an attempt goes elsewhere whose target fell silent while it waited."""
+        with self._lock:
+            now_bad = self._belief.bad(time.monotonic())
+        if not attempt.last or attempt.pressing or now_bad < bad + WORSE_BY:
+            return None
+        return NotRun(Reason.DOUBTFUL, 0)
+
     def _claim(
         self, attempt: Attempt, deadline: float, watch: CallerWatch | None
     ) -> Outcome | None:
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -15,10 +15,9 @@
 
 ASKS = 6
 FAR_ASKS = 2
-FAR_ASKS_PRESSED = 4
 """Targets of the own data hall, and of others, asked before a request takes one that is not as
-wanted: a way there and back takes 0.4 to 3 ms, one request ahead in a queue 100 ms. Of other data
-halls more are asked where the request would come late at all others."""
+wanted: a way there and back takes 0.4 to 3 ms, one request ahead in a queue 100 ms. In a crowded
+moment questions to other data halls cost more bytes than they save losses."""
 WANTED_BAD = 0.04
 """How probably bad a target may be that is taken at once by a request that is lost if it fails;
 just after an answer a target is about so sure."""
@@ -30,8 +29,8 @@
 """How probably bad a target is taken by a request whose repeat would come late."""
 LATE_LOSS = 0.9
 """What an answer after the objective costs, as a share of a lost request."""
-FAR_HOPE = 0.05
-"""How probably bad a target of another data hall is hoped to be before it was asked."""
+FAR_HOPE = 0.1
+"""What a target of another data hall is taken to cost, its way apart, before it was asked."""
 WAIT_LEAST_MS = 30.0
 """Milliseconds that a request waits for a slot, however little is left of its objective."""
 USUAL_UNKNOWN_SHARE = 0.3
@@ -183,9 +182,9 @@
         asked = sum(offer.far for offer in self.offers.values())
         costs = [self.cost(offer, has_repeat) for offer in self.offers.values()]
         least = min(costs, default=math.inf)
-        if self.settles or asked >= (FAR_ASKS if least < LATE_LOSS else FAR_ASKS_PRESSED):
+        if self.settles or asked >= FAR_ASKS:
             return False
-        return least > self.cost(Offer(FAR_HOPE, 0.0, True), has_repeat)
+        return least > FAR_HOPE + self.far_loss
 
     def most_wait_ms(self) -> float:
         """Return how long it would wait for a slot at the most: longer, and it is often late.
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -43,9 +43,11 @@
     loads.note_word(0.0, "near", 0.0, 90.0, far=False, last=True)
     loads.note_word(0.0, "far", 0.2, 200.0, far=True, last=True)
     loads.note_word(0.0, "soon", 0.2, 10.0, far=True, last=True)
+    loads.note_word(0.0, "later", 0.2, 300.0, far=True, last=True)
     loads.note_word(0.0, "sure", 0.1, 0.0, far=True, last=True)
-    assert [name for name, _ in loads.words(WORD_S / 2)] == ["near", "far", "soon"]
-    assert [(name, said.bad) for name, said in loads.words(2 * WORD_S)] == [("far", 0.2)]
+    assert [name for name, _ in loads.words(WORD_S / 2)] == ["near", "far", "soon", "later"]
+    assert [name for name, _ in loads.words(2 * WORD_S)] == ["far", "soon", "later"]
+    assert [(name, said.bad) for name, said in loads.words(0.25)] == [("later", 0.2)]
     assert loads.words(FAR_WORD_S) == []
     loads.note_word(1.0, "near", 0.0, 90.0, far=False, last=True)
     loads.forget_word("near")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -346,3 +346,17 @@
     assert reason(bench, attempt(1, key="s:k")) is None
     assert reason(bench, attempt(2, key="s:k")) is Reason.KEY_USED
     assert bench.runs == 1
+
+
+def test_what_waits_at_a_target_that_falls_silent_goes_elsewhere(bench: Bench) -> None:
+    """It was taken while the target seemed sure; before it starts that is looked at again."""
+    for number in range(20):
+        assert reason(bench, attempt(number)) is None
+    local = bench.sidecar.targets["t"]
+    waits = attempt(30, last=True)
+    assert local._worsened(waits, 0.05) is None
+    local._belief.begin(time.monotonic() - 1.0, "r")
+    local._belief.begin(time.monotonic() - 1.0, "r")
+    assert local._worsened(waits, 0.05) == NotRun(Reason.DOUBTFUL, 0)
+    assert local._worsened(waits._replace(last=False), 0.05) is None
+    assert local._worsened(waits, 0.9) is None
