Keep what an answer shows of its target beside what an outcome says against it

local held both the running of attempts and the reading of answers; end_of stands in evidence now, beside speaks_against.

--- a/roadpass/evidence.py
+++ b/roadpass/evidence.py
@@ -6,12 +6,17 @@
 
 from dataclasses import dataclass
 
+from roadpass.belief import End
 from roadpass.detect import Detector, Sample, Scores, threshold
 from roadpass.health import pending_limit_ms
 from roadpass.outcome import SERVER_ERROR, Answered, NotRun, Outcome, Reason, Unknown
 
 EVIDENCE_KEPT_S = 2.0
 """Seconds without new work after which the evidence against a target is dropped."""
+GATEWAY_TIMEOUT = 504
+"""What a target answers at the end of the time it was given: it was silent until then."""
+GIVEN_UP_SHARE = 0.9
+"""Share of the given time after which such an answer means that the time was over."""
 HANGS_FACTOR = 3.0
 """A request that runs for so many times the usual one's time is not expected to end soon."""
 HANGING_MS = 1000.0
@@ -121,6 +126,23 @@
             self._detector.reset()
 
 
+def end_of(outcome: Outcome, took_s: float, given_s: float) -> End:
+    """Tell what an answer shows of its target, for the belief of it.
+
+    Args:
+        outcome: Its end.
+        took_s: Seconds that the target had the request.
+        given_s: Seconds that it was given.
+    """
+    match outcome:
+        case Answered(status=status) if status == GATEWAY_TIMEOUT:
+            return End.SILENT if took_s >= GIVEN_UP_SHARE * given_s else End.FAILED
+        case Answered(status=status):
+            return End.FAILED if status >= SERVER_ERROR else End.ANSWERED
+        case _:
+            return End.NOTHING
+
+
 def speaks_against(outcome: Outcome, *, kept: bool) -> bool | None:
     """Tell whether an attempt's end is a failure of its target, `None` if it says nothing.
 
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -9,14 +9,13 @@
 from roadpass.dialect import OWN, Dialect
 from roadpass.door import Door
 from roadpass.errors import TargetError, TargetRefusedError
-from roadpass.evidence import Evidence, Running, speaks_against
+from roadpass.evidence import GATEWAY_TIMEOUT, Evidence, Running, end_of, speaks_against
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
 from roadpass.message import Attempt, LoadReport, Question
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
-    SERVER_ERROR,
     Answered,
     NotRun,
     Outcome,
@@ -38,10 +37,6 @@
 
 MIN_START_MS = 2.0
 """Milliseconds; with less time left an attempt is not started."""
-GATEWAY_TIMEOUT = 504
-"""What a target answers at the end of the time it was given: it was silent until then."""
-GIVEN_UP_SHARE = 0.9
-"""Share of the given time after which such an answer means that the time was over."""
 WORSE_BY = 0.15
 """How much more probably bad a target may have become while a request waited that is lost if it
 fails: about what the way to another costs."""
@@ -305,7 +300,7 @@
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         try:
             outcome = self._read_answer(self._ask(attempt, deadline - started, watch))
-            end = _end_of(outcome, time.monotonic() - started, deadline - started)
+            end = end_of(outcome, time.monotonic() - started, deadline - started)
         except TargetRefusedError as error:
             outcome, end = NotRun(Reason.REFUSED, RETRY_LATER_MS), End.LOST
             self._log_loss(attempt, error)
@@ -393,17 +388,6 @@
                 self._slots.learn(service_ms, attempt.slow_ms)
 
 
-def _end_of(outcome: Outcome, took_s: float, given_s: float) -> End:
-    """Tell what an answer shows of its target."""
-    match outcome:
-        case Answered(status=status) if status == GATEWAY_TIMEOUT:
-            return End.SILENT if took_s >= GIVEN_UP_SHARE * given_s else End.FAILED
-        case Answered(status=status):
-            return End.FAILED if status >= SERVER_ERROR else End.ANSWERED
-        case _:
-            return End.NOTHING
-
-
 def _retry_after_ms(headers: list[tuple[str, str]]) -> int:
     for name, value in headers:
         if name.lower() == "retry-after" and value.isdigit():
