Find the place of the sure target's mechanism again

The switch named a line that a later change had split, so the tool stopped there with an error. All ten switches of the choice were run: each test fails with its mechanism off.

--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -247,8 +247,8 @@
     Mechanism(
         "what is lost if it fails goes to a sure target",
         "roadpass/trip.py",
-        "        return WANTED_BAD if self.is_last(has_repeat) else SPARE_BAD\n",
-        "        return 1.0\n",
+        "            return WANTED_BAD\n",
+        "            return 1.0\n",
         "tests/test_trip.py",
     ),
     Mechanism(
