Try doubtful and idle targets, so that no sound one is left without work

Excluded: the load alone; the node answered each question within 2 ms. Change: what may be repeated is taken by a target that is more doubtful than it wants, one at a time and after the hold, as through a shut door; an open target without any work for 1.5 s takes one request of whatever kind.

--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -10,6 +10,12 @@
 
 SHUT_FROM = 0.6
 """Belief from which on only trials are let in: two good ones turn the worst belief."""
+TRIAL_FROM = 0.4
+"""Belief from which on what may be repeated comes as a trial, also while the door is open: else a
+target that nobody takes would never be known again to be sound."""
+IDLE_S = 1.5
+"""Seconds without any work after which an open door takes one request of whatever kind as a trial:
+most sound targets of a service must get some work in any two seconds."""
 HOLD_S = 0.2
 """Seconds after a loss in which nothing is tried."""
 HOLD_GROWTH = 1.8
@@ -33,6 +39,7 @@
         self._hold_s = HOLD_S
         self._hold_until = float("-inf")
         self._failing: set[Visit] = set()
+        self._begun_at = float("-inf")
 
     def shut(self, now: float) -> bool:
         """Tell whether only trials are let in."""
@@ -56,9 +63,22 @@
             return False
         return pressing or (not self._tries(now) and now >= self._hold_until)
 
+    def tries(self, now: float, *, trial: bool) -> bool:
+        """Tell whether a request is taken though its target is more doubtful than it wants.
+
+        Args:
+            now: Monotonic seconds.
+            trial: Whether it may serve as a trial: it can be repeated, and would be.
+        """
+        if not trial and (self.shut(now) or now - self._begun_at < IDLE_S):
+            return False
+        return not self._tries(now) and now >= self._hold_until
+
     def begin(self, now: float, kind: str, *, told_ms: float = 0.0) -> Visit:
         """Note that an admitted request of a kind starts; see `Belief.begin`."""
-        return self._belief.begin(now, kind, trial=self.shut(now), told_ms=told_ms)
+        self._begun_at = now
+        trial = self._belief.bad(now) >= TRIAL_FROM
+        return self._belief.begin(now, kind, trial=trial, told_ms=told_ms)
 
     def end(self, now: float, visit: Visit, end: End, *, stalled_at: float = float("-inf")) -> None:
         """Note how a request ended; see `Belief.end`."""
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -160,9 +160,10 @@
         with self._lock:
             wait_ms = self._expected_wait_ms(now, question.traffic_class, question.route)
             bad = self._belief.bad(now)
+            tries = self._door.tries(now, trial=question.may_be_trial and question.spare)
         if wait_ms > (question.most_wait_ms if question.may_wait else 0.0):
             return NotRun(Reason.BUSY, int(wait_ms))
-        if bad > question.most_bad:
+        if bad > question.most_bad and not tries:
             return NotRun(Reason.DOUBTFUL, 0)
         return None
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -220,6 +220,7 @@
 
 def test_a_target_that_did_nothing_lately_is_doubtful(bench: Bench) -> None:
     """It says how much, and takes the request all the same from who settles for it."""
+    bench.sidecar.targets["t"]._door._begun_at = time.monotonic()
     refused = bench.sidecar.run(attempt(1, most_bad=0.04, may_wait=False))
     assert refused.outcome == NotRun(Reason.DOUBTFUL, 0)
     assert refused.load is not None
