Tell a node that starts of all members, so that it soon knows other data halls too

A node that starts anew asks its seeds, who answered with their own record and their latest rumors only.

A sync is now answered with all members, eight a datagram, twelve datagrams at most, and what is so learnt is not spread. After a pause a node asks peers of its own data hall first: the answer is larger now, and bytes to others are paid for.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -477,7 +477,7 @@
 
 
 
-_DatagramT = Literal['ping'] | Literal['ack'] | Literal['ping_req'] | Literal['announce'] | Literal['sync']
+_DatagramT = Literal['ping'] | Literal['ack'] | Literal['ping_req'] | Literal['announce'] | Literal['sync'] | Literal['members']
 _DATAGRAMT_PING: Literal['ping'] = "ping"
 r"""The values for the '_DatagramT' enum"""
 _DATAGRAMT_ACK: Literal['ack'] = "ack"
@@ -488,6 +488,8 @@
 r"""The values for the '_DatagramT' enum"""
 _DATAGRAMT_SYNC: Literal['sync'] = "sync"
 r"""The values for the '_DatagramT' enum"""
+_DATAGRAMT_MEMBERS: Literal['members'] = "members"
+r"""The values for the '_DatagramT' enum"""
 
 
 
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -227,7 +227,7 @@
                 Kind.PAUSE, self._settings.vm, f"did not run for {now - self._last_tick:.1f} s"
             )
             self._members.resume(now)
-            for member in self._members.sample(SYNC_PEERS):
+            for member in self._members.sample(SYNC_PEERS, hall=self._settings.hall):
                 self._send(Send((member.address, member.gossip_port), "sync", 0))
         self._last_tick = now
         if self._announcements > 0:
@@ -331,8 +331,8 @@
             self._events.on_leave()
 
     def _send(self, send: Send, *, brief: bool = False) -> None:
-        """Send a datagram with the latest rumors, or with the own one only."""
-        news = [self._members.own] if brief else self._members.rumors()
+        """Send a datagram with what it is to tell, else the latest rumors, or the own one only."""
+        news = self._news(send, brief=brief)
         while True:
             content = seal(self._message(send, news), self._settings.keys)
             if len(content) <= MAX_DATAGRAM or len(news) == 1:
@@ -349,6 +349,11 @@
             self._metrics.count(f"far_{send.type}s")
             self._metrics.count(f"far_{send.type}_bytes", len(content))
 
+    def _news(self, send: Send, *, brief: bool) -> list[Member]:
+        if brief or send.rows:
+            return [self._members.own, *send.rows]
+        return self._members.rumors()
+
     def _message(self, send: Send, news: list[Member]) -> dict[str, Any]:
         now = time.monotonic()
         message: dict[str, Any] = {
--- a/roadpass/member.py
+++ b/roadpass/member.py
@@ -19,6 +19,11 @@
 TRANSMIT_FACTOR = 3
 MAX_RUMORS = 10
 RELAY_KEPT_S = 2.0
+PAGE_ROWS = 8
+"""Members on one datagram of an answer to a sync: they fit into 1,200 bytes with hints beside."""
+INTRODUCED_MAX = 96
+"""Members that a sync is answered with at the most, chosen at random: 12 datagrams. Who asks three
+peers thus knows any fleet of today at once, and of a larger one enough to be found by the rest."""
 UNHEARD = 0
 """Incarnation of a node that was not heard yet; its own is always newer."""
 NEAR_PROBES = 0.95
@@ -54,12 +59,21 @@
 
 
 class Send(NamedTuple):
-    """A datagram to send: its type, the probe's number and whom it is about."""
+    """A datagram to send.
+
+    Args:
+        to: IP and port.
+        type: Of the datagram.
+        number: Of the probe.
+        on: VM that it is about, empty for none.
+        rows: Members to tell in place of the latest rumors, none for those.
+    """
 
     to: tuple[str, int]
     type: str
     number: int
     on: str = ""
+    rows: tuple[Member, ...] = ()
 
 
 def overrides(new: Member, old: Member) -> bool:
@@ -190,7 +204,7 @@
     ) -> list[Send]:
         """Take in one checked datagram and return what it calls for."""
         for row in news:
-            self.merge(now, Member.from_rumor(row))
+            self.merge(now, Member.from_rumor(row), spread=type_ != "members")
         member = self._members.get(sender)
         if member is None:
             return []
@@ -198,8 +212,10 @@
             self._rumors[sender] = 0
         back = (member.address, member.gossip_port)
         match type_:
-            case "ping" | "sync":
+            case "ping":
                 return [Send(back, "ack", number, self._own.vm)]
+            case "sync":
+                return [Send(back, "ack", number, self._own.vm), *self._introduce(back)]
             case "ping_req":
                 return self._relay(now, back, number, on)
             case "ack":
@@ -207,9 +223,14 @@
             case _:
                 return []
 
-    def merge(self, now: float, member: Member) -> bool:
+    def merge(self, now: float, member: Member, *, spread: bool = True) -> bool:
         """Take in a rumor.
 
+        Args:
+            now: Seconds.
+            member: As the rumor has it.
+            spread: Whether others are to hear of it.
+
         Returns:
             Whether it was news.
         """
@@ -220,7 +241,7 @@
             return False
         if known is not None and not overrides(member, known):
             return False
-        self._put(now, member)
+        self._put(now, member, spread=spread)
         return True
 
     def rumors(self) -> list[Member]:
@@ -361,6 +382,16 @@
         self._relays[self._number] = _Relay(to, number, on, now)
         return [Send((member.address, member.gossip_port), "ping", self._number)]
 
+    def _introduce(self, to: tuple[str, int]) -> list[Send]:
+        """Tell a node that starts of all members.
+
+        It hears those of its own data hall within seconds by itself, the others only by chance.
+        """
+        known = self.alive()
+        rows = self._rng.sample(known, min(INTRODUCED_MAX, len(known)))
+        pages = [tuple(rows[at : at + PAGE_ROWS]) for at in range(0, len(rows), PAGE_ROWS)]
+        return [Send(to, "members", 0, rows=page) for page in pages]
+
     def _acknowledge(self, number: int, on: str) -> list[Send]:
         if self._probe is not None and self._probe.number == number and self._probe.vm == on:
             self._probe = None
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -10,6 +10,7 @@
 
 TICK_S = 0.1
 PORT = 1
+HALLS = 3
 
 
 class FakeNetwork:
@@ -38,6 +39,11 @@
         self.nodes[vm] = Members(own, random.Random(self.rng.random()))
         self.nodes[vm].seed(self.now, [_member("n0", 0), _member("n1", 0)])
 
+    def join(self, vm: str, incarnation: int, by: str) -> None:
+        """Start a node's process that knows nobody but the address of one node, and asks it."""
+        self.nodes[vm] = Members(_member(vm, incarnation), random.Random(self.rng.random()))
+        self._post(vm, [Send((by, PORT), "sync", 0)])
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         for _ in range(int(seconds / TICK_S)):
@@ -67,7 +73,9 @@
     def _post(self, source: str, sends: list[Send]) -> None:
         for send in sends:
             to = send.to[0]
-            news = self.nodes[source].rumors()
+            news = (
+                [self.nodes[source].own, *send.rows] if send.rows else self.nodes[source].rumors()
+            )
             copies = 2 if self.rng.random() < self.loss else 1
             for _ in range(copies):
                 if self.rng.random() >= self.loss and (source, to) not in self.cuts:
@@ -83,7 +91,8 @@
 
 
 def _member(vm: str, incarnation: int) -> Member:
-    return Member(vm, incarnation, MemberState.ALIVE, vm, PORT, PORT, "hall", "region")
+    hall = f"hall-{int(vm[1:]) % HALLS}"
+    return Member(vm, incarnation, MemberState.ALIVE, vm, PORT, PORT, hall, "region")
 
 
 def all_alive(network: FakeNetwork) -> bool:
@@ -117,6 +126,20 @@
     assert network.eventually(lambda: network.states("n5") == {MemberState.ALIVE}, 40.0)
 
 
+@settings(max_examples=10, deadline=None)
+@given(st.integers(0, 2**16))
+def test_a_node_that_starts_anew_soon_knows_every_other(seed: int) -> None:
+    """Whoever it asks tells it of all, those of other data halls too: nobody else would soon."""
+    network = FakeNetwork(9, seed)
+    assert network.eventually(lambda: all_alive(network), 120.0)
+    network.run(30.0)
+    del network.nodes["n5"]
+    network.run(2.0)
+    network.join("n5", 2, "n0")
+    assert network.eventually(lambda: network.nodes["n5"].size == 9, 5.0)
+    assert network.eventually(lambda: all_alive(network), 60.0)
+
+
 @settings(max_examples=10, deadline=None)
 @given(st.integers(0, 2**16))
 def test_one_way_cut_is_a_path_not_a_death(seed: int) -> None:
