--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -181,7 +181,7 @@
         reply = self._send(trip, target, attempt, pending)
         self._learn(trip, target, reply, pending, started)
         used = self._loads.load(target.name, started).utilization
-        log_attempt(trip, target, attempt, reply.outcome, started, used)
+        log_attempt(trip, target, attempt, reply, started, used)
         return reply.outcome
 
     def _next_attempt(self, trip: Trip, attempt_id: str, target: Target, now: float) -> Attempt:
--- a/roadpass/trip_log.py
+++ b/roadpass/trip_log.py
@@ -4,14 +4,14 @@
 
 from roadpass.decision import decided
 from roadpass.fleet import Target
-from roadpass.message import Attempt
+from roadpass.message import Attempt, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Unknown
 from roadpass.request import Request
 from roadpass.trip import Trip
 
 
 def log_attempt(
-    trip: Trip, target: Target, attempt: Attempt, outcome: Outcome, started: float, used: float
+    trip: Trip, target: Target, attempt: Attempt, reply: Reply, started: float, used: float
 ) -> None:
     """Log what became of one attempt.
 
@@ -19,7 +19,7 @@
         trip: Of the request.
         target: To which the attempt went.
         attempt: As it was sent.
-        outcome: Its end.
+        reply: What is known of its end, and of its target.
         started: Monotonic seconds.
         used: Share of the target's slots that was believed to be in use.
     """
@@ -34,7 +34,10 @@
         revision=attempt.revision,
         used=round(used, 2),
         ms=round((time.monotonic() - started) * 1000.0, 1),
-        outcome=_name(outcome),
+        bad=reply.load.bad if reply.load is not None else None,
+        wait_ms=_wait_ms(reply.outcome),
+        most_wait_ms=round(attempt.most_wait_ms),
+        outcome=_name(reply.outcome),
     )
 
 
@@ -84,6 +87,14 @@
     )
 
 
+def _wait_ms(outcome: Outcome) -> int | None:
+    match outcome:
+        case NotRun(retry_after_ms=wait_ms):
+            return wait_ms
+        case _:
+            return None
+
+
 def _name(outcome: Outcome) -> str:
     match outcome:
         case Answered(status=status):
