Take a share of the objective for a request's usual time while nobody knows it

What an ingress tells a sidecar is now 0.3 of the objective until it knows better; on the four deployments 0.24 to 0.38 is true.

--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -34,7 +34,10 @@
 WAIT_LEAST_MS = 30.0
 """Milliseconds that a request waits for a slot, however little is left of its objective."""
 USUAL_UNKNOWN_SHARE = 0.3
-"""Share of the objective that a request is taken to last while nobody knows."""
+"""Share of the objective that a request is taken to last while nobody knows: of fifteen kinds on
+four deployments it was 0.24 to 0.38. So the silence of a target counts from the first request of a
+fleet on; while it did not, a target that hung was given what came in the first seconds, and half
+of the slots were held by what hung."""
 GIVE_UP_SHARE = 0.45
 """Share of its time after which a request that no target was free for is given up: of 170 that got
 that far on a crowded day 28 were answered in the end, the others only waited for nothing."""
@@ -201,7 +204,7 @@
         objective_ms = self.route.target_latency_ms
         left_ms = (self.deadline - now) * 1000.0 - self.usual_ms
         if objective_ms is not None and self.arrivals == 0:
-            long_ms = self.long_ms or USUAL_UNKNOWN_SHARE * objective_ms
+            long_ms = self.long_ms or self._assumed_ms
             aim_ms = objective_ms * self.patience - (now - self.started) * 1000.0 - long_ms
             left_ms = min(left_ms, aim_ms)
         return max(WAIT_LEAST_MS, left_ms)
@@ -319,9 +322,14 @@
             last=self.is_last(has_repeat),
             most_bad=self._most_bad(has_repeat),
             most_wait_ms=self.most_wait_ms(),
-            usual_ms=round(self.usual_ms),
+            usual_ms=round(self.usual_ms or self._assumed_ms),
         )
 
+    @property
+    def _assumed_ms(self) -> float:
+        """What a request of the kind is taken to last while nobody knows, 0 without objective."""
+        return USUAL_UNKNOWN_SHARE * (self.route.target_latency_ms or 0)
+
     def _ask_anew(self) -> None:
         """Ask all targets again after a wait in the queue of one, or where the best has changed."""
         self.offers.clear()
--- a/tests/test_trip.py
+++ b/tests/test_trip.py
@@ -51,6 +51,18 @@
         assert len(sidecar.attempts) == asked
 
 
+def test_while_nobody_knows_a_request_is_taken_to_last_a_share_of_its_objective() -> None:
+    """A target's silence thus tells from the first request on; without objective nothing does."""
+    for objective_ms, told_ms in ((300, 90), (None, 0)):
+        sidecar = FakeSidecar([Answered(200, [], b"")] * 9)
+        one = dispatcher(sidecar)
+        held = one._view.fleet
+        route = held.routes["get"]._replace(target_latency_ms=objective_ms)
+        one._view.fleet = Fleet(held.services, held.targets, {"get": route}, (), revision=1)
+        one.dispatch(request("GET"))
+        assert sidecar.attempts[-1].usual_ms == told_ms
+
+
 def doubtful(bad: float) -> Reply:
     """Return a sidecar's word that its target is probably bad."""
     load = LoadReport(0, 0, 1, 0.0, 0.0, 0.0, revision=1, bad=bad)
