Tell a target to stop a little before its answer is no longer awaited

An attempt that leaves time for a repeat ends at the objective; the target was told the same time, so its own 504 and the end of waiting crossed, the connection was cut, and as no repeat was left by then the node answered for itself.

The target is told 5% or 50 ms less than is waited. Its own answer is passed on, and the connection stays whole. The test fails without it.

--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -41,6 +41,11 @@
 """Connections kept; more than that many at once come too seldom to pay for holding them."""
 IDLE_LIMIT_S = 4.0
 """Seconds that a connection is kept; common servers close after 5 s without saying so."""
+ANSWER_MARGIN_S = 0.05
+ANSWER_MARGIN_SHARE = 0.05
+"""How long before the end of an attempt the target is told to stop, seconds and a share of it at the
+most: its own word that the time was over then comes in time, and is passed on. Where both ended at
+once, 70 of 188 such requests were broken off instead; a node that stops must never do that."""
 KEEP_ALIVE_MARGIN_S = 1.0
 """Seconds before the end that a target announced, so that its close does not cross a request."""
 FRESH_IDLE_S = 0.2
@@ -283,11 +288,16 @@
             kept.close()
 
 
+def _told_s(left_s: float) -> float:
+    """Return the seconds that a target is told it has, of those that its answer is waited for."""
+    return left_s - min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * left_s)
+
+
 def _sent_headers(call: _Call, dialect: Dialect, address: str, left_s: float) -> Headers:
     """Return the headers that go to the target; what the fleet says replaces what was given."""
     own = [
         (dialect.request_id, call.id),
-        (dialect.deadline, str(max(1, int(left_s * 1000.0)))),
+        (dialect.deadline, str(max(1, int(_told_s(left_s) * 1000.0)))),
         (dialect.expected_instance, call.instance),
         (dialect.origin_service, call.origin),
     ]
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -826,6 +826,23 @@
     assert closed(sock)
 
 
+def test_a_target_that_stops_when_it_was_told_to_is_heard(listener: socket.socket) -> None:
+    """Its own word that the time was over comes before the attempt ends, even a little late."""
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        told = re.search(rb"Deadline-Ms: (\d+)", sock.recv(65536))
+        assert told is not None
+        time.sleep(int(told[1]) / 1000.0 + 0.02)
+        sock.sendall(b"HTTP/1.1 504 Late\r\nContent-Length: 4\r\n\r\nlate")
+
+    threading.Thread(target=serve, daemon=True).start()
+    host, port = listener.getsockname()
+    client = TargetClient(f"{host}:{port}")
+    got = client.send("a/1/1", "GET", "/x", [], b"", timeout_s=2.0, fresh=True)
+    assert got.answer.status == 504
+
+
 def test_timeout_while_writing(listener: socket.socket) -> None:
     """A target that does not read holds nobody past the deadline."""
     fleet = Fleet(listener)
