--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -29,6 +29,13 @@
 
 
 ELSEWHERE = (
+    Mechanism(
+        "a node that starts is told of all members",
+        "roadpass/member.py",
+        "number, self._own.vm), *self._introduce(back)]",
+        "number, self._own.vm)]",
+        "tests/test_member.py",
+    ),
     Mechanism(
         "floor of ejection",
         "roadpass/eject.py",
@@ -254,7 +261,7 @@
     Mechanism(
         "the way to another data hall has a price",
         "roadpass/trip.py",
-        "far_loss=FAR_LOSS_PER_KB * size_kb,",
+        "far_loss=service.far_loss_per_kb * size_kb,",
         "far_loss=0.0,",
         "tests/test_trip.py",
     ),
@@ -267,10 +274,10 @@
     ),
     Mechanism(
         "what would be late is refused",
-        "roadpass/trip.py",
-        "if name not in self.tried and offer.wait_ms <= most_wait_ms",
-        "if name not in self.tried",
-        "tests/test_trip.py",
+        "roadpass/offer.py",
+        "return offer.wait_ms <= self.most_wait_ms and self.of(offer) < REFUSED_LOSS",
+        "return True",
+        "tests/test_offer.py",
     ),
     Mechanism(
         "short requests wait before long ones",
@@ -286,6 +293,41 @@
         "            patience=1.0,\n",
         "tests/test_trip.py",
     ),
+    Mechanism(
+        "a wait in another data hall costs its way twice",
+        "roadpass/offer.py",
+        "FAR_WAIT_FACTOR = 2.0\n",
+        "FAR_WAIT_FACTOR = 1.0\n",
+        "tests/test_offer.py",
+    ),
+    Mechanism(
+        "requests wait while most of their kind would be in time",
+        "roadpass/trip.py",
+        "LONG_SPREADS = 0.7\n",
+        "LONG_SPREADS = 1.5\n",
+        "tests/test_trip.py",
+    ),
+    Mechanism(
+        "what nobody knows is taken to last a share of its objective",
+        "roadpass/trip.py",
+        "        return USUAL_UNKNOWN_SHARE * (self.route.target_latency_ms or 0)\n",
+        "        return 0.0\n",
+        "tests/test_trip.py",
+    ),
+    Mechanism(
+        "slow is measured by the kind of a request",
+        "roadpass/dispatch.py",
+        "            slow_ms = max(slow_ms, trip.slow_ms)\n",
+        "            pass\n",
+        "tests/test_dispatch.py",
+    ),
+    Mechanism(
+        "a target is told to stop before its answer is no longer awaited",
+        "roadpass/target.py",
+        "    return left_s - min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * left_s)\n",
+        "    return left_s\n",
+        "tests/test_target.py",
+    ),
     Mechanism(
         "doors share out the repeats",
         "roadpass/catalogue.py",
