Keep the records of members apart from the protocol that spreads them

The records, which the gossip actor, the introduction and the tests share, stay in member.py; the state machine is membership.py, its test test_membership.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -20,7 +20,8 @@
 from roadpass.errors import StreamError
 from roadpass.fence import FenceTable
 from roadpass.fleet import Fleet, Service, Target, TrafficClass
-from roadpass.member import Member, Members, MemberState
+from roadpass.member import Member, MemberState
+from roadpass.membership import Members
 from roadpass.route import Route
 from roadpass.stream import Stream
 from roadpass.view import PeerNode
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -18,7 +18,8 @@
 from roadpass.detect import Scores
 from roadpass.errors import FrameError
 from roadpass.hint import HintTable
-from roadpass.member import Member, Members, MemberState, Send
+from roadpass.member import Member, MemberState, Send
+from roadpass.membership import Members
 from roadpass.metric import Metrics
 from roadpass.news import Word
 from roadpass.revision import NO_VERSION, Version
--- a/tests/test_member.py
+++ b/tests/test_membership.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from roadpass.member import Member, Members, MemberState, Send
+from roadpass.member import Member, MemberState, Send
+from roadpass.membership import Members
 
 TICK_S = 0.1
 PORT = 1
--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -31,10 +31,10 @@
 ELSEWHERE = (
     Mechanism(
         "a node that starts is told of all members",
-        "roadpass/member.py",
+        "roadpass/membership.py",
         "number, self._own.vm), *self._introduce(back)]",
         "number, self._own.vm)]",
-        "tests/test_member.py",
+        "tests/test_membership.py",
     ),
     Mechanism(
         "floor of ejection",
@@ -161,10 +161,10 @@
     ),
     Mechanism(
         "a dead member may refute",
-        "roadpass/member.py",
+        "roadpass/membership.py",
         "self._set_own(member.incarnation + 1, self._own.state)",
         "pass",
-        "tests/test_member.py",
+        "tests/test_membership.py",
     ),
     Mechanism(
         "frames carry a MAC that is checked",
