Part the exchange with a target into its start, its outcome and its end

One function of 39 lines logged the start, asked, told five kinds of errors apart and noted the end. Behaviour unchanged; the tests of the sidecar, the door and the model of the promises pass.

--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -283,6 +283,20 @@
     def _exchange(self, attempt: Attempt, deadline: float, watch: CallerWatch | None) -> Outcome:
         started = time.monotonic()
         running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
+        visit = self._note_start(attempt, started)
+        outcome: Outcome = Unknown(Reason.TARGET_LOST)
+        end = End.NOTHING
+        try:
+            outcome, end = self._outcome(attempt, started, deadline, watch)
+        finally:
+            self._evidence.end(attempt.id)
+            self._shed_hold.note(time.monotonic(), outcome)
+            self._note_end(attempt, visit, end)
+        self._learn(attempt, outcome, running)
+        return outcome
+
+    def _note_start(self, attempt: Attempt, started: float) -> Visit:
+        """Count and log that the target gets an attempt."""
         with self._lock:
             bad = self._belief.bad(started)
             visit = self._door.begin(started, attempt.route, told_ms=attempt.usual_ms)
@@ -297,28 +311,26 @@
             trial=visit.trial,
             running=self._slots.in_use,
         )
-        end = End.NOTHING
-        outcome: Outcome = Unknown(Reason.TARGET_LOST)
+        return visit
+
+    def _outcome(
+        self, attempt: Attempt, started: float, deadline: float, watch: CallerWatch | None
+    ) -> tuple[Outcome, End]:
+        """Ask the target; return what became of the attempt, and what that shows of the target."""
         try:
             outcome = self._read_answer(self._ask(attempt, deadline - started, watch))
-            end = end_of(outcome, time.monotonic() - started, deadline - started)
         except TargetRefusedError as error:
-            outcome, end = NotRun(Reason.REFUSED, RETRY_LATER_MS), End.LOST
             self._log_loss(attempt, error)
+            return NotRun(Reason.REFUSED, RETRY_LATER_MS), End.LOST
         except TargetTimeoutError:
-            outcome, end = Unknown(Reason.TIMEOUT), End.SILENT
+            return Unknown(Reason.TIMEOUT), End.SILENT
         except CallerLeftError:
-            outcome, end = Unknown(Reason.CANCELLED), End.SILENT
+            return Unknown(Reason.CANCELLED), End.SILENT
         except TargetError as error:
-            if isinstance(error, TargetLostError):
-                end = End.LOST
             self._log_loss(attempt, error)
-        finally:
-            self._evidence.end(attempt.id)
-            self._shed_hold.note(time.monotonic(), outcome)
-            self._note_end(attempt, visit, end)
-        self._learn(attempt, outcome, running)
-        return outcome
+            lost = isinstance(error, TargetLostError)
+            return Unknown(Reason.TARGET_LOST), End.LOST if lost else End.NOTHING
+        return outcome, end_of(outcome, time.monotonic() - started, deadline - started)
 
     def _ask(self, attempt: Attempt, timeout_s: float, watch: CallerWatch | None) -> TargetAnswer:
         return self._client.send(
