Let the way cost nothing where a data hall has no target of the service

Found by reading: a wait in another data hall that costs as much as a refusal is refused, which is right only where something near might serve instead. A data hall without a target of the service carries its bytes whatever it takes, so a request of 10 kB or more would have been refused there whenever no far slot was free at once.

--- a/roadpass/choice.py
+++ b/roadpass/choice.py
@@ -86,6 +86,8 @@
         self, now: float, trip: Trip, picker: Picker, load_of: LoadOf, has_repeat: bool
     ) -> str | None:
         """Pick a near target to ask, a far one that may be worth the way, or the best asked."""
+        if not picker.near:  # whatever it takes, it carries its bytes there
+            trip.far_loss = 0.0
         self._recall(trip, picker, now)
         cut = set() if trip.pressing else self._loads.cut_off(now)
         known = trip.tried | trip.offers.keys() | cut
--- a/tests/test_trip.py
+++ b/tests/test_trip.py
@@ -2,6 +2,7 @@
 
 import time
 
+from roadpass.balance import Candidate
 from roadpass.fleet import Fleet
 from roadpass.kind import Kind
 from roadpass.load import WORD_S
@@ -9,6 +10,7 @@
 from roadpass.offer import Offer
 from roadpass.outcome import RETRY_SOON_MS, Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.trip import GIVE_UP_SHARE, SPARE_BAD, WANTED_BAD, Trip
+from roadpass.view import ServiceView
 from tests.fake_sidecar import (
     FakeSidecar,
     SlowSidecar,
@@ -204,6 +206,26 @@
     assert made.settle(has_repeat=False) == "near"
 
 
+def large_request(tiers: dict[str, int], script: list[Outcome]) -> Outcome:
+    """Send 50 kB where the targets are so far away, and say what they say one after the other."""
+    one = dispatcher(WaitingSidecar(script))
+    candidates = {name: Candidate(name, tier, 1.0) for name, tier in tiers.items()}
+    one._view.services["s"] = ServiceView(candidates)
+    one._view.tier = lambda target: tiers[target.name]  # type: ignore[method-assign]
+    return one.dispatch(request("POST")._replace(body=b"x" * 50_000)).outcome
+
+
+def test_a_data_hall_without_a_target_waits_for_those_of_others_however_much_it_carries() -> None:
+    """There is nothing near that would save the bytes: it would be refused for good."""
+    busy = [NotRun(Reason.BUSY, 50)] * 2
+    answer = Answered(200, [], b"ok")
+    nothing_near = dict.fromkeys(("t0", "t1", "t2", "t3"), 1)
+    assert large_request(nothing_near, [*busy, answer]) == answer
+    one_near = {**nothing_near, "t0": 0}
+    refused = large_request(one_near, [NotRun(Reason.SICK), *busy, answer])
+    assert isinstance(refused, NotRun)
+
+
 def test_what_is_slow_is_measured_by_the_kind_of_a_request() -> None:
     """The others' requests may be short ones."""
     made = fleet()
