Log what each reading of the store asked for, what it brought and how long it took

Cause: three hypotheses on two readers with an old configuration could not be told apart; only a change of the fleet had a line, and a question to a peer none but when it failed. Now a line 'reading' for every one of them: who told, the revision before and after, changes, whether whole, the configuration in it and the one held, the age of the news and of the last confirmation, and the seconds it took; failures tell the same.

Excluded: lines for each word heard (ten a second and node).

--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -25,6 +25,7 @@
 from roadpass.reading_turn import FIRST_WORD_S, ReadingTurn, Standing
 from roadpass.source import (
     Changes,
+    ConfigPublished,
     HistoryLostError,
     PublishedConfig,
     Source,
@@ -175,15 +176,25 @@
             if word.at > self._confirmed_at:
                 self._confirm(word.at, own=False)
             return
+        asked_at = time.monotonic()
         try:
             news = self._events.ask(word.address, self._revision or 0)
         except StreamError as error:
-            decided("reader", "peer-failed", vm=word.vm, revision=word.revision, error=str(error))
+            decided(
+                "reader",
+                "peer-failed",
+                vm=word.vm,
+                revision=word.revision,
+                error=str(error),
+                after=self._revision,
+                word_age_s=_age_s(word.at),
+                took_s=_age_s(asked_at),
+            )
             return
         if news.away_at is not None:
             self._source_away(news.away_at)
         if news.changes.revision > (self._lost_at if self._revision is None else self._revision):
-            self._take(news.changes, news.at, origin=word.vm)
+            self._take(news.changes, news.at, origin=word.vm, asked_at=asked_at)
 
     def _read(self, now: float) -> None:
         """Make one call and take in what it brings."""
@@ -192,12 +203,12 @@
         except HistoryLostError as error:
             self._lost_at = self._revision or self._lost_at
             self._revision = None
-            self._failed(error)
+            self._failed(error, now)
         except PlatformError as error:
-            self._failed(error)
+            self._failed(error, now)
         else:
             self._succeeded()
-            self._take(changes, time.monotonic(), origin="")
+            self._take(changes, time.monotonic(), origin="", asked_at=now)
             if changes.changes:
                 self._rest_until = time.monotonic() + self._turn.rest_s
 
@@ -209,9 +220,10 @@
             self._revision, min(wait_s, max(TICK_S, self._catalogue.next_expiry_s(now)))
         )
 
-    def _take(self, changes: Changes, at: float, *, origin: str) -> None:
+    def _take(self, changes: Changes, at: float, *, origin: str, asked_at: float) -> None:
         """Take in what the source or a peer told; an empty `origin` stands for the source."""
         known_at = self._confirmed_at
+        self._tell_reading(changes, at, origin, asked_at)
         self._revision = changes.revision
         self._journal.note(changes, at)
         self._name_peers(changes)
@@ -228,12 +240,20 @@
         self._journal.confirm(at)
         self._events.on_confirmed(self._revision, self._confirmed_at, own)
 
-    def _failed(self, error: PlatformError) -> None:
+    def _failed(self, error: PlatformError, asked_at: float) -> None:
         self._failures += 1
         self._source_away(time.monotonic())
         if self._failures == 1:
             self._audit.record(Kind.PLATFORM, "store", f"cannot be read: {error}")
-        decided("reader", "store-failed", error=str(error), failures=self._failures)
+        decided(
+            "reader",
+            "store-failed",
+            error=str(error),
+            failures=self._failures,
+            after=self._revision,
+            confirmed_age_s=_age_s(self._confirmed_at),
+            took_s=_age_s(asked_at),
+        )
         pause = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(8, self._failures - 1))
         self._rest_until = time.monotonic() + pause * self._rng.uniform(0.7, 1.3)
 
@@ -267,9 +287,33 @@
             routes=len(fleet.routes),
         )
 
+    def _tell_reading(self, changes: Changes, at: float, origin: str, asked_at: float) -> None:
+        """Log what was asked for and what came, so that a change that was never told shows."""
+        configs = [c.config for c in changes.changes if isinstance(c, ConfigPublished)]
+        held = self._catalogue.config
+        decided(
+            "reader",
+            "reading",
+            told_by=origin or "store",
+            after=self._revision,
+            store_revision=changes.revision,
+            changes=len(changes.changes),
+            whole=changes.whole,
+            config=configs[-1].version if configs else None,
+            config_held=held.version if held else None,
+            news_age_s=_age_s(at),
+            confirmed_age_s=_age_s(self._confirmed_at),
+            took_s=_age_s(asked_at),
+        )
+
     def _report(self, unusable: list[Unusable]) -> None:
         """Say once of each item that makes no sense that it was left out."""
         for item in unusable:
             if item not in self._unusable:
                 self._unusable.add(item)
                 self._audit.record(Kind.REVISION_REFUSED, item.key, item.why)
+
+
+def _age_s(at: float) -> float | None:
+    """Return how long ago a moment was, `None` if it never came."""
+    return None if math.isinf(at) else round(time.monotonic() - at, 3)
--- /dev/null
+++ b/tests/test_store_reader.py
@@ -0,0 +1,187 @@
+"""The reader of a source, with a source in memory and peers that answer, fail or cannot be reached."""
+
+import logging
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any
+
+import pytest
+from pykka import ActorRef
+
+from roadpass.audit import AuditTrail
+from roadpass.caller_limits import CallerLimits
+from roadpass.catalogue import Catalogue, Policy
+from roadpass.errors import PlatformError, StreamError
+from roadpass.fleet import Fleet
+from roadpass.journal import Journal
+from roadpass.news import ASK_S, News, Word
+from roadpass.peer import Address
+from roadpass.reading_turn import Standing
+from roadpass.source import Changes, ConfigPublished, PublishedConfig
+from roadpass.store_reader import StoreEvents, StoreReader
+
+BOUND_S = 2.0
+LIMIT_S = 5.0
+WORDS_PER_S = 20.0
+"""What a node of a data hall of ten hears when something is new: two words a second from each."""
+SILENCE_S = 0.2
+"""How long a call takes that the source does not answer."""
+PEERS = [f"vm-{number}" for number in range(8)]
+NO_LIMITS = CallerLimits(65536, 1 << 20, 3.0, 15.0)
+
+
+def config(version: int) -> PublishedConfig:
+    """Return a configuration without any routes."""
+    return PublishedConfig(version, (), {}, NO_LIMITS)
+
+
+class SourceInMemory:
+    """A source whose revisions are its versions; `away` is when it answers nobody."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.version = 1
+        self.away = False
+        self.calls = 0
+
+    def publish(self) -> int:
+        """Take the next version."""
+        with self.changed:
+            self.version += 1
+            self.changed.notify_all()
+            return self.version
+
+    def glance(self) -> Changes:
+        """Know nobody."""
+        return Changes(0, ())
+
+    def snapshot(self) -> Changes:
+        """Return the newest version."""
+        return self._answer(0, 0.0, whole=True)
+
+    def watch(self, after: int, wait_s: float) -> Changes:
+        """Wait for a newer version."""
+        return self._answer(after, wait_s)
+
+    def _answer(self, after: int, wait_s: float, *, whole: bool = False) -> Changes:
+        self.calls += 1
+        if self.away:
+            time.sleep(SILENCE_S)
+            raise PlatformError("Nobody answers.")
+        with self.changed:
+            self.changed.wait_for(lambda: self.version > after, wait_s)
+            found = [ConfigPublished(config(self.version))] if self.version > after else []
+            return Changes(self.version, tuple(found), whole=whole)
+
+
+class Reading:
+    """A running reader, what it puts in force, and the words of its peers."""
+
+    def __init__(
+        self,
+        source: SourceInMemory,
+        *,
+        place: int,
+        ask: Callable[[Address, int], News],
+    ) -> None:
+        self._source = source
+        self._fleets: list[Fleet] = []
+        self._changed = threading.Condition()
+        self._silent = threading.Event()
+        self.asked: list[str] = []
+        self._ask = ask
+        events = StoreEvents(
+            on_fleet=self._on_fleet,
+            on_peers=lambda entries: None,
+            on_confirmed=lambda revision, at, own: None,
+            ask=self._note_question,
+            standing=lambda: Standing(place, len(PEERS)),
+        )
+        self._ref: ActorRef[StoreReader] = StoreReader.start(
+            source,
+            Catalogue(Policy()),
+            Journal(),
+            events,
+            AuditTrail(),
+            random.Random(1),
+            bound_s=BOUND_S,
+        )
+
+    def hear(self, vms: Sequence[str]) -> None:
+        """Have peers tell, one after the other, that they hold all there is, until the end."""
+        threading.Thread(target=self._tell, args=(vms,), daemon=True).start()
+
+    def wait_for(self, version: int, limit_s: float) -> float:
+        """Return the seconds until a version is in force."""
+        began = time.monotonic()
+        with self._changed:
+            in_time = self._changed.wait_for(lambda: self.version >= version, limit_s)
+        assert in_time, f"version {version} is not in force after {limit_s} s"
+        return time.monotonic() - began
+
+    @property
+    def version(self) -> int:
+        """The version in force."""
+        return self._fleets[-1].revision if self._fleets else 0
+
+    def stop(self) -> None:
+        """End all."""
+        self._silent.set()
+        self._ref.stop(block=False)
+
+    def _on_fleet(self, fleet: Fleet, _: PublishedConfig) -> None:
+        with self._changed:
+            self._fleets.append(fleet)
+            self._changed.notify_all()
+
+    def _note_question(self, address: Address, after: int) -> News:
+        self.asked.append(address[0])
+        return self._ask(address, after)
+
+    def _tell(self, vms: Sequence[str]) -> None:
+        turn = 0
+        while not self._silent.wait(1.0 / WORDS_PER_S):
+            vm = vms[turn % len(vms)]
+            self._ref.tell(Word(self._source.version, time.monotonic(), vm, (vm, 1)))
+            turn += 1
+
+
+def cut_off(_: Address, __: int) -> News:
+    """Stand for a peer to which no packet gets: a question to it lasts as long as it may."""
+    time.sleep(ASK_S)
+    raise StreamError("No connection: timed out.")
+
+
+@pytest.fixture
+def started() -> Iterator[Callable[..., Reading]]:
+    """Return what starts a reader; all are stopped in the end."""
+    readings: list[Reading] = []
+
+    def start(source: SourceInMemory, **options: Any) -> Reading:
+        readings.append(Reading(source, **options))
+        return readings[-1]
+
+    yield start
+    for reading in readings:
+        reading.stop()
+
+
+def test_each_reading_tells_what_it_asked_for_and_what_came(
+    started: Callable[..., Reading], caplog: pytest.LogCaptureFixture
+) -> None:
+    """The revision before and after, the configuration in it, its age, and how long it took."""
+    caplog.set_level(logging.INFO, "roadpass.reader")
+    source = SourceInMemory()
+    reading = started(source, place=0, ask=cut_off)
+    reading.wait_for(1, LIMIT_S)
+    source.publish()
+    reading.wait_for(2, LIMIT_S)
+    lines = [r.__dict__["decision"] for r in caplog.records if r.getMessage() == "reading"]
+    told = [line for line in lines if line["config"] == 2]
+    assert [(line["after"], line["store_revision"], line["config_held"]) for line in told] == [
+        (1, 2, 1)
+    ]
+    assert told[0]["told_by"] == "store"
+    assert 0.0 <= told[0]["took_s"] <= BOUND_S
