Bound an exchange with a peer as a whole, not only the wait for its first byte

Cause: the limit of Stream.receive ended with the first byte; each further piece of a frame might take 10 s, the handshake its limit for each piece, and a write 10 s whatever the exchange had. A reader that asks a peer within 0.35 s, a fence within 0.1 s and an attempt within its request's time could stand still for tens of seconds.

Now a deadline runs over connection, handshake, write and reply. Excluded: a limit for each read that is merely shorter; a peer that sends a byte at a time passes it. Signatures of two test doubles follow.

--- a/roadpass/peer.py
+++ b/roadpass/peer.py
@@ -72,17 +72,26 @@
                 return
         stream.close()
 
-    def exchange(self, address: Address, message: Message, *, timeout_s: float) -> Message:
+    def exchange(
+        self, address: Address, message: Message, *, timeout_s: float, rest_s: float = 0.0
+    ) -> Message:
         """Send one message and return the reply.
 
+        Args:
+            address: Of the peer.
+            message: What to send.
+            timeout_s: Time for all of it, the connection included.
+            rest_s: Time from the reply's first byte to its last, where that is longer.
+
         Raises:
             StreamError: No whole reply came in time.
         """
         deadline = time.monotonic() + timeout_s
         stream = self.acquire(address, timeout_s=timeout_s)
         try:
-            stream.send(message)
-            reply = stream.receive(max(0.0, deadline - time.monotonic())).message
+            stream.send(message, timeout_s=deadline - time.monotonic())
+            left_s = max(0.0, deadline - time.monotonic())
+            reply = stream.receive(left_s, rest_s=rest_s).message
         except StreamError:
             stream.close()
             raise
--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -19,6 +19,7 @@
 from roadpass.peer import Address, PeerPool
 from roadpass.revision import Held, Manifest, Version
 from roadpass.settings import Settings
+from roadpass.stream import FRAME_LIMIT_S
 
 VM_LIST_S = 10.0
 RETRY_S = 2.0
@@ -274,7 +275,7 @@
     def _pull(self, held: Held, address: Address, *, patches: bool) -> tuple[Manifest, list[bytes]]:
         entries = held.manifest.documents if held.manifest and patches else ()
         message: Pull = {"t": "pull", "have": {entry.name: entry.hash for entry in entries}}
-        reply = self._peers.exchange(address, message, timeout_s=PULL_S)
+        reply = self._peers.exchange(address, message, timeout_s=PULL_S, rest_s=FRAME_LIMIT_S)
         if reply["t"] != "revision":
             raise StreamError("The peer did not send a revision.")
         for document in reply["documents"]:
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -18,7 +18,7 @@
 from roadpass.pause import PauseWatch
 from roadpass.request import CallerWatch
 from roadpass.settings import Settings
-from roadpass.stream import Stream
+from roadpass.stream import FRAME_LIMIT_S, Stream
 
 MAX_STREAMS = 1024
 IDLE_LIMIT_S = 60.0
@@ -261,5 +261,5 @@
 
     def _answer_all(self, stream: Stream) -> None:
         while True:
-            received = stream.receive(IDLE_LIMIT_S)
+            received = stream.receive(IDLE_LIMIT_S, rest_s=FRAME_LIMIT_S)
             stream.send(self._sidecar.answer(received.message, received.age_s))
--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -26,6 +26,10 @@
 HELLO_LIMIT_S = 1.0
 """A slower handshake is given up: its delay bounds the error of a frame's age."""
 FRAME_LIMIT_S = 10.0
+"""Seconds to write a frame, and from the first byte to the last of one that nobody waits for: 16 MB
+take as long on a link of 13 Mbit/s."""
+READ_MIN_S = 0.001
+"""Seconds that a read may take although its time is over: what has arrived is taken."""
 _HEADER = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
 _NS = 1e9
@@ -99,9 +103,9 @@
             raise ConnectError(f"No connection to {address[0]}:{address[1]}: {error}.") from error
         stream = cls(sock, keys, client=True)
         try:
-            stream._handshake(limit)
-            stream.send(hello)
-            reply = stream.receive(max(0.001, deadline - time.monotonic())).message
+            stream._handshake(deadline)
+            stream.send(hello, timeout_s=deadline - time.monotonic())
+            reply = stream.receive(deadline - time.monotonic()).message
         except (StreamError, OSError) as error:
             stream.close()
             raise ConnectError(f"No handshake with {address[0]}:{address[1]}: {error}.") from error
@@ -119,12 +123,13 @@
             StreamError: The peer does not speak this protocol or lacks the key.
         """
         stream = cls(sock, keys, client=False)
+        deadline = time.monotonic() + HELLO_LIMIT_S
         try:
-            stream._handshake(HELLO_LIMIT_S)
-            first = stream.receive(HELLO_LIMIT_S).message
+            stream._handshake(deadline)
+            first = stream.receive(deadline - time.monotonic()).message
             if first["t"] != "hello":
                 raise FrameError("The first frame is no hello.")
-            stream.send(hello)
+            stream.send(hello, timeout_s=deadline - time.monotonic())
         except OSError as error:
             stream.close()
             raise StreamError(f"The handshake failed: {error}.") from error
@@ -140,9 +145,13 @@
             return False
         return not _readable(self._sock, 0.0)
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, *, timeout_s: float = FRAME_LIMIT_S) -> None:
         """Write one frame.
 
+        Args:
+            message: What it holds.
+            timeout_s: Time for all of it.
+
         Raises:
             StreamError: It may have been written in part.
         """
@@ -153,34 +162,41 @@
         self._sent += 1
         frame = _HEADER.pack(len(payload) + len(mac)) + payload + mac
         try:
-            self._sock.settimeout(FRAME_LIMIT_S)
+            self._sock.settimeout(max(READ_MIN_S, timeout_s))
             self._sock.sendall(frame)
             self.carried += len(frame)
         except OSError as error:
             raise StreamError(f"The frame was not written: {error}.") from error
 
-    def receive(self, timeout_s: float, *, caller: CallerWatch | None = None) -> Received:
+    def receive(
+        self, timeout_s: float, *, caller: CallerWatch | None = None, rest_s: float = 0.0
+    ) -> Received:
         """Wait for one frame.
 
         Args:
-            timeout_s: Time until its first byte.
-            caller: Tells when the caller has left, which ends the wait.
+            timeout_s: Time until all of it is there: an actor that waits for a peer must not stand
+                still because the peer, or the way from it, stalls in the middle of a frame.
+            caller: Tells when the caller has left, which ends the wait for the first byte.
+            rest_s: Time from its first byte to its last, where that is longer.
 
         Raises:
-            ReplyTimeoutError: Nothing came in time.
+            ReplyTimeoutError: It was not there in time.
             CallerGoneError: The caller closed its connection.
             StreamError: The connection is lost or the frame is bad.
         """
+        deadline = time.monotonic() + timeout_s
         if not self._buffer:
             self._await_data(timeout_s, caller)
-        self._sock.settimeout(FRAME_LIMIT_S)
+        deadline = max(deadline, time.monotonic() + rest_s)
         try:
-            header = self._read(_HEADER.size)
+            header = self._read(_HEADER.size, deadline)
             (length,) = _HEADER.unpack(header)
             if length > MAX_FRAME_BYTES + MAC_BYTES:
                 raise FrameError("The received frame is too long.")
-            frame = self._read(length)
+            frame = self._read(length, deadline)
             self.carried += _HEADER.size + length
+        except TimeoutError as error:
+            raise ReplyTimeoutError("The frame was not whole in time.") from error
         except OSError as error:
             raise StreamError(f"The connection is lost: {error}.") from error
         return self._open(frame)
@@ -196,12 +212,12 @@
         except OSError:
             return
 
-    def _handshake(self, timeout_s: float) -> None:
+    def _handshake(self, deadline: float) -> None:
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock.settimeout(timeout_s)
+        self._sock.settimeout(max(READ_MIN_S, deadline - time.monotonic()))
         own = secrets.token_bytes(NONCE_BYTES)
         self._sock.sendall(MAGIC + own)
-        greeting = self._read(len(MAGIC) + NONCE_BYTES)
+        greeting = self._read(len(MAGIC) + NONCE_BYTES, deadline)
         if not greeting.startswith(MAGIC):
             raise FrameError("The peer speaks another protocol.")
         theirs = greeting[len(MAGIC) :]
@@ -224,12 +240,15 @@
             elif not ready:
                 raise ReplyTimeoutError("The peer did not reply in time.")
 
-    def _read(self, size: int) -> bytes:
+    def _read(self, size: int, deadline: float) -> bytes:
         while len(self._buffer) < size:
+            self._sock.settimeout(max(READ_MIN_S, deadline - time.monotonic()))
             chunk = self._sock.recv(max(65536, size - len(self._buffer)))
             if not chunk:
                 raise StreamError("The peer closed the connection.")
             self._buffer += chunk
+            if len(self._buffer) < size and time.monotonic() >= deadline:
+                raise ReplyTimeoutError("The frame was not whole in time.")
         data = bytes(self._buffer[:size])
         del self._buffer[:size]
         return data
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -20,6 +20,9 @@
 """Seconds kept at the end of a request's deadline to fence an attempt without an answer."""
 REPLY_GRACE_S = 0.02
 """Seconds that the sidecar's answer at its own deadline is awaited longer."""
+REPLY_REST_S = 0.3
+"""Seconds from its first byte to its last that a reply may take although its time is over: a ready
+answer is delivered, and its route's time is passed by less than half a second."""
 CONNECT_S = 0.12
 """Seconds to connect: within a region it takes 3 ms, and a second if the first packet is lost."""
 CHECK_S = 0.09
@@ -131,7 +134,7 @@
         reused = stream.idle_since > 0.0
         stream.carried = 0
         try:
-            stream.send(Question.of(attempt).to_message())
+            stream.send(Question.of(attempt).to_message(), timeout_s=check_s)
             word = stream.receive(check_s).message
             if word["t"] == "accepted":
                 return stream, reused
@@ -146,10 +149,13 @@
     def _exchange(
         self, stream: Stream, address: Address, attempt: Attempt, watch: CallerWatch | None
     ) -> Reply:
+        wait_s = attempt.remaining_ms / 1000.0 + REPLY_GRACE_S
+        until = time.monotonic() + wait_s
         try:
-            stream.send(attempt.to_message())
-            wait_s = attempt.remaining_ms / 1000.0 + REPLY_GRACE_S
-            reply = Reply.from_message(stream.receive(wait_s, caller=watch).message)
+            stream.send(attempt.to_message(), timeout_s=wait_s)
+            left_s = max(0.0, until - time.monotonic())
+            received = stream.receive(left_s, caller=watch, rest_s=REPLY_REST_S)
+            reply = Reply.from_message(received.message)
         except StreamError as error:
             stream.close()
             return Reply(self._after_loss(address, attempt, stream.peer_incarnation, error))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -179,10 +179,12 @@
         self.idle_since = 0.0
         self.sent: list[str] = []
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, *, timeout_s: float = 0.0) -> None:
         self.sent.append(message["t"])
 
-    def receive(self, timeout_s: float, *, caller: CallerWatch | None = None) -> Received:
+    def receive(
+        self, timeout_s: float, *, caller: CallerWatch | None = None, rest_s: float = 0.0
+    ) -> Received:
         if self.sent[-1] == "check":
             return Received({"t": "accepted"}, 0.0)
         raise self.error
@@ -207,7 +209,9 @@
     def release(self, address: Address, stream: Stream) -> None:
         self.returned.append(stream)
 
-    def exchange(self, address: Address, message: Message, *, timeout_s: float) -> Message:
+    def exchange(
+        self, address: Address, message: Message, *, timeout_s: float, rest_s: float = 0.0
+    ) -> Message:
         if self.word is None:
             raise ReplyTimeoutError("The peer did not reply in time.")
         return self.word
@@ -272,7 +276,9 @@
 
     works = False
 
-    def receive(self, timeout_s: float, *, caller: CallerWatch | None = None) -> Received:
+    def receive(
+        self, timeout_s: float, *, caller: CallerWatch | None = None, rest_s: float = 0.0
+    ) -> Received:
         if not self.works:
             raise ReplyTimeoutError("The peer did not reply in time.")
         if self.sent[-1] == "check":
