Let a node's own turn to read come before questions to peers that do not answer

Cause: a reader asked its peers for each word in order, 0.35 s each where the way to them was cut, in the same queue as its own look at the source. Words come faster than that, so the queue grew (ages of the words asked about 0.9 to 5.3 s) and the node stood still by its own choice, also when the source could be reached.

Now words are kept beside the mailbox (heard), the newest of each peer; who did not answer is left alone for 1 to 8 s (unanswered); the own turn goes first, and a question is begun only if it leaves time to read by oneself within the bound. Peers that answered and near ones come first. News count from when they were asked for, so that a reply that was held up is never taken for fresher than it is.

--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -280,7 +280,8 @@
         member = self._members.get(message["sender"])
         if member is not None and message["revision"]:
             address = (member.address, member.stream_port)
-            self._events.on_word(Word(message["revision"], seen_at, member.vm, address))
+            near = member.hall == self._settings.hall
+            self._events.on_word(Word(message["revision"], seen_at, member.vm, address, near))
 
     def _on_confirmed(self, confirmed: Confirmed) -> None:
         self._version = Version(confirmed.revision, "")
--- a/roadpass/news.py
+++ b/roadpass/news.py
@@ -34,12 +34,14 @@
         at: Monotonic seconds at which the source had nothing newer, by the peer's word.
         vm: The peer.
         address: Of its streams.
+        near: Whether it is in the own data hall.
     """
 
     revision: int
     at: float
     vm: str
     address: Address
+    near: bool = True
 
 
 class News(NamedTuple):
@@ -56,9 +58,14 @@
     away_at: float | None = None
 
     @classmethod
-    def from_message(cls, message: Message, now: float) -> "News":
+    def from_message(cls, message: Message, asked_at: float) -> "News":
         """Build news from a checked message.
 
+        Args:
+            message: Its ages are as of when it was sent.
+            asked_at: A moment before that, in monotonic seconds: news that were held up on their
+                way then count as older than they are, never as fresher.
+
         Raises:
             FrameError: Its configuration cannot be read.
         """
@@ -70,8 +77,8 @@
         away_age_s = message.get("away_age_s")
         return cls(
             Changes(message["revision"], tuple(changes), whole=message["whole"]),
-            now - message["age_s"],
-            None if away_age_s is None else now - away_age_s,
+            asked_at - message["age_s"],
+            None if away_age_s is None else asked_at - away_age_s,
         )
 
     def to_message(self, now: float) -> Message:
@@ -106,10 +113,11 @@
         StreamError: It did not answer, or not with usable news.
     """
     message: CatchUp = {"t": "catch_up", "after": after}
+    asked_at = time.monotonic()
     reply = peers.exchange(address, message, timeout_s=ASK_S)
     if reply["t"] != "news":
         raise StreamError("The peer has no news.")
-    return News.from_message(reply, time.monotonic())
+    return News.from_message(reply, asked_at)
 
 
 def _config_row(config: PublishedConfig) -> list[Any]:
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -3,6 +3,12 @@
 It reads the source itself when it is this node's turn (`reading_turn`). Otherwise peers tell by
 datagram up to which revision they hold the source and how fresh that is; what this node lacks it
 asks of them over a stream.
+
+A question to a peer that cannot be reached takes longer than the next words take to come. So words
+are kept beside the mailbox, the newest of each peer; who did not answer is left alone for a while;
+this node's own turn to read comes before any question, and none is begun that would leave it too
+little time. Asking for every word in its order kept nodes 9 s behind that heard all their peers and
+reached none.
 """
 
 import logging
@@ -19,8 +25,9 @@
 from roadpass.decision import decided
 from roadpass.errors import PlatformError, StreamError
 from roadpass.fleet import Fleet
+from roadpass.heard import Heard
 from roadpass.journal import Journal
-from roadpass.news import News, Word
+from roadpass.news import ASK_S, News, Word
 from roadpass.peer import Address
 from roadpass.reading_turn import FIRST_WORD_S, ReadingTurn, Standing
 from roadpass.source import (
@@ -40,6 +47,9 @@
 RETRY_MAX_S = 0.8
 """Seconds to pause after a failed call, doubled up to the latter: bounds run while the source is
 away."""
+ASK_BETWEEN_S = 2.0 * ASK_S
+"""Seconds between two failed calls while peers hold more: a call to a source that is cut off takes a
+second, and where only some peers can be reached the others have to be tried first."""
 DEFAULT_BOUND_S = 2.0
 
 _log = logging.getLogger("roadpass.reader")
@@ -100,6 +110,7 @@
         self._audit = audit
         self._rng = rng
         self._turn = ReadingTurn(bound_s, rng.random())
+        self._heard = Heard()
         self._revision: int | None = None
         self._lost_at = 0
         self._confirmed_at = -math.inf
@@ -157,44 +168,62 @@
     def _on_tick(self) -> None:
         self._tick_waits = False
         now = time.monotonic()
-        if now >= self._rest_until and self._is_due(now):
+        if self._is_due(now):
             self._read(now)
+        else:
+            self._catch_up(now)
         self._publish(False)
 
     def _is_due(self, now: float) -> bool:
+        """Tell whether this node is to read the source now."""
+        if now < self._rest_until:
+            return False
         return self._turn.is_due(self._events.standing(), now - self._confirmed_at)
 
     def _on_word(self, word: Word) -> None:
-        """Take a peer's word; ask it for what this node lacks.
+        """Take a peer's word; ask it for what this node lacks, if there is time."""
+        if word.revision > self._beyond:
+            self._heard.note(word)
+            self._catch_up(time.monotonic())
+        elif self._revision is not None and word.at > self._confirmed_at:
+            self._confirm(word.at, own=False)
+
+    @property
+    def _beyond(self) -> int:
+        """The revision that news must go beyond.
 
         After the source has lost its history, what peers hold from before tells nothing: only a
         whole reading, the own one or a peer's, goes on from there.
         """
-        if self._revision is None and word.revision <= self._lost_at:
+        return self._lost_at if self._revision is None else self._revision
+
+    def _catch_up(self, now: float) -> None:
+        """Ask a peer that holds more for what this node lacks, unless it is to read by itself."""
+        if self._is_due(now) or not self._has_time_to_ask(now):
             return
-        if self._revision is not None and word.revision <= self._revision:
-            if word.at > self._confirmed_at:
-                self._confirm(word.at, own=False)
+        word = self._heard.best(now, self._beyond)
+        if word is None:
             return
-        asked_at = time.monotonic()
         try:
             news = self._events.ask(word.address, self._revision or 0)
         except StreamError as error:
-            decided(
-                "reader",
-                "peer-failed",
-                vm=word.vm,
-                revision=word.revision,
-                error=str(error),
-                after=self._revision,
-                word_age_s=_age_s(word.at),
-                took_s=_age_s(asked_at),
-            )
+            self._heard.did_not_answer(word.vm, time.monotonic())
+            self._tell_unanswered(word, error, now)
             return
+        self._heard.answered(word.vm)
         if news.away_at is not None:
             self._source_away(news.away_at)
-        if news.changes.revision > (self._lost_at if self._revision is None else self._revision):
-            self._take(news.changes, news.at, origin=word.vm, asked_at=asked_at)
+        if news.changes.revision > self._beyond:
+            self._take(news.changes, news.at, origin=word.vm, asked_at=now)
+
+    def _has_time_to_ask(self, now: float) -> bool:
+        """Tell whether a question would be over early enough for this node to read by itself.
+
+        While the source is away, or nothing is held yet, peers are the nearer hope.
+        """
+        if self._failures or self._revision is None:
+            return True
+        return self._turn.leaves_time(now - self._confirmed_at, ASK_S)
 
     def _read(self, now: float) -> None:
         """Make one call and take in what it brings."""
@@ -254,8 +283,12 @@
             confirmed_age_s=_age_s(self._confirmed_at),
             took_s=_age_s(asked_at),
         )
+        now = time.monotonic()
         pause = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(8, self._failures - 1))
-        self._rest_until = time.monotonic() + pause * self._rng.uniform(0.7, 1.3)
+        pause *= self._rng.uniform(0.7, 1.3)
+        if self._heard.best(now, self._beyond) is not None:
+            pause = max(pause, ASK_BETWEEN_S)
+        self._rest_until = now + pause
 
     def _source_away(self, at: float) -> None:
         self._catalogue.source_away(at)
@@ -287,6 +320,18 @@
             routes=len(fleet.routes),
         )
 
+    def _tell_unanswered(self, word: Word, error: StreamError, asked_at: float) -> None:
+        decided(
+            "reader",
+            "peer-failed",
+            vm=word.vm,
+            revision=word.revision,
+            error=str(error),
+            after=self._revision,
+            word_age_s=_age_s(word.at),
+            took_s=_age_s(asked_at),
+        )
+
     def _tell_reading(self, changes: Changes, at: float, origin: str, asked_at: float) -> None:
         """Log what was asked for and what came, so that a change that was never told shows."""
         configs = [c.config for c in changes.changes if isinstance(c, ConfigPublished)]
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -215,3 +215,37 @@
     reading.wait_for(missed, IN_TOUCH_S)
     for _ in range(3):
         reading.wait_for(source.publish(), BOUND_S)
+
+
+def test_a_peer_that_can_be_reached_is_found_among_others_that_cannot(
+    started: Callable[..., Reading],
+) -> None:
+    """One of eight is enough for a node to which the source is away."""
+
+    def ask(address: Address, _: int) -> News:
+        if address[0] != PEERS[-1]:
+            return cut_off(address, 0)
+        found = ConfigPublished(config(source.version))
+        return News(Changes(source.version, (found,), whole=True), time.monotonic())
+
+    source = SourceInMemory()
+    reading = started(source, place=1, ask=ask)
+    reading.wait_for(1, LIMIT_S)
+    source.away = True
+    reading.hear(PEERS)
+    for _ in range(3):
+        reading.wait_for(source.publish(), LIMIT_S)
+
+
+def test_a_peer_that_does_not_answer_is_not_asked_for_each_of_its_words(
+    started: Callable[..., Reading],
+) -> None:
+    """Left alone for a second, it takes a third of the reader's time at the most."""
+    source = SourceInMemory()
+    reading = started(source, place=1, ask=cut_off)
+    reading.wait_for(1, LIMIT_S)
+    source.away = True
+    source.publish()
+    reading.hear(PEERS[:1])
+    time.sleep(2.5)
+    assert 1 <= len(reading.asked) <= 3
