--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -29,10 +29,10 @@
 from roadpass.journal import Journal
 from roadpass.news import ASK_S, News, Word
 from roadpass.peer import Address
+from roadpass.reading_log import tell_reading, tell_source_failed, tell_unanswered
 from roadpass.reading_turn import FIRST_WORD_S, ReadingTurn, Standing
 from roadpass.source import (
     Changes,
-    ConfigPublished,
     HistoryLostError,
     PublishedConfig,
     Source,
@@ -48,8 +48,8 @@
 """Seconds to pause after a failed call, doubled up to the latter: bounds run while the source is
 away."""
 ASK_BETWEEN_S = 2.0 * ASK_S
-"""Seconds between two failed calls while peers hold more: a call to a source that is cut off takes a
-second, and where only some peers can be reached the others have to be tried first."""
+"""Seconds between two failed calls while peers hold more: a call to a source that is cut off takes
+a second, and where only some peers can be reached the others have to be tried first."""
 DEFAULT_BOUND_S = 2.0
 
 _log = logging.getLogger("roadpass.reader")
@@ -208,7 +208,7 @@
             news = self._events.ask(word.address, self._revision or 0)
         except StreamError as error:
             self._heard.did_not_answer(word.vm, time.monotonic())
-            self._tell_unanswered(word, error, now)
+            tell_unanswered(word, error, after=self._revision, asked_at=now)
             return
         self._heard.answered(word.vm)
         if news.away_at is not None:
@@ -252,7 +252,16 @@
     def _take(self, changes: Changes, at: float, *, origin: str, asked_at: float) -> None:
         """Take in what the source or a peer told; an empty `origin` stands for the source."""
         known_at = self._confirmed_at
-        self._tell_reading(changes, at, origin, asked_at)
+        held = self._catalogue.config
+        tell_reading(
+            changes,
+            told_by=origin,
+            after=self._revision,
+            config_held=held.version if held else None,
+            news_at=at,
+            confirmed_at=known_at,
+            asked_at=asked_at,
+        )
         self._revision = changes.revision
         self._journal.note(changes, at)
         self._name_peers(changes)
@@ -274,14 +283,12 @@
         self._source_away(time.monotonic())
         if self._failures == 1:
             self._audit.record(Kind.PLATFORM, "store", f"cannot be read: {error}")
-        decided(
-            "reader",
-            "store-failed",
-            error=str(error),
+        tell_source_failed(
+            error,
             failures=self._failures,
             after=self._revision,
-            confirmed_age_s=_age_s(self._confirmed_at),
-            took_s=_age_s(asked_at),
+            confirmed_at=self._confirmed_at,
+            asked_at=asked_at,
         )
         now = time.monotonic()
         pause = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(8, self._failures - 1))
@@ -320,45 +327,9 @@
             routes=len(fleet.routes),
         )
 
-    def _tell_unanswered(self, word: Word, error: StreamError, asked_at: float) -> None:
-        decided(
-            "reader",
-            "peer-failed",
-            vm=word.vm,
-            revision=word.revision,
-            error=str(error),
-            after=self._revision,
-            word_age_s=_age_s(word.at),
-            took_s=_age_s(asked_at),
-        )
-
-    def _tell_reading(self, changes: Changes, at: float, origin: str, asked_at: float) -> None:
-        """Log what was asked for and what came, so that a change that was never told shows."""
-        configs = [c.config for c in changes.changes if isinstance(c, ConfigPublished)]
-        held = self._catalogue.config
-        decided(
-            "reader",
-            "reading",
-            told_by=origin or "store",
-            after=self._revision,
-            store_revision=changes.revision,
-            changes=len(changes.changes),
-            whole=changes.whole,
-            config=configs[-1].version if configs else None,
-            config_held=held.version if held else None,
-            news_age_s=_age_s(at),
-            confirmed_age_s=_age_s(self._confirmed_at),
-            took_s=_age_s(asked_at),
-        )
-
     def _report(self, unusable: list[Unusable]) -> None:
         """Say once of each item that makes no sense that it was left out."""
         for item in unusable:
             if item not in self._unusable:
                 self._unusable.add(item)
                 self._audit.record(Kind.REVISION_REFUSED, item.key, item.why)
-
-
-def _age_s(at: float) -> float | None:
-    """Return how long ago a moment was, `None` if it never came."""
-    return None if math.isinf(at) else round(time.monotonic() - at, 3)
