Leave silent peers alone in the puller too, and bound an answer of the store as a whole

The same cause elsewhere: the puller of documents takes each word of a peer in order and waits 2 s for one that cannot be reached, twenty of its words in a row twenty times; and the limit of a call to the store was one for each piece of the answer, so that bytes that trickle held the reader for as long as they came.

Now the puller leaves a silent peer alone as the reader does (unanswered), and a body is read until the call's time is over. Both tests failed before (two peers asked forty times instead of twice; 8 s for a limit of 1 s). Left: the head of the store's answer may still trickle, a line at a time. Excluded as further places by reading: gossip (no blocking call), configuration, monitor, admin (each only takes messages that are at hand); the connection to a target has a deadline for each wait already.

--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store as a source: read-only, every call counted."""
 
 import json
+import time
 from typing import Any
 from urllib.parse import urlencode
 
@@ -18,6 +19,8 @@
 PAGES = 200
 """Most pages of one reading, about 500 items each."""
 HISTORY_LOST = 410
+PIECE_BYTES = 65536
+"""Most bytes to read at a time."""
 
 
 class StoreClient:
@@ -73,8 +76,12 @@
     def _get(self, path: str, fields: dict[str, str], timeout_s: float) -> Any:
         self._metrics.count(CALLS)
         url = f"{self._url}{path}?{urlencode(fields)}"
+        until = time.monotonic() + timeout_s
         try:
-            response = self._pool.request("GET", url, timeout=timeout_s, redirect=False)
+            response = self._pool.request(
+                "GET", url, timeout=timeout_s, redirect=False, preload_content=False
+            )
+            body = _body(response, until)
         except urllib3.exceptions.HTTPError as error:
             self._pool.clear()
             raise PlatformError(f"The store did not answer: {error}.") from error
@@ -83,10 +90,26 @@
         if response.status != 200:
             raise PlatformError(f"The store answered {response.status}.")
         try:
-            return json.loads(response.data)
+            return json.loads(body)
         except ValueError as error:
             raise PlatformError(f"The store's answer cannot be read: {error}.") from error
 
 
+def _body(response: urllib3.BaseHTTPResponse, until: float) -> bytes:
+    """Read a body until a moment: the library's limit is one for each piece of it.
+
+    Raises:
+        urllib3.exceptions.HTTPError: It is not whole by then, or the connection is lost.
+    """
+    pieces = []
+    while piece := response.read1(PIECE_BYTES):
+        pieces.append(piece)
+        if time.monotonic() > until:
+            response.close()
+            raise urllib3.exceptions.ProtocolError("The answer was not whole in time.")
+    response.release_conn()
+    return b"".join(pieces)
+
+
 def _changes(items: Any) -> list[Change]:
     return [found for found in map(decode.change, items) if found is not None]
--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -20,6 +20,7 @@
 from roadpass.revision import Held, Manifest, Version
 from roadpass.settings import Settings
 from roadpass.stream import FRAME_LIMIT_S
+from roadpass.unanswered import Unanswered
 
 VM_LIST_S = 10.0
 RETRY_S = 2.0
@@ -218,6 +219,9 @@
 class Puller(Actor):
     """Fetches newer revisions from peers, as patches where it can.
 
+    Each peer that holds one says so again and again; one that did not answer is left alone for a
+    while, so that the others' turn comes.
+
     Args:
         peers: Streams to them.
         store: What is held.
@@ -238,6 +242,7 @@
         self._offer = offer
         self._metrics = metrics
         self._offered: dict[Version, float] = {}
+        self._unanswered = Unanswered()
 
     def handle(self, message: Any) -> None:
         """Handle one message."""
@@ -253,9 +258,13 @@
         recent = now - self._offered.get(news.version, float("-inf")) < PULL_S
         if news.version <= held.version or recent or self._store.is_refused(news.version):
             return
+        if self._unanswered.holds(news.address, now):
+            return
         pulled = self._pull_either_way(held, news.address)
         if pulled is None:
+            self._unanswered.note(news.address, time.monotonic())
             return
+        self._unanswered.answered(news.address)
         manifest, documents = pulled
         self._offered = {v: at for v, at in self._offered.items() if now - at < PULL_S}
         self._offered[manifest.version] = now
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The platform's forms and calls, against a stand-in of its store."""
 
 import random
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -18,7 +19,7 @@
 from roadpass.news import News, Word
 from roadpass.peer import Address
 from roadpass.platform import decode
-from roadpass.platform.store import CALLS, StoreClient
+from roadpass.platform.store import CALL_LIMIT_S, CALLS, StoreClient
 from roadpass.reading_turn import PATIENCE, Standing
 from roadpass.route import Part
 from roadpass.source import (
@@ -168,6 +169,32 @@
     assert not isinstance(raised.value, HistoryLostError)
 
 
+def test_an_answer_that_comes_byte_by_byte_is_given_up_in_time() -> None:
+    """The limit of a call is for its whole body: whoever reads stands still meanwhile."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def dribble() -> None:
+        sock, _ = listener.accept()
+        with sock:
+            sock.recv(4096)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n")
+            try:
+                for _ in range(400):
+                    sock.sendall(b" ")
+                    time.sleep(0.02)
+            except OSError:
+                return
+
+    threading.Thread(target=dribble, daemon=True).start()
+    host, port = listener.getsockname()
+    client = StoreClient(f"{host}:{port}", Metrics())
+    began = time.monotonic()
+    with pytest.raises(PlatformError, match="did not answer"):
+        client.watch(1, 0.0)
+    assert time.monotonic() - began < CALL_LIMIT_S + 1.0
+    listener.close()
+
+
 class Followed:
     """Notes the fleets that a reader hands over."""
 
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -5,21 +5,26 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from roadpass import reader
 from roadpass.audit import AuditTrail, Kind
-from roadpass.configuration import Store
-from roadpass.errors import DocumentError, PlatformError
+from roadpass.configuration import Offer, Store
+from roadpass.errors import DocumentError, PlatformError, StreamError
 from roadpass.manifest import Platform
+from roadpass.message import Message
 from roadpass.metric import Metrics
-from roadpass.reader import Reader, ReaderEvents, Status, choose_readers
-from roadpass.revision import Manifest
+from roadpass.peer import Address, PeerPool
+from roadpass.reader import Puller, Reader, ReaderEvents, Status, VersionHeard, choose_readers
+from roadpass.revision import Manifest, Version
 from roadpass.settings import Settings
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "settings.jsonc"
 LIMIT_S = 10.0
+CUT_S = 0.1
+"""How long a peer that is cut off is waited for here."""
 
 
 class FakePlatform(Platform):
@@ -81,3 +86,41 @@
     assert choose_readers(list(reversed(vms)), 2) == chosen
     rest = [vm for vm in vms if vm != chosen[0]]
     assert choose_readers(rest, 2)[0] == chosen[1]
+
+
+class CutOffPeers(PeerPool):
+    """Peers of which all but one cannot be reached."""
+
+    def __init__(self, reachable: Address) -> None:
+        super().__init__({}, ())
+        self.reachable = reachable
+        self.asked: list[Address] = []
+
+    def exchange(
+        self, address: Address, message: Message, *, timeout_s: float, rest_s: float = 0.0
+    ) -> Message:
+        self.asked.append(address)
+        if address != self.reachable:
+            time.sleep(CUT_S)
+            raise StreamError("No connection: timed out.")
+        manifest: dict[str, Any] = {"revision": 7, "documents": []}
+        return {"t": "revision", "manifest": manifest, "documents": []}
+
+
+def test_a_peer_that_can_be_reached_is_pulled_from_behind_words_of_others() -> None:
+    """Many words of peers that are cut off cost one try each, not one a word."""
+    cut = [("127.0.0.1", port) for port in (1, 2)]
+    peers = CutOffPeers(("127.0.0.1", 3))
+    offered: list[Offer] = []
+    ref = Puller.start(peers, Store(), offered.append, Metrics())
+    version = Version(7, "x")
+    for _ in range(20):
+        for address in cut:
+            ref.tell(VersionHeard(version, address))
+    ref.tell(VersionHeard(version, peers.reachable))
+    deadline = time.monotonic() + 20.0 * CUT_S
+    while not offered and time.monotonic() < deadline:
+        time.sleep(0.01)
+    ref.stop(block=False)
+    assert [offer.manifest.revision for offer in offered] == [7]
+    assert peers.asked == [*cut, peers.reachable]
