Make no connection to a peer for which no time is left

Cause: a process that stood still woke with requests whose time was over; the rest of it, negative, went into the limit of a connection, which is a ValueError and none of the stream's. The caller got 502 "internal-error" for a request of which nothing had been sent.

Now it is a connection that was not made, so the request is not run. Looked for elsewhere: connections to targets refuse such a limit already, all other limits are kept above zero.

--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -94,6 +94,8 @@
             ConnectError: The peer could not be reached in time; nothing but the hello was sent.
         """
         limit = min(timeout_s, HELLO_LIMIT_S)
+        if limit <= 0.0:
+            raise ConnectError(f"No time is left to connect to {address[0]}:{address[1]}.")
         deadline = time.monotonic() + limit
         try:
             sock = socket.create_connection(
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from roadpass.errors import StreamError
+from roadpass.errors import ConnectError, StreamError
 from roadpass.message import Message
 from roadpass.peer import Address, PeerPool
 from roadpass.stream import MAGIC, NONCE_BYTES, Stream
@@ -121,3 +121,10 @@
     with pytest.raises(StreamError):
         pool.exchange(address, FENCE, timeout_s=LIMIT_S)
     assert time.monotonic() - began < LIMIT_S + SLACK_S
+
+
+@pytest.mark.parametrize("timeout_s", [0.0, -0.2])
+def test_a_connection_for_which_no_time_is_left_is_not_made(timeout_s: float) -> None:
+    """A process that stood still has none left for some requests: nothing of them was sent."""
+    with pytest.raises(ConnectError):
+        PeerPool(HELLO, ()).acquire(("127.0.0.1", 1), timeout_s=timeout_s)
