Say when peers have told more than a call to the store could

An answer from before what is held, and a history lost behind it, were passed over without a word. They have a line now, with the revisions asked for and held. No behaviour changes.

--- a/roadpass/reading_log.py
+++ b/roadpass/reading_log.py
@@ -69,6 +69,21 @@
     )
 
 
+def tell_overtaken(
+    result: Changes | PlatformError, *, asked_after: int | None, after: int | None, asked_at: float
+) -> None:
+    """Log what a call brought too late: peers had told more than it could before it was over."""
+    decided(
+        PART,
+        "reading-overtaken",
+        error=str(result) if isinstance(result, PlatformError) else None,
+        store_revision=result.revision if isinstance(result, Changes) else None,
+        asked_after=asked_after,
+        after=after,
+        took_s=_age_s(asked_at),
+    )
+
+
 def tell_unanswered(word: Word, error: StreamError, *, after: int | None, asked_at: float) -> None:
     """Log a question to a peer that it did not answer; arguments as above."""
     decided(
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -31,7 +31,12 @@
 from roadpass.news import News, Word
 from roadpass.peer import Address
 from roadpass.peer_asker import Ask, Asked, PeerAsker
-from roadpass.reading_log import tell_reading, tell_source_failed, tell_unanswered
+from roadpass.reading_log import (
+    tell_overtaken,
+    tell_reading,
+    tell_source_failed,
+    tell_unanswered,
+)
 from roadpass.reading_turn import FIRST_WORD_S, ReadingTurn, Standing
 from roadpass.source import (
     Changes,
@@ -254,20 +259,32 @@
     def _on_called(self, called: Called) -> None:
         """Take in what a call brought; peers may have told more meanwhile."""
         self._calling = None
+        call = called.call
         match called.result:
-            case HistoryLostError() as error:
-                if called.call.after == self._revision:
-                    self._lost_at = self._revision or self._lost_at
-                    self._revision = None
-                    self._failed(error, called.call.asked_at)
+            case HistoryLostError() as error if call.after == self._revision:
+                self._lost_at = self._revision or self._lost_at
+                self._revision = None
+                self._failed(error, call.asked_at)
+            case HistoryLostError():
+                self._overtaken(called)
             case PlatformError() as error:
-                self._failed(error, called.call.asked_at)
+                self._failed(error, call.asked_at)
             case changes:
                 self._succeeded()
-                if changes.revision >= (self._revision or 0):
-                    self._take(changes, called.at, origin="", asked_at=called.call.asked_at)
                 if changes.changes:
                     self._rest_until = time.monotonic() + self._turn.rest_s
+                if changes.revision < (self._revision or 0):
+                    self._overtaken(called)
+                else:
+                    self._take(changes, called.at, origin="", asked_at=call.asked_at)
+
+    def _overtaken(self, called: Called) -> None:
+        tell_overtaken(
+            called.result,
+            asked_after=called.call.after,
+            after=self._revision,
+            asked_at=called.call.asked_at,
+        )
 
     def _take(self, changes: Changes, at: float, *, origin: str, asked_at: float) -> None:
         """Take in what the source or a peer told; an empty `origin` stands for the source."""
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -294,6 +294,8 @@
     assert reading.version == 2
     lines = [r.__dict__["decision"] for r in caplog.records if r.getMessage() == "reading"]
     assert not [line for line in lines[1:] if line["whole"] and line["told_by"] == "store"]
+    overtaken = [r for r in caplog.records if r.getMessage() == "reading-overtaken"]
+    assert [r.__dict__["decision"]["asked_after"] for r in overtaken] == [1]
 
 
 def test_errors_that_nobody_foresaw_end_neither_calls_nor_questions(
