Check entries of targets whoever wrote them, and tell starts under one id apart

Cause: decode.target took a Capacity of "6", true, 2.9, -3 and 10^12, a service of null, addresses such as :80 or evil.example:99999, any unknown state as leaving, and ids with line ends, which go into a header of each request; values nested too deep raised RecursionError in the reader. An entry that turned unreadable left its target in use, and a broken key kept every instance whose name ended it. Change: one schema (the library that checks messages), checked for the form that is used; an unusable entry withdraws its target, towards peers too. A start is named by id and Born, so everything that is keyed by a target's name begins anew, late attempts for the earlier start are refused as stale, and an older Born never replaces a newer one (10,000 ids remembered). Excluded: CreatedAt as the mark of a start - a lapsed entry that comes back has another one while its target ran on.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -443,14 +443,17 @@
 
 
 
-TargetRow = tuple[str, str, str, str, "_TargetRow4", bool]
+TargetRow = tuple[str, str, str, str, "_TargetRow4", bool, "_TargetRow6"]
 r"""
 target row.
 
-instance, service, address, hall, slots, leaving
+instance, service, address, hall, slots, leaving, born
 
 minItems: 6
-maxItems: 6
+maxItems: 7
+
+WARNING: 'items': If list, must have minItems == maxItems.
+See: https://json-schema.org/understanding-json-schema/reference/array.html#tuple-validation
 """
 
 
@@ -548,3 +551,8 @@
 _TargetRow4 = int
 r""" minimum: 1 """
 
+
+
+_TargetRow6 = int
+r""" minimum: 0 """
+
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -49,6 +49,9 @@
 JUDGEMENT = Judgement(slow_margin=6.0, trial_weight=0.15, trial_successes=3)
 """Targets run at different speeds and their requests at different lengths, so only six times the
 others' is slow; an ingress sends a target about one request in two seconds, so a trial is short."""
+BORN_KEPT = 10_000
+"""Ids of which the newest start is remembered, also after their entries are gone: word of an
+earlier start may come late, from a peer or an old reading. About 0.1 KB each."""
 SLOW_START_S = 2.0
 """Seconds of the ramp of a new target: published targets tell their own warm-up, a few seconds."""
 
@@ -83,6 +86,7 @@
         self._config: PublishedConfig | None = None
         self._targets: dict[str, TargetEntry] = {}
         self._withdrawn: dict[str, float] = {}
+        self._newest_born: dict[str, int] = {}
         self._away_until = float("-inf")
 
     @property
@@ -127,8 +131,9 @@
                     changed |= self._take_target(entry)
                 case TargetWithdrawn(instance=instance):
                     self._withdraw(now, known_at, instance)
-                case Unusable():
+                case Unusable(instance=instance):
                     unusable.append(change)
+                    self._withdraw(now, known_at, instance)
         if changes.whole:
             self._withdraw_missing(now, known_at, changes)
         return changed, unusable
@@ -162,12 +167,23 @@
         return True
 
     def _take_target(self, entry: TargetEntry) -> bool:
+        if entry.born < self._newest_born.get(entry.instance, 0):
+            return False
+        if entry.born:
+            self._note_born(entry)
         self._withdrawn.pop(entry.instance, None)
         if self._targets.get(entry.instance) == entry:
             return False
         self._targets[entry.instance] = entry
         return True
 
+    def _note_born(self, entry: TargetEntry) -> None:
+        """Remember the newest start under an id, the latest seen last."""
+        self._newest_born.pop(entry.instance, None)
+        self._newest_born[entry.instance] = entry.born
+        if len(self._newest_born) > BORN_KEPT:
+            del self._newest_born[next(iter(self._newest_born))]
+
     def _withdraw(self, now: float, known_at: float, instance: str) -> None:
         if instance in self._targets and instance not in self._withdrawn:
             kept_until = min(now + WITHDRAWN_KEPT_S, known_at + WITHDRAWN_MAX_S)
@@ -180,9 +196,8 @@
             for change in changes.changes
             if isinstance(change, TargetPublished)
         }
-        broken = {change.key for change in changes.changes if isinstance(change, Unusable)}
         for instance in self._targets:
-            if instance not in named and not any(key.endswith(instance) for key in broken):
+            if instance not in named:
                 self._withdraw(now, known_at, instance)
 
 
@@ -195,7 +210,7 @@
         policy: What the operators set for all services.
     """
     targets = {
-        entry.instance: _target(entry, config.services[entry.service])
+        entry.name: _target(entry, config.services[entry.service])
         for entry in entries
         if entry.service in config.services
     }
@@ -212,7 +227,7 @@
 
 def _target(entry: TargetEntry, service: PublishedService) -> Target:
     return Target(
-        name=entry.instance,
+        name=entry.name,
         service=entry.service,
         vm=entry.vm,
         address=entry.address,
--- a/roadpass/journal.py
+++ b/roadpass/journal.py
@@ -46,7 +46,8 @@
         """
         with self._lock:
             if changes.whole:
-                self._start_anew(changes)
+                self._readings.clear()
+                self._targets.clear()
             else:
                 self._readings.append(_Reading(self._revision, changes))
             for change in changes.changes:
@@ -80,26 +81,14 @@
                 changes = Changes(self._revision, self._all(), whole=True)
             return News(changes, self._at, self._away_at)
 
-    def _start_anew(self, changes: Changes) -> None:
-        """Drop all but what the changes name without being able to tell it."""
-        broken = [change.key for change in changes.changes if isinstance(change, Unusable)]
-        self._readings.clear()
-        self._targets = {
-            instance: change
-            for instance, change in self._targets.items()
-            if any(key.endswith(instance) for key in broken)
-        }
-
     def _apply(self, change: Change) -> None:
         match change:
             case ConfigPublished():
                 self._config = change
             case TargetPublished(entry=entry):
                 self._targets[entry.instance] = change
-            case TargetWithdrawn(instance=instance):
+            case TargetWithdrawn(instance=instance) | Unusable(instance=instance):
                 self._targets.pop(instance, None)
-            case Unusable():
-                pass
 
     def _all(self) -> tuple[Change, ...]:
         config = () if self._config is None else (self._config,)
@@ -122,5 +111,5 @@
             return entry.instance
         case TargetWithdrawn(instance=instance):
             return instance
-        case Unusable(key=key):
-            return key
+        case Unusable(key=key, instance=instance):
+            return instance or key
--- a/roadpass/news.py
+++ b/roadpass/news.py
@@ -101,6 +101,8 @@
                     message["targets"].append(list(entry))
                 case TargetWithdrawn(instance=instance):
                     message["withdrawn"].append(instance)
+                case Unusable(instance=instance) if instance:
+                    message["withdrawn"].append(instance)
                 case Unusable():
                     pass
         return message
--- a/roadpass/platform/decode.py
+++ b/roadpass/platform/decode.py
@@ -7,11 +7,15 @@
 import binascii
 import json
 import math
+import re
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import fastjsonschema
+
 from roadpass.caller_limits import CallerLimits
 from roadpass.errors import PlatformError
+from roadpass.platform._generated import check_entry
 from roadpass.route import Part, Route
 from roadpass.source import (
     Change,
@@ -27,25 +31,32 @@
 CONFIG_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
 _UNITS = (("ms", 0.001), ("s", 1.0))
-_UNUSABLE = (KeyError, TypeError, ValueError, AttributeError, IndexError, OverflowError)
+_INSTANCE = re.compile(r"[!-~]{1,200}")
+"""What may be an id: it goes into a header of each request to its target, so no line ends."""
+_UNUSABLE = (
+    *(KeyError, TypeError, ValueError, AttributeError, IndexError, OverflowError),
+    RecursionError,  # of values nested too deep to be read
+)
 
 
 def change(item: Any) -> Change | None:
     """Read one item or event of the store; `None` if it concerns nothing of ours."""
     try:
-        key = str(item["TlsKey"])
+        key = item["TlsKey"]
     except _UNUSABLE as error:
         return Unusable("", f"the item has no key: {error!r}")
+    if not isinstance(key, str):
+        return Unusable("", f"the item's key is no text: {key!r:.100}")
+    instance = key.removeprefix(TARGETS_PREFIX) if key.startswith(TARGETS_PREFIX) else ""
     try:
         if key == CONFIG_KEY:
             return None if item.get("Deleted") else ConfigPublished(config(_value(item)))
-        if key.startswith(TARGETS_PREFIX):
-            instance = key.removeprefix(TARGETS_PREFIX)
-            if item.get("Deleted"):
-                return TargetWithdrawn(instance)
+        if instance and item.get("Deleted"):
+            return TargetWithdrawn(instance)
+        if instance:
             return TargetPublished(target(instance, _value(item)))
     except PlatformError as error:
-        return Unusable(key, str(error))
+        return Unusable(key, str(error), instance)
     return None
 
 
@@ -69,20 +80,23 @@
 
 
 def target(instance: str, value: Any) -> TargetEntry:
-    """Read a target's entry."""
+    """Read a target's entry; anybody may have written it, so all that is used is checked."""
+    if not _INSTANCE.fullmatch(instance):
+        raise PlatformError("The id is none that a request could name.")
     try:
-        info, status = value["Info"], value["Status"]
-        host, _, port = value["Address"].rpartition(":")
-        return TargetEntry(
-            instance=instance,
-            service=str(info["Service"]),
-            address=f"{host}:{int(port)}",
-            hall=str(info["Zone"]),
-            slots=max(1, int(info["Capacity"])),
-            leaving=status["State"] != "ready",
-        )
-    except _UNUSABLE as error:
-        raise PlatformError(f"The entry makes no sense: {error!r}.") from error
+        check_entry.validate(value)
+    except fastjsonschema.JsonSchemaValueException as error:
+        raise PlatformError(f"The entry makes no sense: {error.message:.200}.") from error
+    info = value["Info"]
+    return TargetEntry(
+        instance=instance,
+        service=info["Service"],
+        address=value["Address"],
+        hall=info["Zone"],
+        slots=int(info["Capacity"]),
+        leaving=value["Status"]["State"] == "draining",
+        born=int(info.get("Born", 0)),
+    )
 
 
 def seconds(text: str) -> float:
@@ -97,7 +111,7 @@
 
 def _value(item: Mapping[str, Any]) -> Any:
     try:
-        return json.loads(base64.b64decode(item["Value"], validate=True))
+        return json.loads(str(base64.b64decode(item["Value"], validate=True), "utf-8"))
     except (*_UNUSABLE, binascii.Error) as error:
         raise PlatformError(f"The value cannot be read: {error!r}.") from error
 
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -42,11 +42,12 @@
     """A target as it says of itself.
 
     Args:
-        instance: Names its incarnation; no other start ever has the same.
+        instance: Its id, by which requests name the target that is meant.
         address: `ip:port`.
         hall: Its data hall.
         slots: Requests it works on at a time.
         leaving: Whether it takes no new work.
+        born: Tells apart its starts under one id, a later one having more; 0 where it tells none.
     """
 
     instance: str
@@ -55,6 +56,16 @@
     hall: str
     slots: int
     leaving: bool
+    born: int = 0
+
+    @property
+    def name(self) -> str:
+        """The name of this incarnation, under which all is held that is known of it.
+
+        A start under an id that was seen before has another name, so belief, door, limit, load,
+        counts and connections begin anew, and attempts meant for the earlier one are refused.
+        """
+        return f"{self.instance}@{self.born}" if self.born else self.instance
 
     @property
     def vm(self) -> str:
@@ -81,10 +92,18 @@
 
 
 class Unusable(NamedTuple):
-    """An item that makes no sense; what was held of it stays."""
+    """An item that makes no sense.
+
+    Args:
+        key: Of the item.
+        why: What is wrong with it.
+        instance: The target of which it would be the entry, empty if of none. It names no target
+            to use any more: an entry that somebody else wrote over tells nothing of its target.
+    """
 
     key: str
     why: str
+    instance: str = ""
 
 
 Change: TypeAlias = ConfigPublished | TargetPublished | TargetWithdrawn | Unusable
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -45,6 +45,7 @@
     Source,
     TargetEntry,
     TargetPublished,
+    TargetWithdrawn,
     Unusable,
 )
 from roadpass.source_caller import Call, Called, SourceCaller
@@ -127,7 +128,7 @@
         self._calling: Call | None = None
         self._asking: Ask | None = None
         self._behind_since = math.inf
-        self._unusable: set[Unusable] = set()
+        self._unusable: dict[str, str] = {}
         self._tick_waits = False
         self._ticker = Ticker("reader-tick", TICK_S, self._tick_soon)
 
@@ -304,7 +305,7 @@
         self._journal.note(changes, at)
         self._name_peers(changes)
         changed, unusable = self._catalogue.take(time.monotonic(), changes, known_at=known_at)
-        self._report(unusable)
+        self._report(changes, unusable, whole=changes.whole and not origin)
         self._publish(changed, origin)
         self._confirm(at, own=not origin)
 
@@ -361,9 +362,21 @@
             routes=len(fleet.routes),
         )
 
-    def _report(self, unusable: list[Unusable]) -> None:
-        """Say once of each item that makes no sense that it was left out."""
+    def _report(self, changes: Changes, unusable: list[Unusable], *, whole: bool) -> None:
+        """Say of each item that makes no sense that it was left out: once, until that changes."""
+        told = self._unusable
+        if whole:
+            self._unusable = {}
+        for change in changes.changes:
+            match change:
+                case TargetPublished(entry=entry):
+                    self._unusable.pop(entry.instance, None)
+                case TargetWithdrawn(instance=instance):
+                    self._unusable.pop(instance, None)
+                case _:
+                    pass
         for item in unusable:
-            if item not in self._unusable:
-                self._unusable.add(item)
+            name = item.instance or item.key
+            if told.get(name) != item.why:
                 self._audit.record(Kind.REVISION_REFUSED, item.key, item.why)
+            self._unusable[name] = item.why
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -278,6 +278,53 @@
     assert any(event.subject == "servers/bad" for event in audit.since())
 
 
+def test_of_an_entry_that_makes_no_sense_there_is_a_line_for_each_change(bench: Bench) -> None:
+    """Not one for each reading: a store may hold thousands of them."""
+    audit = AuditTrail()
+    followed = Followed()
+    ref = start_reader(bench, followed, audit)
+
+    def told() -> list[str]:
+        return [event.subject for event in audit.since() if event.subject == "servers/bad"]
+
+    def put(value: Any, marker: str) -> None:
+        bench.state.put("servers/bad", value)
+        bench.state.put(f"servers/{marker}", entry("10.0.0.9:80"))
+        followed.wait_for(lambda fleet: marker in fleet.targets)
+
+    try:
+        followed.wait_for(lambda fleet: fleet.revision == 4)
+        put(b"no entry", "i-2")
+        put(b"no entry", "i-3")
+        assert len(told()) == 1
+        bench.state.forget()
+        put(b"no entry", "i-4")
+        assert len(told()) == 1
+        put({}, "i-5")
+        assert len(told()) == 2
+        put(entry("10.0.0.8:80"), "i-6")
+        put({}, "i-7")
+        assert len(told()) == 3
+    finally:
+        ref.stop()
+
+
+def test_a_store_full_of_entries_of_others_costs_no_bound(bench: Bench) -> None:
+    """Ten thousand of them are read, and a change is in force in time."""
+    audit = AuditTrail()
+    followed = Followed()
+    for number in range(10_000):
+        bench.state.put(f"servers/x-{number}", b'{"Address": 7}')
+    bench.state.page_items = 500
+    ref = start_reader(bench, followed, audit)
+    try:
+        followed.wait_for(lambda fleet: set(fleet.targets) == {"i-1"})
+        bench.state.put("servers/i-2", entry("10.0.0.2:80"))
+        followed.wait_for(lambda fleet: "i-2" in fleet.targets, timeout_s=BOUND_S)
+    finally:
+        ref.stop()
+
+
 def test_an_older_word_does_not_stand_in_for_the_reading_after_a_lost_history(
     bench: Bench,
 ) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -9,16 +9,20 @@
 import pytest
 
 from roadpass.belief import End
+from roadpass.caller_limits import CallerLimits
+from roadpass.catalogue import Policy, build_fleet
 from roadpass.errors import ConnectError
 from roadpass.evidence import HANGING_MS
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
-from roadpass.message import Attempt, Message
-from roadpass.outcome import Answered, NotRun, Reason, Unknown
+from roadpass.message import Attempt, Message, Question
+from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.pause import PauseWatch
+from roadpass.route import Route
 from roadpass.settings import Ports, Settings
 from roadpass.shed_hold import SHED_HOLD_S
 from roadpass.sidecar import Sidecar, StreamServer
+from roadpass.source import PublishedConfig, PublishedService, TargetEntry
 from roadpass.stream import Stream
 from roadpass.web import WebServer
 from stand_ins.target import TargetGateway, TargetState
@@ -158,6 +162,54 @@
     assert bench.runs == 0
 
 
+def reborn(born: int) -> Fleet:
+    """Return a fleet of the target as a store tells of it, at one of its starts."""
+    route = Route("r", "h", "/", frozenset(), "s", "", False, {}, None)
+    services = {"s": PublishedService("s", 10)}
+    config = PublishedConfig(2, (route,), services, CallerLimits())
+    entry = TargetEntry("i-1", "s", f"{ADDRESS[0]}:{ADDRESS[1]}", "h", 2, False, born)
+    return build_fleet(config, [entry], Policy())
+
+
+def test_a_target_that_starts_again_under_its_id_is_known_anew(bench: Bench) -> None:
+    """Nothing that was held of its earlier start is held of it, and nothing goes to that one."""
+    sidecar = Sidecar(ADDRESS[0], 1, PauseWatch(), pull=dict, behind=lambda vm, revision: None)
+    sidecar.configure(reborn(7))
+    before = attempt(1, target="i-1@7")
+    assert isinstance(sidecar.run(before).outcome, Answered)
+    local = sidecar.targets["i-1@7"]
+    door = local._door
+    for _ in range(9):
+        door.end(time.monotonic(), door.begin(time.monotonic(), "r"), End.LOST)
+    assert sidecar.check(Question.of(before))["t"] == "not_run"
+    sidecar.configure(reborn(9))
+    late = sidecar.run(attempt(2, target="i-1@7")).outcome
+    assert isinstance(late, NotRun)
+    assert late.reason is Reason.STALE_ROUTE
+    new = sidecar.targets["i-1@9"]
+    assert new is not local
+    assert new.report(2).bad < 0.5
+    assert isinstance(sidecar.run(attempt(3, target="i-1@9")).outcome, Answered)
+    assert bench.runs == 2
+
+
+def test_what_an_earlier_start_was_given_is_not_called_not_run(bench: Bench) -> None:
+    """It may have run: the later start knows nothing of it."""
+    sidecar = Sidecar(ADDRESS[0], 1, PauseWatch(), pull=dict, behind=lambda vm, revision: None)
+    sidecar.configure(reborn(7))
+    bench.state.behaviour.hang = True
+    outcomes: list[Outcome] = []
+    one = attempt(1, target="i-1@7", remaining_ms=600.0)
+    thread = threading.Thread(target=lambda: outcomes.append(sidecar.run(one).outcome))
+    thread.start()
+    while not bench.runs:
+        time.sleep(0.001)
+    sidecar.configure(reborn(9))
+    thread.join()
+    assert isinstance(outcomes[0], Unknown)
+    assert bench.runs == 1
+
+
 def test_a_leaving_node_or_target_refuses(bench: Bench) -> None:
     """From that instant, whatever the ingress believes."""
     bench.configure(leaving=True)
