--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,43 @@
+"""Days of our own: each can be read, is named as its file, and fits any of the users' sites."""
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+DAYS = sorted((Path(__file__).parent.parent / "deploy" / "days").glob("*.toml"))
+PLACES = ("service", "class", "zone", "to_zone", "region")
+LENGTH_S = 30.0
+"""Seconds of traffic of the shortest days of the users."""
+
+
+def read(path: Path) -> dict[str, Any]:
+    """Return the one day of a file."""
+    (day,) = tomllib.loads(path.read_text())["day"]
+    assert isinstance(day, dict)
+    return day
+
+
+def test_there_are_days() -> None:
+    """The folder is where the users' hunts look."""
+    assert len(DAYS) >= 10
+
+
+@pytest.mark.parametrize("path", DAYS, ids=lambda path: path.stem)
+def test_a_day_can_be_read_and_names_no_deployment(path: Path) -> None:
+    """Every step has a kind and a time, and places only by their number."""
+    day = read(path)
+    assert day["name"] == path.stem
+    steps = [*day["plan"], *day["faults"]]
+    assert day["faults"]
+    assert all(0.0 <= step["at"] < LENGTH_S and step["kind"] for step in steps)
+    named = [step[place] for step in steps for place in PLACES if place in step]
+    assert all(re.fullmatch(r"@[csz]\d", name) for name in named), named
+
+
+@pytest.mark.parametrize("path", DAYS, ids=lambda path: path.stem)
+def test_a_day_is_told_of(path: Path) -> None:
+    """The page beside the days says what each is for."""
+    assert f"| `{path.stem}` |" in (path.parent / "README.md").read_text()
