Let the targets' sidecars alone bound the repeats, and count them as the bound does

Change: an ingress keeps no part of its own for a store's services; the sum is kept by the doors of the targets (as before), which now count the window that ends now, as the users' bound does, in place of a bucket that loses what it cannot hold. Whether all said that repeats are spent is remembered for 0.3 s: what is sent meanwhile counts as lost if it fails.

--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -37,12 +37,6 @@
 """Requests of one service and class that may wait at an ingress: a thread each, 0.1 MB."""
 QUEUE_LIMIT = 24
 """Requests that may wait at a target's sidecar; the expected wait bounds them before that."""
-INGRESS_REPEATS = 4.0
-"""How many times its even part of the slack one ingress may repeat: the targets' sidecars keep the
-sum of all; this only bounds what one ingress asks of them."""
-SLACK_AT_ONCE = 0.5
-"""Part of a window's slack that a target may be given at once; the other comes over the window, so
-that no window holds more than the slack."""
 RETRY_SHARE = 0.85
 """Share of the allowed repeats that is used: nodes see arrivals that others lose sight of, and the
 calls that a repeated run makes count as repeats too."""
@@ -214,10 +208,9 @@
         for entry in entries
         if entry.service in config.services
     }
-    nodes = len({target.vm for target in targets.values()})
     services = {
         name: _service(
-            name, [t for t in targets.values() if t.service == name], nodes, config.routes, policy
+            name, [t for t in targets.values() if t.service == name], config.routes, policy
         )
         for name in config.services
     }
@@ -240,9 +233,7 @@
     )
 
 
-def _service(
-    name: str, targets: list[Target], nodes: int, routes: Iterable[Route], policy: Policy
-) -> Service:
+def _service(name: str, targets: list[Target], routes: Iterable[Route], policy: Policy) -> Service:
     serving = [target for target in targets if not target.leaving]
     slots = sum(target.slots for target in serving)
     slack = policy.retry_slack * RETRY_SHARE
@@ -254,9 +245,9 @@
     }
     return Service(
         name=name,
-        retry_burst=max(1.0, INGRESS_REPEATS * slack / max(1, nodes)),
-        target_repeats=max(1.0, SLACK_AT_ONCE * target_slack),
-        target_repeats_per_s=(1.0 - SLACK_AT_ONCE) * target_slack / policy.retry_window_s,
+        retry_burst=math.inf,
+        target_repeats=max(1.0, target_slack),
+        retry_window_s=policy.retry_window_s,
         floor_slots=math.ceil(slots * policy.floor_share),
         false_ejections_per_target_week=DETECTION_DIAL,
         timeout_ms=ATTEMPT_TIMEOUT_MS,
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -1,6 +1,7 @@
 """The way of one request at the ingress: route, target, attempts, fence, outcome."""
 
 import itertools
+import math
 import random
 import threading
 import time
@@ -38,6 +39,10 @@
 
 FREE_MOVES = 40
 """Refusals before the first byte reached a target after which a request is given up."""
+SPENT_S = 0.3
+"""Seconds for which a service's repeats are taken to be spent after all its targets said so: a
+request sent meanwhile counts as lost if it fails, so it goes to surer targets. About as long as
+the targets of a service of some dozen take to be given the next few."""
 _FINAL_REASONS = frozenset((Reason.EXPIRED, Reason.CANCELLED))
 """Refusals that no other target would change."""
 
@@ -77,6 +82,7 @@
         self._choice = Choice(view, self._loads, random.Random(seed))
         self._numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
+        self._spent_until: dict[str, float] = {}
         self._kinds = Kinds()
         self._waiting: dict[tuple[str, str], int] = {}
         self._lock = threading.Lock()
@@ -119,7 +125,7 @@
             return Served(outcome, *slot)
         finally:
             self._leave(slot)
-            log_end(trip, outcome, started, self._budget(service).tokens)
+            log_end(trip, outcome, started, has_repeat=self._has_repeat(trip))
 
     def _refused(self, request: Request, outcome: NotRun, *slot: str) -> Served:
         """Return what a request is told that was not tried at any target."""
@@ -137,6 +143,7 @@
             if target is None and not trip.offers and trip.press():
                 continue
             if target is None:
+                self._note_spent(trip)
                 return trip.final(_crowded(trip) if trip.offers else outcome)
             outcome = self._attempt(trip, target)
             if trip.waits_in_vain:
@@ -167,7 +174,15 @@
 
     def _has_repeat(self, trip: Trip) -> bool:
         """Tell whether another attempt may follow; a node that leaves sees each to its end."""
-        return not self._view.leaving and self._budget(trip.service).tokens >= 1.0
+        service = trip.service
+        if self._view.leaving or self._budget(service).tokens < 1.0:
+            return False
+        return time.monotonic() >= self._spent_until.get(service.name, -math.inf)
+
+    def _note_spent(self, trip: Trip) -> None:
+        """Note that no target of a service has a repeat left, if that is why none took this one."""
+        if Reason.REPEATS_SPENT in trip.refused.values():
+            self._spent_until[trip.service.name] = time.monotonic() + SPENT_S
 
     def _attempt(self, trip: Trip, target: Target) -> Outcome:
         attempt_id = f"{self._prefix}{next(self._numbers)}"
--- a/roadpass/fleet.py
+++ b/roadpass/fleet.py
@@ -13,7 +13,7 @@
 from roadpass.errors import DocumentError
 from roadpass.label import Labels
 from roadpass.offer import FAR_LOSS_PER_KB
-from roadpass.retry import BURST
+from roadpass.retry import BURST, WINDOW_S
 from roadpass.route import Route, RouteTable
 from roadpass.selector import Labelled, Selector, known_zone, select
 
@@ -47,8 +47,8 @@
 
     Args:
         far_loss_per_kb: What a kilobyte to another data hall costs, as a share of a lost request.
-        target_repeats: Most repeats that one of its targets is given at once, beyond `retry_ratio`.
-        target_repeats_per_s: How many of them each second brings back.
+        target_repeats: Repeats that one of its targets is given in a window, beyond `retry_ratio`.
+        retry_window_s: Seconds of such a window.
     """
 
     name: str
@@ -66,7 +66,7 @@
     judgement: Judgement = Judgement()
     far_loss_per_kb: float = FAR_LOSS_PER_KB
     target_repeats: float = BURST
-    target_repeats_per_s: float = 0.0
+    retry_window_s: float = WINDOW_S
 
     @classmethod
     def from_config(cls, name: str, value: Any) -> "Service":
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -78,9 +78,8 @@
         self._shed_hold = ShedHold()
         self._repeats = RepeatAllowance(
             service.retry_ratio,
-            burst=service.target_repeats,
-            per_s=service.target_repeats_per_s,
-            now=time.monotonic(),
+            slack=service.target_repeats,
+            window_s=service.retry_window_s,
         )
         self._lock = threading.Lock()
         self._slots = Slots(
@@ -120,8 +119,8 @@
             self._slots.resize(target.slots)
             self._repeats.configure(
                 service.retry_ratio,
-                burst=service.target_repeats,
-                per_s=service.target_repeats_per_s,
+                slack=service.target_repeats,
+                window_s=service.retry_window_s,
             )
             self.leaving = target.leaving
         return True
--- a/roadpass/news.py
+++ b/roadpass/news.py
@@ -98,7 +98,7 @@
                 case ConfigPublished(config=config):
                     message["config"] = _config_row(config)
                 case TargetPublished(entry=entry):
-                    message["targets"].append(list(entry))
+                    message["targets"].append(_entry_row(entry))
                 case TargetWithdrawn(instance=instance):
                     message["withdrawn"].append(instance)
                 case Unusable(instance=instance) if instance:
@@ -122,6 +122,11 @@
     return News.from_message(reply, asked_at)
 
 
+def _entry_row(entry: TargetEntry) -> list[Any]:
+    """Return an entry's row; without `born`, where it tells none, older nodes read it too."""
+    return list(entry) if entry.born else list(entry[:-1])
+
+
 def _config_row(config: PublishedConfig) -> list[Any]:
     routes = [
         [
--- a/roadpass/retry.py
+++ b/roadpass/retry.py
@@ -1,7 +1,14 @@
 """The budgets of repeats: of a service at one ingress, and of one target at its sidecar."""
 
+import math
+from collections import deque
+
 BURST = 10.0
 """Most repeats at once where nobody sets it: a moment's work of one node."""
+WINDOW_S = 10.0
+"""Seconds of a window in which repeats are counted where nobody sets it."""
+ROUNDING = 1e-9
+"""Of a repeat: sums of shares are not exact."""
 
 
 class RetryBudget:
@@ -9,13 +16,14 @@
 
     Args:
         ratio: Tokens a first attempt adds: the most retries per first attempt in the long run.
-        burst: Most tokens held.
+        burst: Most tokens held; infinite where this ingress sets no limit of its own, as the
+            targets' sidecars keep the sum of all ingresses (`RepeatAllowance`).
     """
 
     def __init__(self, ratio: float, *, burst: float = BURST) -> None:
         self._ratio = ratio
         self._burst = burst
-        self._tokens = 1.0
+        self._tokens = burst if math.isinf(burst) else 1.0
 
     def allows_as(self, ratio: float, burst: float) -> bool:
         """Tell whether the budget has these settings."""
@@ -45,39 +53,49 @@
     may repeat with less waste than its many ingresses would: each of those would hold one or two
     repeats, which a moment of losses at one VM uses up while the others' are left over.
 
+    It counts what came in the window that ends now, as the bound on the whole service does: so a
+    moment of losses after a quiet while has the repeats of that while at once. A bucket that first
+    arrivals fill lost what it could not hold: of every hundred repeats that a service was allowed
+    in ten seconds, eight of which were crowded, it gave 62, and this gives 85.
+
     Args:
-        ratio: Repeats a first arrival adds.
-        burst: Most repeats at once.
-        per_s: Repeats a second adds.
-        now: Monotonic seconds.
+        ratio: Repeats for each first arrival of a window.
+        slack: Repeats of a window beyond that.
+        window_s: Seconds of a window.
     """
 
-    def __init__(self, ratio: float, *, burst: float, per_s: float, now: float) -> None:
+    def __init__(self, ratio: float, *, slack: float, window_s: float) -> None:
         self._ratio = ratio
-        self._burst = burst
-        self._per_s = per_s
-        self._left = burst
-        self._at = now
+        self._slack = slack
+        self._window_s = window_s
+        self._firsts: deque[float] = deque()
+        self._repeats: deque[float] = deque()
 
-    def configure(self, ratio: float, *, burst: float, per_s: float) -> None:
-        """Take over changed settings; what is left stays, up to the new burst."""
+    def configure(self, ratio: float, *, slack: float, window_s: float) -> None:
+        """Take over changed settings; what was spent in the window stays spent."""
         self._ratio = ratio
-        self._burst = burst
-        self._per_s = per_s
-        self._left = min(burst, self._left)
+        self._slack = slack
+        self._window_s = window_s
 
     def has_one(self, now: float) -> bool:
-        """Tell whether a repeat may arrive now."""
-        self._refill(now)
-        return self._left >= 1.0
+        """Tell whether a repeat may arrive now.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        begin = now - self._window_s
+        for times in (self._firsts, self._repeats):
+            while times and times[0] <= begin:
+                times.popleft()
+        allowed = self._ratio * len(self._firsts) + self._slack
+        return len(self._repeats) + 1 <= allowed + ROUNDING
 
     def arrive(self, now: float, *, repeat: bool) -> None:
-        """Count an arrival at the target."""
-        self._refill(now)
-        change = -1.0 if repeat else self._ratio
-        self._left = min(self._burst, self._left + change)
-
-    def _refill(self, now: float) -> None:
-        passed_s = max(0.0, now - self._at)
-        self._at = max(self._at, now)
-        self._left = min(self._burst, self._left + passed_s * self._per_s)
+        """Count an arrival at the target.
+
+        Args:
+            now: Monotonic seconds.
+            repeat: Whether it is not the first of its request.
+        """
+        (self._repeats if repeat else self._firsts).append(now)
+        self.has_one(now)
--- a/roadpass/trip_log.py
+++ b/roadpass/trip_log.py
@@ -61,14 +61,14 @@
     )
 
 
-def log_end(trip: Trip, outcome: Outcome, started: float, repeats_left: float) -> None:
+def log_end(trip: Trip, outcome: Outcome, started: float, *, has_repeat: bool) -> None:
     """Log what the caller is told.
 
     Args:
         trip: Of the request.
         outcome: Its end.
         started: Monotonic seconds at which the request came.
-        repeats_left: Repeats that this node may still send to the service.
+        has_repeat: Whether this node believes that it may repeat a request of the service.
     """
     decided(
         "dispatch",
@@ -81,7 +81,7 @@
         outcome=_name(outcome),
         arrivals=trip.arrivals,
         moves=trip.moves,
-        repeats_left=round(repeats_left, 1),
+        has_repeat=has_repeat,
         ms=round((time.monotonic() - started) * 1000.0, 1),
         left_ms=round((trip.deadline - time.monotonic()) * 1000.0, 1),
     )
--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,482 @@
+"""A crowd of callers before targets in trouble, in virtual time and one process.
+
+The nodes are real: their ingress decides, asks and repeats, and their sidecars admit, believe and
+count as they do anywhere. Only what lies between and behind them is a model: ways that take a fixed
+time, and targets with slots, a spread of work, trouble by a schedule, and calls to other services
+while a slot is held. So one can ask who waits, who is refused and where the work goes.
+"""
+
+import math
+import random
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple, cast
+
+from roadpass.caller_limits import CallerLimits
+from roadpass.catalogue import Policy, build_fleet
+from roadpass.dispatch import Dispatcher
+from roadpass.errors import ConnectError
+from roadpass.fleet import Fleet
+from roadpass.message import Message
+from roadpass.outcome import Answered, NotRun, Outcome
+from roadpass.pause import PauseWatch
+from roadpass.peer import Address, PeerPool
+from roadpass.request import Request
+from roadpass.route import Route
+from roadpass.sidecar import Sidecar
+from roadpass.source import PublishedConfig, PublishedService, TargetEntry
+from roadpass.target import TargetAnswer, TargetClient, TargetLostError, TargetTimeoutError
+from roadpass.view import PeerNode, View
+from tests.machine_model import PLACES
+from tests.virtual import Process, Swap, World, stand_ins
+
+PORT = 7000
+TICK_S = 0.1
+"""Seconds between looks of a node at what its targets have had for long."""
+FIRST_S = 100.0
+"""Virtual time at which the callers begin."""
+RESET_S = 0.002
+"""Seconds after which a target resets what it loses."""
+
+
+class Kind(NamedTuple):
+    """A kind of request.
+
+    Args:
+        service: To which it goes.
+        work_ms: Mean time that a target works on it.
+        objective_ms: Time within which its caller wants the answer.
+        timeout_ms: Time of its route.
+        repeatable: Whether it may run more than once.
+        per_s: Requests a second of all callers; 0 for what only targets call.
+        call: Kind that its target calls while it works on it, empty for none.
+        call_share: Share of its requests that make the call.
+        spread: Of the work, as the deviation of its logarithm.
+    """
+
+    service: str
+    work_ms: float
+    objective_ms: int
+    timeout_ms: int
+    repeatable: bool
+    per_s: float = 0.0
+    call: str = ""
+    call_share: float = 0.0
+    spread: float = 0.3
+
+
+class Trouble(NamedTuple):
+    """What a target does instead of its work.
+
+    Args:
+        begin: Seconds from the first caller on.
+        end: The same.
+        share: Of what it is given in that time.
+        how: `reset`, `shed` or `hang`.
+        targets: By name; none for all of `service`.
+    """
+
+    begin: float
+    end: float
+    share: float
+    how: str
+    service: str = ""
+    targets: frozenset[str] = frozenset()
+
+
+class Load(NamedTuple):
+    """A load: who calls what, on which targets, in which trouble.
+
+    Args:
+        kinds: By name.
+        targets: Number of them by service; a node is beside each.
+        slots: Of each target.
+        seconds: For which callers come.
+        troubles: Of the targets.
+        slack: Repeats of a service in ten seconds, beyond a fifth of its requests.
+        halls: Data halls over which the targets are spread.
+    """
+
+    kinds: dict[str, Kind]
+    targets: dict[str, int]
+    slots: int = 3
+    seconds: float = 20.0
+    troubles: tuple[Trouble, ...] = ()
+    slack: float = 60.0
+    halls: int = 1
+
+
+class Told(NamedTuple):
+    """What became of one request of a caller."""
+
+    kind: str
+    at: float
+    took_ms: float
+    outcome: Outcome
+
+    @property
+    def result(self) -> str:
+        """Return `served`, `refused` or `failed`."""
+        match self.outcome:
+            case Answered(status=200):
+                return "served"
+            case NotRun():
+                return "refused"
+            case _:
+                return "failed"
+
+
+class CrowdTarget:
+    """A target with slots, a queue before them and trouble."""
+
+    def __init__(self, name: str, service: str, slots: int) -> None:
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.running = 0
+        self.queue: deque[object] = deque()
+
+    def may_run(self, ticket: object) -> bool:
+        """Tell whether a request of the queue has its turn."""
+        return self.running < self.slots and self.queue[0] is ticket
+
+
+class CrowdClient(TargetClient):
+    """What a sidecar speaks to a target of the crowd through."""
+
+    def __init__(self, crowd: "Crowd", target: CrowdTarget, node: "CrowdNode") -> None:
+        self._crowd = crowd
+        self._target = target
+        self._node = node
+
+    def send(self, attempt_id: str, method: str, path: str, *_: Any, **options: Any) -> Any:
+        crowd, kind = self._crowd, path.strip("/")
+        until = crowd.world.now + options["timeout_s"]
+        crowd.arrivals[self._target.service, options["request_id"]].append(crowd.world.now)
+        match crowd.trouble_of(self._target):
+            case "reset":
+                crowd.sleep(RESET_S)
+                raise TargetLostError("The connection was reset.")
+            case "shed":
+                return TargetAnswer(Answered(503, [], b"", 1.0), True, "", None)
+            case "hang":
+                crowd.sleep(options["timeout_s"])
+                raise TargetTimeoutError("No answer in time.")
+        status = self._work(kind, until)
+        if status is None:
+            raise TargetTimeoutError("No answer in time.")
+        return TargetAnswer(Answered(status, [], b"", 1.0), False, "", None)
+
+    def _work(self, name: str, until: float) -> int | None:
+        """Take a slot, work and call; return the status, `None` if that takes too long."""
+        crowd, target, kind = self._crowd, self._target, self._crowd.load.kinds[name]
+        began, ticket = crowd.world.now, object()
+        target.queue.append(ticket)
+        taken = crowd.world.park(lambda: target.may_run(ticket), until - crowd.world.now)
+        target.queue.remove(ticket)
+        if not taken:
+            return None
+        target.running += 1
+        try:
+            work_s = crowd.draw_work_s(kind)
+            crowd.sleep(min(work_s, max(0.0, until - crowd.world.now)))
+            if kind.call and crowd.rng.random() < kind.call_share:
+                outcome = self._node.dispatch(kind.call, until)
+                if not (isinstance(outcome, Answered) and outcome.status == 200):
+                    return 500
+            return 200 if crowd.world.now < until else None
+        finally:
+            target.running -= 1
+            crowd.busy_s[target.name] += crowd.world.now - began
+
+    def cancel(self, attempt_id: str) -> bool:
+        return False
+
+
+class _Word(NamedTuple):
+    message: Message
+
+
+class _Stream:
+    """A stream to a peer: its sidecar answers, a way there and back later."""
+
+    idle_since = 0.0
+    peer_incarnation = 1
+
+    def __init__(self, crowd: "Crowd", node: "CrowdNode", way_s: float) -> None:
+        self.carried = 0
+        self._crowd = crowd
+        self._node = node
+        self._way_s = way_s
+        self._message: Message = {}
+
+    def send(self, message: Message, **_: Any) -> None:
+        self._message = message
+
+    def receive(self, *_: Any, **__: Any) -> _Word:
+        self._crowd.sleep(self._way_s)
+        reply = self._node.sidecar.answer(self._message, 0.0)
+        self._crowd.sleep(self._way_s)
+        return _Word(reply)
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+
+class _Peers:
+    """Stands in for the pool of streams to other nodes."""
+
+    def __init__(self, crowd: "Crowd", node: "CrowdNode") -> None:
+        self._crowd = crowd
+        self._node = node
+
+    def acquire(self, address: Address, **_: Any) -> _Stream:
+        peer = self._crowd.nodes.get(address[0])
+        if peer is None:
+            raise ConnectError("No such node.")
+        way_s = 0.0014 if peer.hall != self._node.hall else 0.0002
+        return _Stream(self._crowd, peer, way_s)
+
+    def exchange(self, address: Address, message: Message, **_: Any) -> Message:
+        stream = self.acquire(address)
+        stream.send(message)
+        return stream.receive().message
+
+    def release(self, *_: Any) -> None:
+        """Nothing is kept."""
+
+    def drop(self, *_: Any) -> None:
+        """Nothing is kept."""
+
+
+class CrowdNode:
+    """A node with a real ingress and a real sidecar, beside one target."""
+
+    def __init__(
+        self, crowd: "Crowd", vm: str, hall: str, target: CrowdTarget, fleet: Fleet
+    ) -> None:
+        self.hall = hall
+        self.process = Process(vm)
+        self.target = target
+        self._crowd = crowd
+        with crowd.world.acting(self.process):
+            self.pause = PauseWatch()
+            self.sidecar = Sidecar(
+                vm, 1, self.pause, pull=lambda message: message, behind=lambda vm, revision: None
+            )
+            self.sidecar.configure(fleet)
+            self.local._client = CrowdClient(crowd, target, self)
+            self.view = View(vm, hall, "region")
+            self.view.fleet = fleet
+            self.view.ready = True
+            peers = cast("PeerPool", _Peers(crowd, self))
+            self._dispatcher = Dispatcher(
+                self.view,
+                1,
+                self.sidecar,
+                peers,
+                self.pause,
+                behind=lambda vm, revision: None,
+                seed=crowd.rng.randrange(1 << 30),
+            )
+
+    @property
+    def local(self) -> Any:
+        """What the sidecar holds of the target."""
+        return self.sidecar.targets[self.target.name]
+
+    def dispatch(self, kind: str, deadline: float) -> Outcome:
+        """See one request to its outcome."""
+        method = "GET" if self._crowd.load.kinds[kind].repeatable else "POST"
+        request = Request(
+            "h", method, f"/{kind}/", [], b"", "c", deadline=deadline, id=self._crowd.next_id()
+        )
+        return self._dispatcher.dispatch(request).outcome
+
+    def tick(self) -> None:
+        """Do what the node's tickers do."""
+        with self._crowd.world.acting(self.process):
+            self.pause._last_tick = self._crowd.world.now
+            self.local.scan_running(self._crowd.world.now)
+
+
+class Crowd:
+    """One run of a load; use `run`.
+
+    Attributes:
+        told: What became of the callers' requests, in the order of their ends.
+        arrivals: When each request reached a target, by service and id.
+        busy_s: Seconds for which each target's slots were waited for or held.
+    """
+
+    def __init__(self, load: Load, seed: int) -> None:
+        self.load = load
+        self.rng = random.Random(seed)
+        self.world = World()
+        self.world.now = FIRST_S
+        self.told: list[Told] = []
+        self.arrivals: dict[tuple[str, str], list[float]] = defaultdict(list)
+        self.busy_s: dict[str, float] = defaultdict(float)
+        self.nodes: dict[str, CrowdNode] = {}
+        self._number = 0
+
+    @classmethod
+    def run(cls, load: Load, seed: int) -> "Crowd":
+        """Play a load to its end."""
+        crowd = cls(load, seed)
+        places = {module: names for module, names in PLACES.items() if "socket" not in names}
+        swap = Swap(places, stand_ins(crowd.world))
+        try:
+            crowd._build()
+            crowd._play()
+        finally:
+            swap.undo()
+        assert not crowd.world.errors, crowd.world.errors
+        return crowd
+
+    def share(
+        self, result: str, kinds: Iterable[str] = (), *, between: tuple[float, float] = (0.0, 1e9)
+    ) -> float:
+        """Return the share of the callers' requests that ended in a result.
+
+        Args:
+            result: See `Told`.
+            kinds: Of which kinds, none for all.
+            between: Of those sent in this time, seconds from the first caller on.
+        """
+        chosen = set(kinds) or set(self.load.kinds)
+        begin, end = between
+        asked = [one for one in self.told if one.kind in chosen and begin <= one.at < end]
+        return sum(one.result == result for one in asked) / len(asked)
+
+    def most_repeats(self, service: str, window_s: float) -> int:
+        """Return the most arrivals beyond the first of each request that came in some window."""
+        repeats = sorted(
+            at for (to, _), times in self.arrivals.items() if to == service for at in times[1:]
+        )
+        return max(
+            (sum(begin <= at < begin + window_s for at in repeats) for begin in repeats), default=0
+        )
+
+    def requests(self, service: str, window_s: float) -> float:
+        """Return how many requests of callers came for a service in a window, on average."""
+        asked = sum(self.load.kinds[one.kind].service == service for one in self.told)
+        return asked * window_s / self.load.seconds
+
+    def sleep(self, seconds: float) -> None:
+        """Let the task that runs wait."""
+        self.world.park(lambda: False, seconds)
+
+    def next_id(self) -> str:
+        """Return an id for a request."""
+        self._number += 1
+        return f"request-{self._number}"
+
+    def draw_work_s(self, kind: Kind) -> float:
+        """Draw how long a target works on a request."""
+        mean = math.log(kind.work_ms / 1000.0) - kind.spread**2 / 2.0
+        return self.rng.lognormvariate(mean, kind.spread)
+
+    def trouble_of(self, target: CrowdTarget) -> str:
+        """Draw what a target does to a request that reaches it now, empty for its work."""
+        now = self.world.now - FIRST_S
+        for one in self.load.troubles:
+            hit = target.name in one.targets or (not one.targets and one.service == target.service)
+            if hit and one.begin <= now < one.end and self.rng.random() < one.share:
+                return one.how
+        return ""
+
+    def _build(self) -> None:
+        fleet = _fleet(self.load)
+        for number, target in enumerate(fleet.targets.values()):
+            made = CrowdTarget(target.name, target.service, target.slots)
+            hall = target.hall or ""
+            assert self.nodes.get(target.vm) is None, number
+            self.nodes[target.vm] = CrowdNode(self, target.vm, hall, made, fleet)
+        known = {vm: PeerNode(vm, vm, PORT, node.hall, "region") for vm, node in self.nodes.items()}
+        for vm, node in self.nodes.items():
+            node.view.nodes = {name: peer for name, peer in known.items() if name != vm}
+
+    def _play(self) -> None:
+        nodes = list(self.nodes.values())
+        comings = sorted(self._comings())
+        next_tick = FIRST_S
+        for at, name in comings:
+            while next_tick <= at:
+                self._advance_to(next_tick)
+                next_tick += TICK_S
+            self._advance_to(at)
+            self._send(self.rng.choice(nodes), name)
+            self.world.settle()
+        longest_s = max(kind.timeout_ms for kind in self.load.kinds.values()) / 1000.0 + 1.0
+        for _ in range(int(longest_s / TICK_S)):
+            self._advance_to(self.world.now + TICK_S)
+
+    def _advance_to(self, at: float) -> None:
+        self.world.advance(at - self.world.now, lambda: None)
+        for node in self.nodes.values():
+            node.tick()
+
+    def _comings(self) -> Iterable[tuple[float, str]]:
+        for name, kind in self.load.kinds.items():
+            at = FIRST_S
+            while kind.per_s and (at := at + self.rng.expovariate(kind.per_s)) < self._end:
+                yield at, name
+
+    @property
+    def _end(self) -> float:
+        return FIRST_S + self.load.seconds
+
+    def _send(self, node: CrowdNode, name: str) -> None:
+        kind, at = self.load.kinds[name], self.world.now
+
+        def see_to_it() -> None:
+            outcome = node.dispatch(name, at + kind.timeout_ms / 1000.0)
+            took_ms = (self.world.now - at) * 1000.0
+            self.told.append(Told(name, at - FIRST_S, took_ms, outcome))
+
+        self.world.spawn(node.process, see_to_it)
+
+
+def mean_share(
+    load: Load, seeds: Iterable[int], what: Callable[[Crowd], float]
+) -> tuple[float, list[float]]:
+    """Play a load with several seeds; return the mean of a figure, and the figure of each."""
+    found = [what(Crowd.run(load, seed)) for seed in seeds]
+    return sum(found) / len(found), found
+
+
+def _fleet(load: Load) -> Fleet:
+    """Return the fleet of a load, built as from a store."""
+    routes = tuple(
+        Route(
+            name,
+            "h",
+            f"/{name}/",
+            frozenset(),
+            kind.service,
+            "p000",
+            kind.repeatable,
+            {},
+            kind.timeout_ms,
+            max_attempts=2,
+            target_latency_ms=kind.objective_ms,
+        )
+        for name, kind in load.kinds.items()
+    )
+    services = {name: PublishedService(name, 1000) for name in load.targets}
+    names = [(service, n) for service, count in load.targets.items() for n in range(count)]
+    entries = [
+        TargetEntry(
+            f"{service}-{n}",
+            service,
+            f"10.0.{number // 200}.{number % 200}:80",
+            f"hall-{number % load.halls}",
+            load.slots,
+            leaving=False,
+        )
+        for number, (service, n) in enumerate(names)
+    ]
+    policy = Policy(0.7, 0.2, load.slack, 10.0)
+    config = PublishedConfig(1, routes, services, CallerLimits())
+    return build_fleet(config, entries, policy)
--- /dev/null
+++ b/tests/loads.py
@@ -0,0 +1,54 @@
+"""Loads that have names: the pattern of each, and the grounds for its figures.
+
+Services, kinds of request and their times are those of the users' library deployments at a size of
+22 VMs: a public catalogue whose searches call the desk's service for headings, and holds that must
+not run twice. Requests a second are those of their crowded days.
+"""
+
+import random
+
+from tests.crowd import Kind, Load, Trouble
+
+KINDS = {
+    "search": Kind("opac", 360.0, 1200, 3000, True, 16.5, call="heading", call_share=0.7),
+    "hold": Kind("opac", 470.0, 1200, 4000, False, 20.0, spread=0.5),
+    "issue": Kind("desk", 250.0, 1000, 3000, False, 9.7),
+    "shelf": Kind("desk", 140.0, 400, 1200, True, 11.2, spread=0.8),
+    "heading": Kind("desk", 90.0, 400, 1000, True, spread=0.5),
+}
+TARGETS = {"opac": 16, "desk": 6}
+LOST_SHARE = 0.85
+"""Share of its requests that a target loses in a bad spell, by the users' site files."""
+SLACK = 25.0
+"""Repeats of a service in ten seconds beyond a fifth of its requests: 430 for 235 VMs."""
+
+
+def losses_in_moments(seed: int) -> Load:
+    """Half the targets of a small service lose what they get, all at once, again and again.
+
+    On the users' crowded day of 21 VMs targets of the desk's service were replaced, cut off and
+    reset within six seconds. Of 37 repeatable requests lost there 34 ended at their first target:
+    their ingress had no repeat left, though the service was allowed some 70 in ten seconds and got
+    19. Here three of six fall into a spell every 3 s for 1.5 s.
+    """
+    rng = random.Random(seed)
+    spells = [
+        Trouble(at, at + 1.5, LOST_SHARE, "reset", targets=frozenset({f"desk-{number}"}))
+        for at in (2.0, 5.0, 8.0, 11.0)
+        for number in rng.sample(range(TARGETS["desk"]), 3)
+    ]
+    return Load(KINDS, TARGETS, seconds=13.0, troubles=tuple(spells), slack=SLACK, halls=5)
+
+
+def shed_by_all(seed: int) -> Load:
+    """Every target of a service sheds 55 of 100 requests, whatever it has to do, for 8 s.
+
+    The users' crowded day names this trouble. A shed request has not run; it may be sent to one
+    more target. Perfect knowledge would not help: all targets are alike. Of 100 requests 45 are
+    served at their first target, and of the others as many as there are repeats, 45 of 100 again.
+    """
+    del seed
+    shed = Trouble(4.0, 12.0, 0.55, "shed", service="opac")
+    holds = KINDS["hold"]._replace(per_s=30.7)
+    kinds = {**KINDS, "hold": holds}
+    return Load(kinds, TARGETS, seconds=13.0, troubles=(shed,), slack=SLACK, halls=5)
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -358,9 +358,9 @@
     Mechanism(
         "doors share out the repeats",
         "roadpass/catalogue.py",
-        "INGRESS_REPEATS = 4.0\n",
-        "INGRESS_REPEATS = 1.0\n",
-        "tests/test_catalogue.py",
+        "        retry_burst=math.inf,\n",
+        "        retry_burst=max(1.0, slack / max(1, len(serving))),\n",
+        "tests/test_crowd.py",
     ),
 )
 """Mechanisms of the choice among targets, which docs/DECISIONS.md also measures one by one."""
