Follow what a target sheds in place of holding work back from it

Cause: after a shedding the target's sidecar refused all new work for 0.2 to 0.8 s in its stead. Change: the share that a target sheds is followed (Shedding) and told as a part of its doubt; it is taken where others cost more, and bars nobody. Pressing is for what fails or is cut off only. Tests of the hold are replaced by tests of what came in its place; the one that said a target is left alone now says that it is doubtful and bars nobody.

--- a/roadpass/choice.py
+++ b/roadpass/choice.py
@@ -119,7 +119,7 @@
         match outcome:
             case NotRun(reason=Reason.LEAVING | Reason.STALE_ROUTE):
                 self._loads.avoid(now, name)
-            case NotRun(reason=Reason.SICK | Reason.SHED_LATELY, retry_after_ms=wait_ms):
+            case NotRun(reason=Reason.SICK, retry_after_ms=wait_ms):
                 self._loads.avoid(now, name, for_s=wait_ms / 1000.0)
             case NotRun(reason=Reason.REFUSED | Reason.FENCED):
                 self._loads.avoid(now, name, for_s=REFUSED_AVOID_S)
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -25,7 +25,7 @@
 from roadpass.pause import PauseWatch
 from roadpass.request import CallerWatch
 from roadpass.retry import RepeatAllowance
-from roadpass.shed_hold import ShedHold
+from roadpass.shedding import Shedding
 from roadpass.slots import Slots
 from roadpass.target import (
     CallerLeftError,
@@ -75,7 +75,7 @@
         self._belief = Belief(time.monotonic())
         self._door = Door(self._belief)
         self._door_told_shut = False
-        self._shed_hold = ShedHold()
+        self._shedding = Shedding()
         self._repeats = RepeatAllowance(
             service.retry_ratio,
             slack=service.target_repeats,
@@ -136,7 +136,7 @@
         scores = self._evidence.scores
         now = time.monotonic()
         with self._lock:
-            bad = self._belief.bad(now)
+            bad = self._doubt(now)
             wait_ms = self._expected_wait_ms(now, traffic_class, route)
         return LoadReport(
             in_flight=self._slots.in_use,
@@ -159,10 +159,11 @@
         with self._lock:
             wait_ms = self._expected_wait_ms(now, question.traffic_class, question.route)
             bad = self._belief.bad(now)
+            shed_loss = self._shedding.loss(now)
             tries = self._door.tries(now, trial=question.may_be_trial and question.spare)
         if wait_ms > (question.most_wait_ms if question.may_wait else 0.0):
             return NotRun(Reason.BUSY, int(wait_ms))
-        if bad > question.most_bad and not tries:
+        if shed_loss > question.most_bad or (bad > question.most_bad and not tries):
             return NotRun(Reason.DOUBTFUL, 0)
         return None
 
@@ -174,12 +175,18 @@
             return 0.0
         return self._evidence.stretched_wait_ms(now, wait_ms, self._slots.service_ms)
 
+    def _doubt(self, now: float) -> float:
+        """Return what going there probably costs, as a share of a lost request."""
+        bad = self._belief.bad(now)
+        return bad + (1.0 - bad) * self._shedding.loss(now)
+
+    def _note_shedding(self, outcome: Outcome) -> None:
+        with self._lock:
+            self._shedding.note(time.monotonic(), outcome)
+
     def _new_work_refusal(self, question: Question) -> NotRun | None:
         """Return why the target is given no new work now, `None` if it is, whatever its queue."""
-        refusal = self._door_refusal(question) or self._repeat_refusal(question)
-        if refusal is not None or question.pressing:
-            return refusal
-        return self._shed_hold.refusal(time.monotonic())
+        return self._door_refusal(question) or self._repeat_refusal(question)
 
     def _repeat_refusal(self, question: Question) -> NotRun | None:
         with self._lock:
@@ -289,7 +296,7 @@
             outcome, end = self._outcome(attempt, started, deadline, watch)
         finally:
             self._evidence.end(attempt.id)
-            self._shed_hold.note(time.monotonic(), outcome)
+            self._note_shedding(outcome)
             self._note_end(attempt, visit, end)
         self._learn(attempt, outcome, running)
         return outcome
--- a/roadpass/outcome.py
+++ b/roadpass/outcome.py
@@ -32,7 +32,6 @@
     STALE_ROUTE = "stale-route"
     UNREACHABLE = "unreachable"
     SHED = "shed-by-target"
-    SHED_LATELY = "shed-by-target-lately"
     SICK = "target-failing"
     REFUSED = "target-refused-connection"
     REPEATS_SPENT = "repeats-spent"
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -230,17 +230,16 @@
         return min((offer.wait_ms for offer in self.offers.values()), default=0.0)
 
     def press(self) -> bool:
-        """Let targets that refused for failing or shedding, or were cut off, be asked once more.
+        """Let targets that refused for failing, or were cut off, be asked once more.
 
-        A failing one may run what it then loses, so only what may repeat goes there; one that
-        sheds says so, and has not run it.
+        A failing one may run what it then loses, so only what may repeat goes there.
 
         Returns:
             Whether that is new; targets to which the way was cut are asked now, too.
         """
         if self.pressing:
             return False
-        again = {Reason.UNREACHABLE, Reason.SHED_LATELY}
+        again = {Reason.UNREACHABLE}
         if self.route.repeatable and self.arrivals == 0:
             again.add(Reason.SICK)
         names = {name for name, reason in self.refused.items() if reason in again}
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -52,3 +52,15 @@
     holds = KINDS["hold"]._replace(per_s=30.7)
     kinds = {**KINDS, "hold": holds}
     return Load(kinds, TARGETS, seconds=13.0, troubles=(shed,), slack=SLACK, halls=5)
+
+
+def shed_by_some(seed: int) -> Load:
+    """Five of sixteen targets shed nearly all that they get, as full ones do, for 8 s.
+
+    So it was after a loss of power, when targets still worked for callers that were gone. Whoever
+    knew which they are would serve all: the others have slots for it.
+    """
+    del seed
+    full = frozenset(f"opac-{number}" for number in (0, 3, 6, 9, 12))
+    shed = Trouble(4.0, 12.0, 0.95, "shed", targets=full)
+    return Load(KINDS, TARGETS, seconds=13.0, troubles=(shed,), slack=SLACK, halls=5)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.crowd import Crowd, Load
-from tests.loads import SLACK, losses_in_moments, shed_by_all
+from tests.loads import SLACK, losses_in_moments, shed_by_all, shed_by_some
 
 SEEDS = (1, 2, 3)
 WINDOW_S = 10.0
@@ -49,7 +49,7 @@
     assert mean(crowds, "served", "search") >= 0.99
 
 
-@pytest.mark.parametrize("load", [losses_in_moments, shed_by_all])
+@pytest.mark.parametrize("load", [losses_in_moments, shed_by_all, shed_by_some])
 def test_repeats_stay_within_what_a_service_is_allowed(load: Callable[[int], Load]) -> None:
     """In every ten seconds, whoever asks for them; half of the loads' requests would want one."""
     for crowd in play(load):
@@ -58,11 +58,27 @@
             assert crowd.most_repeats(service, WINDOW_S) <= allowed
 
 
+TROUBLE_S = (4.0, 12.0)
+"""When targets shed in the loads that are named so."""
+
+
 def test_what_is_shed_everywhere_is_offered_on() -> None:
-    """Nearly as many are served as the repeats that are left allow.
+    """Nearly as many are served as the repeats that are allowed let be: 0.59.
 
-    45 of 100 by their first target, and the others by repeats.
+    While targets that had shed were held for a time it was 0.51 in the mean of ten seeds, and 0.10
+    of the requests were refused after more than 0.1 s, mostly without having been offered.
     """
     crowds = play(shed_by_all)
-    shares = [crowd.share("served", ["search", "hold"], between=(4.0, 12.0)) for crowd in crowds]
-    assert sum(shares) / len(shares) >= 0.45
+    asked = [one for crowd in crowds for one in crowd.told if one.kind in ("search", "hold")]
+    shed = [one for one in asked if TROUBLE_S[0] <= one.at < TROUBLE_S[1]]
+    served = sum(one.result == "served" for one in shed) / len(shed)
+    held = sum(one.result == "refused" and one.took_ms > 100.0 for one in shed) / len(shed)
+    assert served >= 0.54
+    assert held <= 0.06
+
+
+def test_what_some_shed_goes_to_the_others() -> None:
+    """Full targets are known after a few sheddings, and tried again seldom."""
+    crowds = play(shed_by_some)
+    for kind in ("search", "hold"):
+        assert mean(crowds, "served", kind, between=TROUBLE_S) >= 0.98
--- /dev/null
+++ b/tests/test_shedding.py
@@ -0,0 +1,48 @@
+"""What a target's shedding costs: graded, soon learnt, soon forgotten, and never a bar."""
+
+import pytest
+
+from roadpass.outcome import Answered, NotRun, Reason, Unknown
+from roadpass.shedding import FORGET_S, SHED_LOSS, Shedding
+
+SHED = NotRun(Reason.SHED)
+ANSWER = Answered(200, [], b"")
+NOW = 100.0
+
+
+def test_nothing_is_lost_where_nothing_was_shed() -> None:
+    """Nor after outcomes that tell nothing of it."""
+    one = Shedding()
+    assert one.loss(NOW) == 0.0
+    for outcome in (ANSWER, NotRun(Reason.REFUSED), Unknown(Reason.TIMEOUT)):
+        one.note(NOW, outcome)
+        assert one.loss(NOW) == 0.0
+
+
+def test_the_loss_follows_the_share_that_is_shed() -> None:
+    """Half of all costs half of what all costs, which is no more than a repeat."""
+    half, full = Shedding(), Shedding()
+    for number in range(200):
+        half.note(NOW, SHED if number % 2 else ANSWER)
+        full.note(NOW, SHED)
+    assert full.loss(NOW) == pytest.approx(SHED_LOSS)
+    assert half.loss(NOW) == pytest.approx(SHED_LOSS / 2, rel=0.2)
+
+
+def test_four_sheddings_in_a_row_tell_most() -> None:
+    """A full target is known as such before it has cost many repeats."""
+    one = Shedding()
+    for _ in range(4):
+        one.note(NOW, SHED)
+    assert one.loss(NOW) > 0.7 * SHED_LOSS
+
+
+def test_it_is_forgotten_in_seconds() -> None:
+    """A target that nobody takes meanwhile is asked again."""
+    one = Shedding()
+    for _ in range(9):
+        one.note(NOW, SHED)
+    losses = [one.loss(NOW + seconds) for seconds in (0.0, FORGET_S, 4.0 * FORGET_S)]
+    assert losses == sorted(losses, reverse=True)
+    assert losses[2] < 0.02 * losses[0]
+    assert one.loss(NOW - 1.0) == losses[0]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -20,7 +20,7 @@
 from roadpass.pause import PauseWatch
 from roadpass.route import Route
 from roadpass.settings import Ports, Settings
-from roadpass.shed_hold import SHED_HOLD_S
+from roadpass.shedding import SHED_LOSS
 from roadpass.sidecar import Sidecar, StreamServer
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
 from roadpass.stream import Stream
@@ -257,20 +257,22 @@
     bench.state.behaviour.shed = True
     reasons = [reason(bench, attempt(number)) for number in range(20)]
     assert reasons[0] is Reason.SHED
-    assert set(reasons) <= {Reason.SHED, Reason.SHED_LATELY}
+    assert set(reasons) == {Reason.SHED}
     assert bench.runs == 0
     assert bench.sidecar.targets["t"].scores.worst == 0.0
 
 
-def test_a_target_that_shed_is_left_alone_for_a_moment_and_then_asked_again(bench: Bench) -> None:
-    """Each request that it sheds is an arrival more; its node refuses in its stead meanwhile."""
+def test_a_target_that_shed_is_a_doubtful_one_and_bars_nobody(bench: Bench) -> None:
+    """Who has better to go to goes there; who has not is let in, and soon everybody is again."""
     bench.state.behaviour.shed = True
-    assert reason(bench, attempt(1)) is Reason.SHED
-    assert reason(bench, attempt(2)) is Reason.SHED_LATELY
-    assert reason(bench, attempt(4, pressing=True)) is Reason.SHED
+    for number in range(4):
+        assert reason(bench, attempt(number)) is Reason.SHED
+    assert reason(bench, attempt(5, most_bad=0.04)) is Reason.DOUBTFUL
+    told = bench.sidecar.targets["t"].report(2).bad
+    assert 0.7 * SHED_LOSS < told < SHED_LOSS + 0.1
+    assert reason(bench, attempt(6, most_bad=1.0)) is Reason.SHED
     bench.state.behaviour.shed = False
-    time.sleep(2 * SHED_HOLD_S)
-    assert reason(bench, attempt(3)) is None
+    assert reason(bench, attempt(7, most_bad=told + 0.1)) is None
 
 
 def test_a_target_that_did_nothing_lately_is_doubtful(bench: Bench) -> None:
--- a/tests/test_trip.py
+++ b/tests/test_trip.py
@@ -36,13 +36,13 @@
         assert limit_ms * 0.9 < left_ms <= limit_ms, (spent, left_ms)
 
 
-def test_when_all_targets_shed_lately_each_is_asked_once_more() -> None:
-    """A request that must not repeat too: a target that sheds has not run it."""
-    held = [NotRun(Reason.SHED_LATELY)] * 4
-    sidecar = FakeSidecar([*held, Answered(200, [], b"ok")])
+def test_when_all_targets_shed_the_best_of_them_is_taken() -> None:
+    """A request that must not repeat too: a target that sheds says so, and has not run it."""
+    doubtful = [NotRun(Reason.DOUBTFUL)] * 4
+    sidecar = FakeSidecar([*doubtful, Answered(200, [], b"ok")])
     outcome = dispatcher(sidecar).dispatch(request("POST")).outcome
     assert isinstance(outcome, Answered)
-    assert [attempt.pressing for attempt in sidecar.attempts] == [False] * 4 + [True]
+    assert [attempt.may_wait for attempt in sidecar.attempts] == [False] * 4 + [True]
 
 
 def test_when_all_targets_fail_only_what_may_repeat_presses() -> None:
