--- a/tests/loads.py
+++ b/tests/loads.py
@@ -64,3 +64,20 @@
     full = frozenset(f"opac-{number}" for number in (0, 3, 6, 9, 12))
     shed = Trouble(4.0, 12.0, 0.95, "shed", targets=full)
     return Load(KINDS, TARGETS, seconds=13.0, troubles=(shed,), slack=SLACK, halls=5)
+
+
+def called_sheds(seed: int, *, per_s: float = 16.5, call_share: float = 0.7) -> Load:
+    """The called service sheds while its callers' targets lose what they get: both are repeated.
+
+    On the registry's fleet, with its called service shedding 60 of 100 and two of five callers'
+    targets resetting, 31 of 196 repeats of that service in ten seconds were first arrivals of calls
+    that repeated runs made. Searches call as often as on the users' page, or as `call_share` says.
+    """
+    rng = random.Random(seed)
+    lossy = frozenset(f"opac-{number}" for number in rng.sample(range(TARGETS["opac"]), 6))
+    troubles = (
+        Trouble(3.0, 12.0, 0.6, "shed", service="desk"),
+        Trouble(3.0, 12.0, 0.5, "reset", targets=lossy),
+    )
+    kinds = {**KINDS, "search": KINDS["search"]._replace(per_s=per_s, call_share=call_share)}
+    return Load(kinds, TARGETS, seconds=13.0, troubles=troubles, slack=SLACK, halls=5)
