--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -57,9 +57,10 @@
 from roadpass.reading_turn import Standing
 from roadpass.revision import Version
 from roadpass.settings import Settings, StoreSettings
-from roadpass.sidecar import Sidecar, StreamServer
+from roadpass.sidecar import Sidecar
 from roadpass.source import PublishedConfig, TargetEntry
 from roadpass.store_reader import StoreEvents, StoreReader
+from roadpass.stream_server import StreamServer
 from roadpass.view import PeerNode, View
 
 READY_PEERS = 2
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any, NamedTuple, cast
 
 from roadpass.caller_limits import CallerLimits
@@ -18,7 +18,7 @@
 from roadpass.errors import ConnectError
 from roadpass.fleet import Fleet
 from roadpass.message import Message
-from roadpass.outcome import Answered, NotRun, Outcome
+from roadpass.outcome import Answered, Outcome
 from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
 from roadpass.request import Request
@@ -27,6 +27,7 @@
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
 from roadpass.target import TargetAnswer, TargetClient, TargetLostError, TargetTimeoutError
 from roadpass.view import PeerNode, View
+from tests.load import Kind, Load, Told
 from tests.machine_model import PLACES
 from tests.virtual import Process, Swap, World, stand_ins
 
@@ -39,93 +40,6 @@
 """Seconds after which a target resets what it loses."""
 
 
-class Kind(NamedTuple):
-    """A kind of request.
-
-    Args:
-        service: To which it goes.
-        work_ms: Mean time that a target works on it.
-        objective_ms: Time within which its caller wants the answer.
-        timeout_ms: Time of its route.
-        repeatable: Whether it may run more than once.
-        per_s: Requests a second of all callers; 0 for what only targets call.
-        call: Kind that its target calls while it works on it, empty for none.
-        call_share: Share of its requests that make the call.
-        spread: Of the work, as the deviation of its logarithm.
-    """
-
-    service: str
-    work_ms: float
-    objective_ms: int
-    timeout_ms: int
-    repeatable: bool
-    per_s: float = 0.0
-    call: str = ""
-    call_share: float = 0.0
-    spread: float = 0.3
-
-
-class Trouble(NamedTuple):
-    """What a target does instead of its work.
-
-    Args:
-        begin: Seconds from the first caller on.
-        end: The same.
-        share: Of what it is given in that time.
-        how: `reset`, `shed` or `hang`.
-        targets: By name; none for all of `service`.
-    """
-
-    begin: float
-    end: float
-    share: float
-    how: str
-    service: str = ""
-    targets: frozenset[str] = frozenset()
-
-
-class Load(NamedTuple):
-    """A load: who calls what, on which targets, in which trouble.
-
-    Args:
-        kinds: By name.
-        targets: Number of them by service; a node is beside each.
-        slots: Of each target.
-        seconds: For which callers come.
-        troubles: Of the targets.
-        slack: Repeats of a service in ten seconds, beyond a fifth of its requests.
-        halls: Data halls over which the targets are spread.
-    """
-
-    kinds: dict[str, Kind]
-    targets: dict[str, int]
-    slots: int = 3
-    seconds: float = 20.0
-    troubles: tuple[Trouble, ...] = ()
-    slack: float = 60.0
-    halls: int = 1
-
-
-class Told(NamedTuple):
-    """What became of one request of a caller."""
-
-    kind: str
-    at: float
-    took_ms: float
-    outcome: Outcome
-
-    @property
-    def result(self) -> str:
-        """Return `served`, `refused` or `failed`."""
-        match self.outcome:
-            case Answered(status=200):
-                return "served"
-            case NotRun():
-                return "refused"
-            case _:
-                return "failed"
-
-
 class CrowdTarget:
     """A target with slots, a queue before them and trouble."""
 
@@ -171,7 +85,7 @@
     def _work(self, name: str, until: float, *, again: bool) -> int | None:
         """Take a slot, work and call; return the status, `None` if that takes too long."""
         crowd, target, kind = self._crowd, self._target, self._crowd.load.kinds[name]
-        began, ticket = crowd.world.now, object()
+        ticket = object()
         target.queue.append(ticket)
         taken = crowd.world.park(lambda: target.may_run(ticket), until - crowd.world.now)
         target.queue.remove(ticket)
@@ -188,7 +102,6 @@
             return 200 if crowd.world.now < until else None
         finally:
             target.running -= 1
-            crowd.busy_s[target.name] += crowd.world.now - began
 
     def cancel(self, attempt_id: str) -> bool:
         return False
@@ -309,7 +222,6 @@
         told: What became of the callers' requests, in the order of their ends.
         arrivals: When each request reached a target, by service and id.
         of_repeats: Requests that runs made which were repeats themselves.
-        busy_s: Seconds for which each target's slots were waited for or held.
     """
 
     def __init__(self, load: Load, seed: int) -> None:
@@ -320,7 +232,6 @@
         self.told: list[Told] = []
         self.arrivals: dict[tuple[str, str], list[float]] = defaultdict(list)
         self.of_repeats: set[str] = set()
-        self.busy_s: dict[str, float] = defaultdict(float)
         self.nodes: dict[str, CrowdNode] = {}
         self._number = 0
 
@@ -450,14 +361,6 @@
         self.world.spawn(node.process, see_to_it)
 
 
-def mean_share(
-    load: Load, seeds: Iterable[int], what: Callable[[Crowd], float]
-) -> tuple[float, list[float]]:
-    """Play a load with several seeds; return the mean of a figure, and the figure of each."""
-    found = [what(Crowd.run(load, seed)) for seed in seeds]
-    return sum(found) / len(found), found
-
-
 def _fleet(load: Load) -> Fleet:
     """Return the fleet of a load, built as from a store."""
     routes = tuple(
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -7,7 +7,7 @@
 
 import random
 
-from tests.crowd import Kind, Load, Trouble
+from tests.load import Kind, Load, Trouble
 
 KINDS = {
     "search": Kind("opac", 360.0, 1200, 3000, True, 16.5, call="heading", call_share=0.7),
--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -15,6 +15,7 @@
     sidecar,
     slots,
     stream,
+    stream_server,
     transport,
     trip,
     trip_log,
@@ -116,7 +117,7 @@
                 self.sidecar.targets[target.name]._client = client
         ports = Ports(callers=1, stream=PORT, gossip=2, admin=3)
         settings = Settings(self.vm, "hall", "region", self.vm, self.vm, ports, "", keys=KEYS)
-        self._server = sidecar.StreamServer(settings, self.sidecar)
+        self._server = stream_server.StreamServer(settings, self.sidecar)
         self.dispatcher = dispatch.Dispatcher(
             _view(self.vm),
             self.incarnation,
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.crowd import Crowd, Load
+from tests.crowd import Crowd
+from tests.load import Load
 from tests.loads import SLACK, called_sheds, losses_in_moments, shed_by_all, shed_by_some
 
 SEEDS = (1, 2, 3)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -11,19 +11,16 @@
 from roadpass.belief import End
 from roadpass.caller_limits import CallerLimits
 from roadpass.catalogue import Policy, build_fleet
-from roadpass.errors import ConnectError
 from roadpass.evidence import HANGING_MS
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
-from roadpass.message import Attempt, Message, Question
+from roadpass.message import Attempt, Question
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.pause import PauseWatch
 from roadpass.route import Route
-from roadpass.settings import Ports, Settings
 from roadpass.shedding import SHED_LOSS
-from roadpass.sidecar import Sidecar, StreamServer
+from roadpass.sidecar import Sidecar
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
-from roadpass.stream import Stream
 from roadpass.web import WebServer
 from stand_ins.target import TargetGateway, TargetState
 
@@ -418,37 +415,3 @@
     assert local._worsened(waits, 0.05) == NotRun(Reason.DOUBTFUL, 0)
     assert local._worsened(waits._replace(last=False), 0.05) is None
     assert local._worsened(waits, 0.9) is None
-
-
-def test_a_thread_that_cannot_be_started_ends_no_accepting(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """That one connection is closed; the next peer is served.
-
-    Seen on a machine whose threads were used up: the accept loop of a node ended with
-    `RuntimeError: can't start new thread`, and no peer could open a stream to it any more.
-    """
-    address = "127.0.44.1"
-    settings = Settings("vm-1", "hall", "region", address, address, Ports(0, 7801, 0, 0), "")
-    sidecar = Sidecar("vm-1", 7, PauseWatch(), pull=dict, behind=lambda vm, revision: None)
-    ref = StreamServer.start(settings, sidecar)
-    ref.ask("whether it listens")
-    start = threading.Thread.start
-    refused: list[threading.Thread] = []
-
-    def start_but_for_the_first(thread: threading.Thread) -> None:
-        if thread.name == "stream" and not refused:
-            refused.append(thread)
-            raise RuntimeError("can't start new thread")
-        start(thread)
-
-    monkeypatch.setattr(threading.Thread, "start", start_but_for_the_first)
-    hello: Message = {"t": "hello", "vm": "vm-2", "incarnation": 1}
-    peer = (address, settings.ports.stream)
-    try:
-        with pytest.raises(ConnectError):
-            Stream.connect(peer, (), hello)
-        Stream.connect(peer, (), hello).close()
-    finally:
-        ref.stop()
-    assert len(refused) == 1
