Ask few targets for a repeat, and none in turn where all were spent a moment ago

Cause, by reading: a refused repeat moved on to the next target, up to forty; with the ingresses' own part gone that is what each request of a large service that sheds would do. Change: four targets, one within 0.3 s of all being spent.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -39,10 +39,14 @@
 
 FREE_MOVES = 40
 """Refusals before the first byte reached a target after which a request is given up."""
+SPENT_ASKS = 4
+"""Targets that may say that their repeats are spent before a request is given up: with as many
+repeats left at one target in three, four of five requests still find one. Without a bound each of
+the requests that a large service sheds would ask forty."""
 SPENT_S = 0.3
-"""Seconds for which a service's repeats are taken to be spent after all its targets said so: a
-request sent meanwhile counts as lost if it fails, so it goes to surer targets. About as long as
-the targets of a service of some dozen take to be given the next few."""
+"""Seconds for which a service's repeats are taken to be spent after that: a request sent meanwhile
+counts as lost if it fails, so it goes to surer targets, and one that needs a repeat asks one target
+for it. About as long as the targets of a service of some dozen take to be given the next few."""
 _FINAL_REASONS = frozenset((Reason.EXPIRED, Reason.CANCELLED))
 """Refusals that no other target would change."""
 
@@ -143,7 +147,7 @@
             if target is None and not trip.offers and trip.press():
                 continue
             if target is None:
-                self._note_spent(trip)
+                self._finds_spent(trip, all_asked=not trip.offers)
                 return trip.final(_crowded(trip) if trip.offers else outcome)
             outcome = self._attempt(trip, target)
             if trip.waits_in_vain:
@@ -162,7 +166,7 @@
             case NotRun(reason=reason) if reason is not Reason.SHED:
                 trip.moves += 1
                 trip.refused[target.name] = reason
-                if trip.waits_in_vain or trip.moves >= FREE_MOVES:
+                if trip.waits_in_vain or trip.moves >= FREE_MOVES or self._finds_spent(trip):
                     return False
                 return reason not in _FINAL_REASONS
             case NotRun():
@@ -174,15 +178,21 @@
 
     def _has_repeat(self, trip: Trip) -> bool:
         """Tell whether another attempt may follow; a node that leaves sees each to its end."""
-        service = trip.service
-        if self._view.leaving or self._budget(service).tokens < 1.0:
+        if self._view.leaving or self._budget(trip.service).tokens < 1.0:
             return False
-        return time.monotonic() >= self._spent_until.get(service.name, -math.inf)
+        return not self._spent_lately(trip.service)
 
-    def _note_spent(self, trip: Trip) -> None:
-        """Note that no target of a service has a repeat left, if that is why none took this one."""
-        if Reason.REPEATS_SPENT in trip.refused.values():
-            self._spent_until[trip.service.name] = time.monotonic() + SPENT_S
+    def _finds_spent(self, trip: Trip, *, all_asked: bool = False) -> bool:
+        """Tell whether enough targets had no repeat left for a request, and remember that."""
+        words = sum(reason is Reason.REPEATS_SPENT for reason in trip.refused.values())
+        if words < (1 if all_asked or self._spent_lately(trip.service) else SPENT_ASKS):
+            return False
+        self._spent_until[trip.service.name] = time.monotonic() + SPENT_S
+        return True
+
+    def _spent_lately(self, service: Service) -> bool:
+        """Tell whether the targets of a service have just said that their repeats are spent."""
+        return time.monotonic() < self._spent_until.get(service.name, -math.inf)
 
     def _attempt(self, trip: Trip, target: Target) -> Outcome:
         attempt_id = f"{self._prefix}{next(self._numbers)}"
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from roadpass.dispatch import SPENT_S
 from roadpass.errors import ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
 from roadpass.fleet import Fleet
@@ -66,6 +67,27 @@
     assert len(sidecar.attempts) == 100 + retries
 
 
+def test_a_service_whose_repeats_are_spent_is_not_asked_through() -> None:
+    """What all its targets said a moment ago one of them says for all; later they are asked again.
+
+    A large service that sheds would else ask forty targets for each of its requests.
+    """
+    spent = NotRun(Reason.REPEATS_SPENT)
+    sidecar = FakeSidecar([NotRun(Reason.SHED), spent, spent, spent])
+    one = dispatcher(sidecar)
+    one._budgets["s"] = RetryBudget(0.5)
+    for _ in range(9):
+        one._budgets["s"].on_first_attempt()
+    assert one.dispatch(request("POST")).outcome == spent
+    assert len(sidecar.attempts) == 4
+    sidecar.script = [NotRun(Reason.SHED), spent, Answered(200, [], b"")]
+    assert one.dispatch(request("POST")).outcome == spent
+    assert len(sidecar.attempts) == 6
+    time.sleep(SPENT_S)
+    sidecar.script = [NotRun(Reason.SHED), spent, Answered(200, [], b"")]
+    assert isinstance(one.dispatch(request("POST")).outcome, Answered)
+
+
 def test_refusals_before_a_target_cost_no_budget_and_try_each_target_once() -> None:
     """A request that was refused at every door has reached no target."""
     sidecar = FakeSidecar([NotRun(Reason.SICK)] * 1000)
