Tell of each lost request what it was, and whether its target is gone

It now has the fingerprint of the request, whether the target's process refuses connections since the loss, and what else it had. Excluded: the callers' IP number as a part of it, since the same caller comes to any VM. The look for the target is one connection, kept for the next request. Tests: fingerprints, the look; no decision rests on either yet.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -129,6 +129,9 @@
     most_bad: int | float
     most_wait_ms: int | float
     usual_ms: int | float
+    fingerprint: "_Fingerprint"
+    r""" maxLength: 32 """
+
 
 
 class CatchUp(TypedDict, total=False):
@@ -506,6 +509,11 @@
 
 
 
+_Fingerprint = str
+r""" maxLength: 32 """
+
+
+
 _Headers = list["_HeadersItem"]
 r""" maxItems: 200 """
 
--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -14,10 +14,13 @@
 from roadpass.caller_limits import CallerLimits
 from roadpass.caller_watch import READ_BYTES, SocketWatch
 from roadpass.dialect import OWN, Dialect
+from roadpass.fingerprint import fingerprint
 from roadpass.metric import Metrics, OutcomeKey
 from roadpass.outcome import OUTCOME_HEADER, Answered, NotRun, Reason, Unknown
 from roadpass.request import Request, Served
 
+CREDENTIALS_HEADER = "Authorization"
+"""Tells callers apart that do not name themselves, wherever they come."""
 BODY_MIN_S = 10.0
 """Seconds that a body may take at least, so that a short header limit spares slow uploads."""
 WRITE_LIMIT_S = 10.0
@@ -261,18 +264,23 @@
         host, path = head.where()
         deadline = head.deadline(dialect.deadline)
         key = head.key()
+        named = head.header(self._desk.caller_header)
+        body = self._read_body(head)
         return Request(
             host=host,
             method=head.method,
             path=path,
             headers=head.forwarded(dialect, host, self._remote),
-            body=self._read_body(head),
-            caller=head.header(self._desk.caller_header) or self._remote,
+            body=body,
+            caller=named or self._remote,
             deadline=deadline,
             key=key,
             repeat=head.is_repeat,
             id=head.header(dialect.request_id) if dialect.caller_sets_id else "",
             origin=self._desk.origin,
+            fingerprint=fingerprint(
+                host, head.method, path, named or head.header(CREDENTIALS_HEADER), body
+            ),
         )
 
 
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -333,8 +333,8 @@
         except CallerLeftError:
             return Unknown(Reason.CANCELLED), End.SILENT
         except TargetError as error:
-            self._log_loss(attempt, error)
             lost = isinstance(error, TargetLostError)
+            self._log_loss(attempt, error, gone=lost and self._client.gone())
             return Unknown(Reason.TARGET_LOST), End.LOST if lost else End.NOTHING
         return outcome, end_of(outcome, time.monotonic() - started, deadline - started)
 
@@ -360,7 +360,7 @@
             return NotRun(Reason.SHED, _retry_after_ms(answer.headers))
         return answer
 
-    def _log_loss(self, attempt: Attempt, error: TargetError) -> None:
+    def _log_loss(self, attempt: Attempt, error: TargetError, *, gone: bool = False) -> None:
         decided(
             "sidecar",
             "target-lost",
@@ -368,6 +368,9 @@
             attempt=attempt.id,
             target=self.target.name,
             error=str(error),
+            fingerprint=attempt.fingerprint,
+            gone=gone,
+            beside=self._slots.in_use - 1,
         )
 
     def _note_end(self, attempt: Attempt, visit: Visit, end: End) -> None:
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -68,6 +68,7 @@
         most_bad: How probably bad a target it takes, 0 to 1.
         most_wait_ms: Milliseconds that it would wait for a slot at the most.
         usual_ms: Milliseconds that one of its kind usually takes, 0 if the ingress does not know.
+        fingerprint: Of the request, see `roadpass.fingerprint`; empty if the ingress tells none.
     """
 
     id: str
@@ -94,6 +95,7 @@
     most_bad: float = 1.0
     most_wait_ms: float = UNBOUNDED_MS
     usual_ms: float = 0.0
+    fingerprint: str = ""
 
     @property
     def may_be_trial(self) -> bool:
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -31,6 +31,7 @@
         watch: Tells when the caller has left, `None` if nobody can.
         id: The caller's name for this request, empty for none.
         origin: Service of the VM at which the request began, empty if unknown.
+        fingerprint: What it has in common with others for the same work, empty if unknown.
     """
 
     host: str
@@ -45,6 +46,7 @@
     watch: CallerWatch | None = None
     id: str = ""
     origin: str = ""
+    fingerprint: str = ""
 
 
 class Served(NamedTuple):
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from roadpass.dialect import OWN, Dialect
+from roadpass.errors import TargetRefusedError
 from roadpass.hop import connection_tokens, end_to_end
 from roadpass.outcome import Answered, Headers
 from roadpass.request import CallerWatch
@@ -37,6 +38,8 @@
 
 CONNECT_LIMIT_S = 1.0
 """Seconds to connect; a target in the same fleet that takes longer is as good as down."""
+LOOK_LIMIT_S = 0.05
+"""Seconds to find out whether a target of this VM takes connections: a refusal comes at once."""
 MAX_IDLE = 32
 """Connections kept; more than that many at once come too seldom to pay for holding them."""
 IDLE_LIMIT_S = 4.0
@@ -198,6 +201,19 @@
             connection.cancel()
         return True
 
+    def gone(self) -> bool:
+        """Tell whether the target's process has ended: it refuses a connection at once.
+
+        Whoever lost a connection to it can tell a crash from a reset by that. A connection that is
+        made is kept for the next request.
+        """
+        try:
+            connection = TargetConnection.open(self._host, self._port, LOOK_LIMIT_S)
+        except TargetRefusedError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self._release(connection, IDLE_LIMIT_S)
+        return False
+
     def close(self) -> None:
         """Close idle connections, and those in use when they are done."""
         with self._lock:
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -300,6 +300,7 @@
             most_bad=self._most_bad(has_repeat),
             most_wait_ms=self.most_wait_ms(),
             usual_ms=round(self.usual_ms or self._assumed_ms),
+            fingerprint=self.request.fingerprint,
         )
 
     @property
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -106,6 +106,9 @@
     def cancel(self, attempt_id: str) -> bool:
         return False
 
+    def gone(self) -> bool:
+        return False
+
 
 class _Word(NamedTuple):
     message: Message
--- a/tests/gray_target.py
+++ b/tests/gray_target.py
@@ -178,6 +178,9 @@
             del self._running[attempt_id]
         return _answer(arrival, over())
 
+    def gone(self) -> bool:
+        return False
+
     def cancel(self, attempt_id: str) -> bool:
         arrival = self._running.get(attempt_id)
         if arrival is None:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -11,6 +11,7 @@
 from roadpass import caller_connection
 from roadpass.caller_limits import CallerLimits
 from roadpass.caller_watch import MAX_AHEAD_BYTES
+from roadpass.fingerprint import fingerprint
 from roadpass.outcome import Answered
 from roadpass.request import CallerWatch, Request, Served
 from tests.calling import GET, PLAIN, WAIT_S, Bench, Caller, Reply, opened, post, until, watch_of
@@ -65,6 +66,18 @@
     assert request.caller == "127.0.0.1"
 
 
+def test_a_fingerprint_tells_neither_id_nor_vm_but_who_asks(bench: Bench) -> None:
+    """A caller that does not name itself is told apart by what it proves itself with."""
+    head = b"GET /a HTTP/1.1\r\nHost: shop\r\nRoadpass-Request-Id: %d\r\n%s\r\n"
+    who = (b"", b"Roadpass-Caller: a\r\n", b"Authorization: b\r\n")
+    for number, name in enumerate((*who, *who)):
+        bench.caller().ask(head % (number, name))
+    prints = [request.fingerprint for request in bench.requests]
+    assert prints[0] == fingerprint("shop", "GET", "/a", "", b"")
+    assert prints[:3] == prints[3:]
+    assert len(set(prints)) == 3
+
+
 def test_deadline_counts_from_the_head(bench: Bench) -> None:
     """The time a body takes is part of the caller's time."""
     caller = bench.caller()
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -366,3 +366,16 @@
     time.sleep(0.1)
     sock.sendall(WHOLE)
     assert 90.0 < future.result(5.0).answer.service_ms < 1000.0
+
+
+def test_a_target_is_gone_once_it_refuses_connections(listener: socket.socket) -> None:
+    """As long as it takes them, the one that was made to see that serves the next request."""
+    fleet = Fleet(listener)
+    assert not fleet.client.gone()
+    future = fleet.ask(fresh=True)
+    sock = fleet.accept()
+    head_of(sock)
+    sock.sendall(WHOLE)
+    assert future.result(5.0).answer.status == 200
+    listener.close()
+    assert fleet.client.gone()
