--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Iterable
 from typing import Any, NamedTuple, cast
 
@@ -16,17 +16,18 @@
 from roadpass.catalogue import Policy, build_fleet
 from roadpass.dispatch import Dispatcher
 from roadpass.errors import ConnectError
+from roadpass.fingerprint import fingerprint
 from roadpass.fleet import Fleet
 from roadpass.message import Message
-from roadpass.outcome import Answered, Outcome
+from roadpass.outcome import Outcome
 from roadpass.pause import PauseWatch
 from roadpass.peer import Address, PeerPool
 from roadpass.request import Request
 from roadpass.route import Route
 from roadpass.sidecar import Sidecar
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
-from roadpass.target import TargetAnswer, TargetClient, TargetLostError, TargetTimeoutError
 from roadpass.view import PeerNode, View
+from tests.crowd_target import CrowdClient, CrowdTarget
 from tests.load import Kind, Load, Told
 from tests.machine_model import PLACES
 from tests.virtual import Process, Swap, World, stand_ins
@@ -36,78 +37,6 @@
 """Seconds between looks of a node at what its targets have had for long."""
 FIRST_S = 100.0
 """Virtual time at which the callers begin."""
-RESET_S = 0.002
-"""Seconds after which a target resets what it loses."""
-
-
-class CrowdTarget:
-    """A target with slots, a queue before them and trouble."""
-
-    def __init__(self, name: str, service: str, slots: int) -> None:
-        self.name = name
-        self.service = service
-        self.slots = slots
-        self.running = 0
-        self.queue: deque[object] = deque()
-
-    def may_run(self, ticket: object) -> bool:
-        """Tell whether a request of the queue has its turn."""
-        return self.running < self.slots and self.queue[0] is ticket
-
-
-class CrowdClient(TargetClient):
-    """What a sidecar speaks to a target of the crowd through."""
-
-    def __init__(self, crowd: "Crowd", target: CrowdTarget, node: "CrowdNode") -> None:
-        self._crowd = crowd
-        self._target = target
-        self._node = node
-
-    def send(self, attempt_id: str, method: str, path: str, *_: Any, **options: Any) -> Any:
-        crowd, kind = self._crowd, path.strip("/")
-        until = crowd.world.now + options["timeout_s"]
-        crowd.arrivals[self._target.service, options["request_id"]].append(crowd.world.now)
-        match crowd.trouble_of(self._target):
-            case "reset":
-                crowd.sleep(RESET_S)
-                raise TargetLostError("The connection was reset.")
-            case "shed":
-                return TargetAnswer(Answered(503, [], b"", 1.0), True, "", None)
-            case "hang":
-                crowd.sleep(options["timeout_s"])
-                raise TargetTimeoutError("No answer in time.")
-        again = len(crowd.arrivals[self._target.service, options["request_id"]]) > 1
-        status = self._work(kind, until, again=again)
-        if status is None:
-            raise TargetTimeoutError("No answer in time.")
-        return TargetAnswer(Answered(status, [], b"", 1.0), False, "", None)
-
-    def _work(self, name: str, until: float, *, again: bool) -> int | None:
-        """Take a slot, work and call; return the status, `None` if that takes too long."""
-        crowd, target, kind = self._crowd, self._target, self._crowd.load.kinds[name]
-        ticket = object()
-        target.queue.append(ticket)
-        taken = crowd.world.park(lambda: target.may_run(ticket), until - crowd.world.now)
-        target.queue.remove(ticket)
-        if not taken:
-            return None
-        target.running += 1
-        try:
-            work_s = crowd.draw_work_s(kind)
-            crowd.sleep(min(work_s, max(0.0, until - crowd.world.now)))
-            if kind.call and crowd.rng.random() < kind.call_share:
-                outcome = self._node.dispatch(kind.call, until, of_a_repeat=again)
-                if not (isinstance(outcome, Answered) and outcome.status == 200):
-                    return 500
-            return 200 if crowd.world.now < until else None
-        finally:
-            target.running -= 1
-
-    def cancel(self, attempt_id: str) -> bool:
-        return False
-
-    def gone(self) -> bool:
-        return False
 
 
 class _Word(NamedTuple):
@@ -181,10 +110,8 @@
             self.sidecar = Sidecar(
                 vm, 1, self.pause, pull=lambda message: message, behind=lambda vm, revision: None
             )
-            self.sidecar.configure(fleet)
-            self.local._client = CrowdClient(crowd, target, self)
             self.view = View(vm, hall, "region")
-            self.view.fleet = fleet
+            self.configure(fleet)
             self.view.ready = True
             peers = cast("PeerPool", _Peers(crowd, self))
             self._dispatcher = Dispatcher(
@@ -197,6 +124,12 @@
                 seed=crowd.rng.randrange(1 << 30),
             )
 
+    def configure(self, fleet: Fleet) -> None:
+        """Put a fleet in force, in which the own target may have started again."""
+        self.sidecar.configure(fleet)
+        self.local._client = CrowdClient(self._crowd, self.target, self)
+        self.view.fleet = fleet
+
     @property
     def local(self) -> Any:
         """What the sidecar holds of the target."""
@@ -204,11 +137,24 @@
 
     def dispatch(self, kind: str, deadline: float, *, of_a_repeat: bool = False) -> Outcome:
         """See one request to its outcome; `of_a_repeat` if a run that was one itself makes it."""
-        method = "GET" if self._crowd.load.kinds[kind].repeatable else "POST"
+        one = self._crowd.load.kinds[kind]
+        method = "GET" if one.repeatable else "POST"
         name = self._crowd.next_id()
         if of_a_repeat:
             self._crowd.of_repeats.add(name)
-        request = Request("h", method, f"/{kind}/", [], b"", "c", deadline=deadline, id=name)
+        path = f"/{one.route or kind}/{one.path or name}"
+        self._crowd.names[path, one.body] = kind
+        request = Request(
+            "h",
+            method,
+            path,
+            [],
+            one.body,
+            "c",
+            deadline=deadline,
+            id=name,
+            fingerprint=fingerprint("h", method, path, "", one.body),
+        )
         return self._dispatcher.dispatch(request).outcome
 
     def tick(self) -> None:
@@ -225,6 +171,9 @@
         told: What became of the callers' requests, in the order of their ends.
         arrivals: When each request reached a target, by service and id.
         of_repeats: Requests that runs made which were repeats themselves.
+        reached: When a request with a path and body was sent to a target, in whatever coming.
+        names: Kinds by the path and body of their requests.
+        crashed: When a target ended under one, by path and body.
     """
 
     def __init__(self, load: Load, seed: int) -> None:
@@ -235,6 +184,9 @@
         self.told: list[Told] = []
         self.arrivals: dict[tuple[str, str], list[float]] = defaultdict(list)
         self.of_repeats: set[str] = set()
+        self.reached: dict[tuple[str, bytes], list[float]] = defaultdict(list)
+        self.crashed: dict[tuple[str, bytes], list[float]] = defaultdict(list)
+        self.names: dict[tuple[str, bytes], str] = {}
         self.nodes: dict[str, CrowdNode] = {}
         self._number = 0
 
@@ -303,6 +255,10 @@
         mean = math.log(kind.work_ms / 1000.0) - kind.spread**2 / 2.0
         return self.rng.lognormvariate(mean, kind.spread)
 
+    def kind_of(self, path: str, body: bytes) -> Kind:
+        """Return the kind of a request by its path and body."""
+        return self.load.kinds[self.names[path, body]]
+
     def trouble_of(self, target: CrowdTarget) -> str:
         """Draw what a target does to a request that reaches it now, empty for its work."""
         now = self.world.now - FIRST_S
@@ -312,8 +268,18 @@
                 return one.how
         return ""
 
+    def restart(self, target: CrowdTarget) -> None:
+        """Start an ended target again, under a new name that all nodes hear of."""
+        target.start()
+        starts = {vm: node.target.starts for vm, node in self.nodes.items()}
+        fleet = _fleet(self.load, starts)
+        for vm, node in self.nodes.items():
+            node.target.name = next(one.name for one in fleet.targets_on(vm))
+            with self.world.acting(node.process):
+                node.configure(fleet)
+
     def _build(self) -> None:
-        fleet = _fleet(self.load)
+        fleet = _fleet(self.load, {})
         for target in fleet.targets.values():
             made = CrowdTarget(target.name, target.service, target.slots)
             self.nodes[target.vm] = CrowdNode(self, target.vm, target.hall or "", made, fleet)
@@ -339,6 +305,8 @@
     def _advance_to(self, at: float) -> None:
         self.world.advance(at - self.world.now, lambda: None)
         for node in self.nodes.values():
+            if node.target.is_due(self.world.now):
+                self.restart(node.target)
             node.tick()
 
     def _comings(self) -> Iterable[tuple[float, str]]:
@@ -362,8 +330,13 @@
         self.world.spawn(node.process, see_to_it)
 
 
-def _fleet(load: Load) -> Fleet:
-    """Return the fleet of a load, built as from a store."""
+def _fleet(load: Load, starts: dict[str, int]) -> Fleet:
+    """Return the fleet of a load, built as from a store.
+
+    Args:
+        load: With its routes and services.
+        starts: How often the target of a VM has started again.
+    """
     routes = tuple(
         Route(
             name,
@@ -379,20 +352,26 @@
             target_latency_ms=kind.objective_ms,
         )
         for name, kind in load.kinds.items()
+        if not kind.route
     )
     services = {name: PublishedService(name, 1000) for name in load.targets}
     names = [(service, n) for service, count in load.targets.items() for n in range(count)]
     entries = [
         TargetEntry(
-            f"{service}-{n}",
+            f"{service}-{n}" + (f".{starts[vm]}" if starts.get(vm) else ""),
             service,
-            f"10.0.{number // 200}.{number % 200}:80",
+            f"{vm}:80",
             f"hall-{number % load.halls}",
             load.slots,
             leaving=False,
         )
         for number, (service, n) in enumerate(names)
+        for vm in (_vm(number),)
     ]
     policy = Policy(0.7, 0.2, load.slack, 10.0)
-    config = PublishedConfig(1, routes, services, CallerLimits())
+    config = PublishedConfig(1 + sum(starts.values()), routes, services, CallerLimits())
     return build_fleet(config, entries, policy)
+
+
+def _vm(number: int) -> str:
+    return f"10.0.{number // 200}.{number % 200}"
--- /dev/null
+++ b/tests/crowd_target.py
@@ -0,0 +1,127 @@
+"""A target of a crowd: slots, a queue, trouble by a schedule, and requests that end it."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from roadpass.errors import TargetRefusedError
+from roadpass.outcome import Answered
+from roadpass.target import TargetAnswer, TargetClient, TargetLostError, TargetTimeoutError
+
+if TYPE_CHECKING:
+    from tests.crowd import Crowd, CrowdNode
+
+RESET_S = 0.002
+"""Seconds after which a target resets what it loses."""
+DOWN_S = 2.5
+"""Seconds until a target that has ended is back: 1.3 to 3 s on the users' platform."""
+
+
+class CrowdTarget:
+    """A target with slots, a queue before them and trouble.
+
+    Attributes:
+        starts: How often it has started again.
+    """
+
+    def __init__(self, name: str, service: str, slots: int) -> None:
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.running = 0
+        self.queue: deque[object] = deque()
+        self.starts = 0
+        self._down_until: float | None = None
+
+    @property
+    def down(self) -> bool:
+        """Whether its process has ended."""
+        return self._down_until is not None
+
+    def may_run(self, ticket: object) -> bool:
+        """Tell whether a request of the queue has its turn."""
+        return self.running < self.slots and self.queue[0] is ticket
+
+    def crash(self, now: float) -> None:
+        """End, with all that it has."""
+        self._down_until = now + DOWN_S
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether it starts again now."""
+        return self._down_until is not None and self._down_until <= now
+
+    def start(self) -> None:
+        """Start again."""
+        self._down_until = None
+        self.starts += 1
+
+
+class CrowdClient(TargetClient):
+    """What a sidecar speaks to one start of a target of the crowd through."""
+
+    def __init__(self, crowd: "Crowd", target: CrowdTarget, node: "CrowdNode") -> None:
+        self._crowd = crowd
+        self._target = target
+        self._node = node
+        self._start = target.starts
+
+    def send(
+        self, attempt_id: str, method: str, path: str, headers: Any, body: bytes, **options: Any
+    ) -> Any:
+        crowd = self._crowd
+        until = crowd.world.now + options["timeout_s"]
+        crowd.reached[path, body].append(crowd.world.now)
+        if self.gone():
+            raise TargetRefusedError("No connection.")
+        crowd.arrivals[self._target.service, options["request_id"]].append(crowd.world.now)
+        match crowd.trouble_of(self._target):
+            case "reset":
+                crowd.sleep(RESET_S)
+                raise TargetLostError("The connection was reset.")
+            case "shed":
+                return TargetAnswer(Answered(503, [], b"", 1.0), True, "", None)
+            case "hang":
+                crowd.sleep(options["timeout_s"])
+                raise TargetTimeoutError("No answer in time.")
+        again = len(crowd.arrivals[self._target.service, options["request_id"]]) > 1
+        status = self._work(path, body, until, again=again)
+        if self.gone():
+            raise TargetLostError("The connection ended.")
+        if status is None:
+            raise TargetTimeoutError("No answer in time.")
+        return TargetAnswer(Answered(status, [], b"", 1.0), False, "", None)
+
+    def gone(self) -> bool:
+        return self._target.down or self._start != self._target.starts
+
+    def cancel(self, attempt_id: str) -> bool:
+        return False
+
+    def _work(self, path: str, body: bytes, until: float, *, again: bool) -> int | None:
+        """Take a slot, work and call; return the status, `None` if that takes too long."""
+        crowd, target = self._crowd, self._target
+        kind = crowd.kind_of(path, body)
+        ticket = object()
+        target.queue.append(ticket)
+        taken = self._wait(lambda: target.may_run(ticket), until)
+        target.queue.remove(ticket)
+        if not taken or self.gone():
+            return None
+        target.running += 1
+        try:
+            self._wait(lambda: False, min(crowd.world.now + crowd.draw_work_s(kind), until))
+            if kind.crashes and not self.gone() and crowd.world.now < until:
+                crowd.crashed[path, body].append(crowd.world.now)
+                target.crash(crowd.world.now)
+            if kind.call and crowd.rng.random() < kind.call_share:
+                outcome = self._node.dispatch(kind.call, until, of_a_repeat=again)
+                if not (isinstance(outcome, Answered) and outcome.status == 200):
+                    return 500
+            return 200 if crowd.world.now < until else None
+        finally:
+            target.running -= 1
+
+    def _wait(self, ready: Callable[[], bool], until: float) -> bool:
+        """Wait until something is so, or the target ends; return whether either is."""
+        left_s = until - self._crowd.world.now
+        return self._crowd.world.park(lambda: ready() or self.gone(), left_s)
--- a/tests/load.py
+++ b/tests/load.py
@@ -18,6 +18,10 @@
         call: Kind that its target calls while it works on it, empty for none.
         call_share: Share of its requests that make the call.
         spread: Of the work, as the deviation of its logarithm.
+        crashes: Whether each target that works on one ends with it, and all else that it has.
+        path: Of all its requests behind the route's, empty if each has its own.
+        body: Of its requests.
+        route: Kind on whose route it goes, empty for its own.
     """
 
     service: str
@@ -29,6 +33,10 @@
     call: str = ""
     call_share: float = 0.0
     spread: float = 0.3
+    crashes: bool = False
+    path: str = ""
+    body: bytes = b""
+    route: str = ""
 
 
 class Trouble(NamedTuple):
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -9,6 +9,15 @@
 
 from tests.load import Kind, Load, Trouble
 
+LAB_KINDS = {
+    "browse": Kind("shop", 220.0, 800, 1500, True, 8.5),
+    "book": Kind("shop", 290.0, 800, 2000, False, 32.0),
+    "submit": Kind("lab", 150.0, 500, 1200, False, 16.0),
+    "launch": Kind("lab", 88.0, 300, 800, True, 18.2),
+}
+LAB_TARGETS = {"shop": 12, "lab": 8}
+CRASHING = Kind("lab", 60.0, 300, 800, True, 2.5, crashes=True, path="crashing", route="launch")
+
 KINDS = {
     "search": Kind("opac", 360.0, 1200, 3000, True, 16.5, call="heading", call_share=0.7),
     "hold": Kind("opac", 470.0, 1200, 4000, False, 20.0, spread=0.5),
@@ -81,3 +90,14 @@
     )
     kinds = {**KINDS, "search": KINDS["search"]._replace(per_s=per_s, call_share=call_share)}
     return Load(kinds, TARGETS, seconds=13.0, troubles=troubles, slack=SLACK, halls=5)
+
+
+def crashing(seed: int, **others: Kind) -> Load:
+    """One request ends each target that works on it, and comes again and again, at any VM.
+
+    Services and kinds are those of the users' simulation platform: three slots and eight targets of
+    the service that ends. There 20 ended in 16 s; a target was back 1.3 to 3 s later.
+    """
+    del seed
+    kinds = {**LAB_KINDS, "crashing": CRASHING, **others}
+    return Load(kinds, LAB_TARGETS, seconds=20.0, slack=64.0, halls=4)
