Keep a request from its next targets once three have ended under it

Cause: nothing that a node knew outlived one coming of a request, so one that ends each target that works on it was new to every VM each time. Now the sidecar that sees its target's process end (lost connection, the next refused) notes the fingerprints of all that it had; ends are counted over the fleet by gossip, and what was there at three, unanswered since, is refused as not run at ingress and door for 600 s. An answer anywhere voids the ends before it, so a popular request is never held; two in doubt are kept apart at a target, so a bystander is answered at its next try. Excluded: two ends as the bound (bystanders of targets that end by themselves would be refused); the callers' number in the fingerprint (they come anywhere); ids (new each time).

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -185,6 +185,18 @@
 
 
 
+Crash = tuple["_Crash0", int | float, "_Crash2"]
+r"""
+crash.
+
+Of a request under which targets ended: fingerprint, seconds since its answer or -1, ends with their ages in seconds
+
+minItems: 3
+maxItems: 3
+"""
+
+
+
 class Datagram(TypedDict, total=False):
     r""" datagram. """
 
@@ -214,6 +226,9 @@
     r""" Seconds since the sender knows the platform to have answered. """
 
     hints: list["Hint"]
+    crashes: list["Crash"]
+    r""" maxItems: 16 """
+
     news: Required[list["Rumor"]]
     r""" Required property """
 
@@ -407,6 +422,16 @@
     load: "Load"
     r""" load. """
 
+    crash: "Crash"
+    r"""
+    crash.
+
+    Of a request under which targets ended: fingerprint, seconds since its answer or -1, ends with their ages in seconds
+
+    minItems: 3
+    maxItems: 3
+    """
+
 
 
 class Pull(TypedDict, total=False):
@@ -473,6 +498,16 @@
     load: "Load"
     r""" load. """
 
+    crash: "Crash"
+    r"""
+    crash.
+
+    Of a request under which targets ended: fingerprint, seconds since its answer or -1, ends with their ages in seconds
+
+    minItems: 3
+    maxItems: 3
+    """
+
 
 
 _AttemptId = str
@@ -483,6 +518,32 @@
 
 
 
+_Crash0 = str
+r"""
+minLength: 1
+maxLength: 32
+"""
+
+
+
+_Crash2 = list["_Crash2Item"]
+r""" maxItems: 3 """
+
+
+
+_Crash2Item = tuple["_Crash2Item0", int | float]
+r"""
+minItems: 2
+maxItems: 2
+"""
+
+
+
+_Crash2Item0 = str
+r""" maxLength: 256 """
+
+
+
 _DatagramT = Literal['ping'] | Literal['ack'] | Literal['ping_req'] | Literal['announce'] | Literal['sync'] | Literal['members']
 _DATAGRAMT_PING: Literal['ping'] = "ping"
 r"""The values for the '_DatagramT' enum"""
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -47,7 +47,7 @@
 """Seconds for which a service's repeats are taken to be spent after that: a request sent meanwhile
 counts as lost if it fails, so it goes to surer targets, and one that needs a repeat asks one target
 for it. About as long as the targets of a service of some dozen take to be given the next few."""
-_FINAL_REASONS = frozenset((Reason.EXPIRED, Reason.CANCELLED))
+_FINAL_REASONS = frozenset((Reason.EXPIRED, Reason.CANCELLED, Reason.QUARANTINED))
 """Refusals that no other target would change."""
 
 
@@ -80,6 +80,7 @@
         self._view = view
         self._prefix = f"{view.vm}/{incarnation}/"
         self._transport = Transport(view, sidecar, peers, metrics=metrics)
+        self._quarantine = sidecar.quarantine
         self._pause = pause
         self._behind = behind
         self._loads = LoadTable()
@@ -115,6 +116,9 @@
         route = fleet.find_route(request.host, request.path, request.method)
         if route is None:
             return self._refused(request, NotRun(Reason.NO_ROUTE))
+        held_s = self._quarantine.held_s(started, request.fingerprint)
+        if held_s > 0.0:
+            return self._refused(request, NotRun(Reason.QUARANTINED, int(held_s * 1000.0)))
         service = fleet.services.get(self._choice.part(route))
         if service is None:
             return self._refused(request, NotRun(Reason.NO_CAPACITY, RETRY_LATER_MS))
@@ -174,6 +178,8 @@
             case _:
                 trip.note_arrival()
                 trip.may_have_run = outcome
+        if self._quarantine.held_s(time.monotonic(), trip.request.fingerprint) > 0.0:
+            return False
         return _may_retry(outcome, trip.route) and trip.may_arrive and budget.take()
 
     def _has_repeat(self, trip: Trip) -> bool:
@@ -262,6 +268,8 @@
         self._kinds.learn(trip.route.name, reply.outcome, body_bytes=body_bytes, took_ms=took_ms)
         last = trip.is_last(self._has_repeat(trip))
         self._choice.learn(now, trip, target, reply, last=last)
+        if reply.crash is not None:
+            self._quarantine.hear(now, reply.crash)
         if reply.load is not None:
             self._loads.report(now, target.name, reply.load)
             if reply.load.revision > self._view.fleet.revision:
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -22,6 +22,7 @@
 from roadpass.membership import Members
 from roadpass.metric import Metrics
 from roadpass.news import Word
+from roadpass.quarantine import Quarantine
 from roadpass.revision import NO_VERSION, Version
 from roadpass.settings import Settings
 from roadpass.view import PeerNode
@@ -99,6 +100,10 @@
     """This node is leaving."""
 
 
+class CrashNews(NamedTuple):
+    """Something new is known of requests under which targets ended; peers are to hear of it."""
+
+
 class Say(NamedTuple):
     """A sidecar's word on one of its targets."""
 
@@ -134,6 +139,7 @@
         audit: The audit trail.
         metrics: Counts datagrams and bytes.
         rng: Source of randomness.
+        quarantine: What the node knows of requests under which targets ended.
     """
 
     def __init__(
@@ -144,8 +150,11 @@
         audit: AuditTrail,
         metrics: Metrics,
         rng: random.Random,
+        quarantine: Quarantine,
     ) -> None:
         super().__init__()
+        self._quarantine = quarantine
+        self._tells_of_crashes = False
         self._settings = settings
         self._members = Members(own, rng)
         self._events = events
@@ -214,6 +223,8 @@
                 self._members.leave()
                 self._announcements = ANNOUNCE_REPEATS
                 self._announce()
+            case CrashNews():
+                self._tells_of_crashes = True
             case Say(target=target, scores=scores):
                 if self._hints.say(time.monotonic(), target, scores):
                     self._announce()
@@ -231,11 +242,11 @@
             for member in self._members.sample(SYNC_PEERS, hall=self._settings.hall):
                 self._send(Send((member.address, member.gossip_port), "sync", 0))
         self._last_tick = now
-        if self._announcements > 0:
+        if self._announcements > 0 or self._tells_of_crashes:
             self._announce()
         elif self._tells_on:
             self._announce(far=False)
-        self._tells_on = False
+        self._tells_on = self._tells_of_crashes = False
         if self._members.size == 1:
             for seed in self._settings.seeds:
                 self._send(Send(seed, "sync", 0))
@@ -265,6 +276,8 @@
             if hint is not None:
                 self._events.on_hint(hint.target, hint.scores)
                 self._tells_on = True
+        for crash in message.get("crashes", ()):
+            self._quarantine.hear(now, crash)
         self._hear_of_source(now, message)
         for answer in answers:
             self._send(answer)
@@ -335,10 +348,8 @@
     def _send(self, send: Send, *, brief: bool = False) -> None:
         """Send a datagram with what it is to tell, else the latest rumors, or the own one only."""
         news = self._news(send, brief=brief)
-        while True:
-            content = seal(self._message(send, news), self._settings.keys)
-            if len(content) <= MAX_DATAGRAM or len(news) == 1:
-                break
+        message = {**self._message(send), "news": news}
+        while len(content := seal(message, self._settings.keys)) > MAX_DATAGRAM and len(news) > 1:
             news.pop()
         try:
             self._socket.sendto(content, send.to)
@@ -356,7 +367,8 @@
             return [self._members.own, *send.rows]
         return self._members.rumors()
 
-    def _message(self, send: Send, news: list[Member]) -> dict[str, Any]:
+    def _message(self, send: Send) -> dict[str, Any]:
+        """Return a datagram without its members."""
         now = time.monotonic()
         message: dict[str, Any] = {
             "t": send.type,
@@ -365,13 +377,15 @@
             "revision": self._version.revision,
             "digest": self._version.digest,
             "platform_age_s": round(self.platform_age_s, 3),
-            "news": news,
         }
         if send.on:
             message["on"] = send.on
         hints = self._hints.rows(now)
         if hints:
             message["hints"] = hints
+        crashes = self._quarantine.rows(now)
+        if crashes:
+            message["crashes"] = crashes
         return message
 
     def _read(self) -> None:
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -231,10 +231,16 @@
 
 
 class Reply(NamedTuple):
-    """An outcome with the load report that came with it, if one did."""
+    """An outcome, and what its sidecar tells besides.
+
+    Args:
+        load: Report on the target, if one came with it.
+        crash: What is known of the request if targets ended under it, see `roadpass.quarantine`.
+    """
 
     outcome: Outcome
     load: LoadReport | None = None
+    crash: list[Any] | None = None
 
     @classmethod
     def from_message(cls, message: Message) -> "Reply":
@@ -245,16 +251,18 @@
         """
         load = LoadReport(**message["load"]) if "load" in message else None
         try:
-            return cls(_outcome_from_message(message), load)
+            return cls(_outcome_from_message(message), load, message.get("crash"))
         except ValueError as error:
             raise FrameError(f"The reply is not usable: {error}.") from error
 
     def to_message(self) -> Message:
         """Return the written form."""
-        message = _outcome_to_message(self.outcome)
-        if self.load is None:
-            return message
-        return {**message, "load": self.load._asdict()}
+        message = dict(_outcome_to_message(self.outcome))
+        if self.load is not None:
+            message["load"] = self.load._asdict()
+        if self.crash is not None:
+            message["crash"] = self.crash
+        return message
 
 
 def check(message: Any) -> Message:
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -24,6 +24,7 @@
 from roadpass.gossip import (
     Begin,
     Confirmed,
+    CrashNews,
     Events,
     Gossip,
     InForce,
@@ -80,6 +81,9 @@
 """Seconds between logs of the plain counters, for whoever has only logs."""
 
 
+_log = logging.getLogger("roadpass.node")
+
+
 class Node:
     """One process of the fleet.
 
@@ -131,6 +135,7 @@
         self._configuration = self._start(Configuration, self._store, self.audit, self._on_fleet)
         self._gossip = self._start_gossip()
         self._gossip_proxy = self._gossip.proxy()
+        self._sidecar.quarantine.on_news = self._on_crash_news
         self._monitor = self._start_monitor()
         self._puller = self._start(Puller, self._peers, self._store, self._offer, self.metrics)
         self._start(StreamServer, self._settings, self._sidecar)
@@ -157,6 +162,7 @@
             self.audit,
             self.metrics,
             self._rng,
+            self._sidecar.quarantine,
         )
 
     def _start_monitor(self) -> Any:
@@ -355,6 +361,12 @@
     def _on_hint(self, target: str, scores: Scores) -> None:
         self._monitor.tell(HintHeard(target, scores))
 
+    def _on_crash_news(self) -> None:
+        try:
+            self._gossip.tell(CrashNews())
+        except pykka.ActorDeadError:  # the request's answer is delivered all the same
+            _log.debug("nobody is told of a crash any more: the node has stopped")
+
     def _on_platform(self) -> None:
         self._gossip.tell(PlatformSeen())
 
--- a/roadpass/outcome.py
+++ b/roadpass/outcome.py
@@ -35,6 +35,8 @@
     SICK = "target-failing"
     REFUSED = "target-refused-connection"
     REPEATS_SPENT = "repeats-spent"
+    QUARANTINED = "quarantined"
+    KEPT_APART = "kept-apart"
     DUPLICATE = "duplicate"
     KEY_USED = "key-already-used"
     TIMEOUT = "timeout"
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Any
 
 from roadpass._generated.message_types import Fenced, Hello
 from roadpass.dialect import OWN, Dialect
@@ -11,8 +12,9 @@
 from roadpass.fleet import Fleet
 from roadpass.local import LocalTarget
 from roadpass.message import Attempt, LoadReport, Message, Question, Reply
-from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason
+from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
 from roadpass.pause import PauseWatch
+from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
 
 CLOCK_TOLERANCE_S = 5.0
@@ -48,6 +50,7 @@
         self._pull = pull
         self._behind = behind
         self._fences = FenceTable(started_at=time.monotonic())
+        self._quarantine = Quarantine()
         self._fleet = Fleet.empty()
         self._targets: dict[str, LocalTarget] = {}
         self._retired: list[LocalTarget] = []
@@ -66,6 +69,11 @@
         """The targets of this VM by name."""
         return self._targets
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """What this node knows of requests under which targets ended."""
+        return self._quarantine
+
     def configure(self, fleet: Fleet) -> None:
         """Put a revision in force at the targets of this VM."""
         targets: dict[str, LocalTarget] = {}
@@ -74,7 +82,12 @@
             local = self._targets.get(target.name)
             if local is None or not local.configure(target, service):
                 local = LocalTarget(
-                    target, service, self._fences, self._pause, dialect=self._dialect
+                    target,
+                    service,
+                    self._fences,
+                    self._pause,
+                    self._quarantine,
+                    dialect=self._dialect,
                 )
             targets[target.name] = local
         gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
@@ -120,11 +133,19 @@
             outcome: Outcome = refusal or NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
             return Reply(outcome, self._report(local, attempt) if local else None)
         outcome = local.run(attempt, deadline, watch)
-        return Reply(outcome, self._report(local, attempt))
+        return Reply(outcome, self._report(local, attempt), self._crash(outcome, attempt))
 
     def _report(self, local: LocalTarget, attempt: Attempt) -> LoadReport:
         return local.report(self._fleet.revision, attempt.traffic_class, attempt.route)
 
+    def _crash(self, outcome: Outcome, attempt: Attempt) -> list[Any] | None:
+        """Return what the ingress should know of a request that was lost, or not let through."""
+        match outcome:
+            case Unknown(reason=Reason.TARGET_LOST) | NotRun(reason=Reason.QUARANTINED):
+                return self._quarantine.row(time.monotonic(), attempt.fingerprint)
+            case _:
+                return None
+
     def fence(self, attempt_id: str) -> Verdict:
         """Promise that an attempt never starts here, or cancel it if it runs."""
         verdict = self._fences.fence(time.monotonic(), attempt_id)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -35,6 +35,8 @@
 PORT = 7000
 TICK_S = 0.1
 """Seconds between looks of a node at what its targets have had for long."""
+NEAR_TOLD = 3
+"""Nodes of the data hall that hear of news at once, and one of any."""
 FIRST_S = 100.0
 """Virtual time at which the callers begin."""
 
@@ -110,6 +112,8 @@
             self.sidecar = Sidecar(
                 vm, 1, self.pause, pull=lambda message: message, behind=lambda vm, revision: None
             )
+            self.has_news = False
+            self.sidecar.quarantine.on_news = self._note_news
             self.view = View(vm, hall, "region")
             self.configure(fleet)
             self.view.ready = True
@@ -157,6 +161,9 @@
         )
         return self._dispatcher.dispatch(request).outcome
 
+    def _note_news(self) -> None:
+        self.has_news = True
+
     def tick(self) -> None:
         """Do what the node's tickers do."""
         with self._crowd.world.acting(self.process):
@@ -179,6 +186,7 @@
     def __init__(self, load: Load, seed: int) -> None:
         self.load = load
         self.rng = random.Random(seed)
+        self.gossip_rng = random.Random(seed)
         self.world = World()
         self.world.now = FIRST_S
         self.told: list[Told] = []
@@ -308,6 +316,20 @@
             if node.target.is_due(self.world.now):
                 self.restart(node.target)
             node.tick()
+            self._gossip(node)
+
+    def _gossip(self, node: CrowdNode) -> None:
+        """Let a node tell a few others what it knows of crashes, as datagrams do."""
+        if not node.has_news and self.gossip_rng.random() > TICK_S:
+            return
+        node.has_news = False
+        now = self.world.now
+        near = [one for one in self.nodes.values() if one.hall == node.hall and one is not node]
+        peers = self.gossip_rng.sample(near, min(NEAR_TOLD, len(near)))
+        for peer in (*peers, self.gossip_rng.choice(list(self.nodes.values()))):
+            for row in node.sidecar.quarantine.rows(now):
+                with self.world.acting(peer.process):
+                    peer.sidecar.quarantine.hear(now, row)
 
     def _comings(self) -> Iterable[tuple[float, str]]:
         for name, kind in self.load.kinds.items():
--- a/tests/crowd_target.py
+++ b/tests/crowd_target.py
@@ -72,7 +72,7 @@
         until = crowd.world.now + options["timeout_s"]
         crowd.reached[path, body].append(crowd.world.now)
         if self.gone():
-            raise TargetRefusedError("No connection.")
+            raise TargetRefusedError("No connection.") from ConnectionRefusedError()
         crowd.arrivals[self._target.service, options["request_id"]].append(crowd.world.now)
         match crowd.trouble_of(self._target):
             case "reset":
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -11,7 +11,8 @@
 """
 
 from tests.crowd import Crowd
-from tests.loads import crashing
+from tests.load import Kind
+from tests.loads import CRASHING, crashing
 
 SEEDS = (1, 2, 3)
 CONTACT_S = 3.0
@@ -35,3 +36,57 @@
         crowd = Crowd.run(crashing(seed), seed)
         assert len(crowd.crashed[PATH]) >= 3, "the load shows nothing"
         assert reached_after(crowd) <= MOST_AFTER
+
+
+def served(crowd: Crowd, kind: str) -> float:
+    """Return the share of a kind that was served."""
+    return crowd.share("served", [kind])
+
+
+def test_others_stay_served_beside_it() -> None:
+    """What has its own path: 1.0 of three seeds, 0.46 to 0.54 before."""
+    for seed in SEEDS:
+        crowd = Crowd.run(crashing(seed), seed)
+        for kind in ("launch", "submit"):
+            assert served(crowd, kind) >= 0.97, (seed, kind)
+
+
+POPULAR = Kind("lab", 88.0, 300, 800, True, 25.0, path="popular", route="launch")
+"""So frequent that it is in flight at most ends."""
+OTHER_BODY = Kind("lab", 88.0, 300, 800, True, 2.5, path="crashing", route="launch", body=b"other")
+
+
+def test_a_popular_request_and_another_body_at_the_path_stay_served() -> None:
+    """Neither is taken for the one that ends targets."""
+    for seed in SEEDS:
+        load = crashing(seed, popular=POPULAR, other=OTHER_BODY)
+        crowd = Crowd.run(load, seed)
+        assert len(crowd.crashed[PATH]) >= 3, "the load shows nothing"
+        assert reached_after(crowd) <= MOST_AFTER
+        for kind in ("popular", "other"):
+            assert served(crowd, kind) >= 0.97, (seed, kind)
+
+
+RARE = Kind("lab", 60.0, 300, 800, True, 2.5, path="rare", route="launch")
+"""As rare as the one that ends targets, and as long: it is answered only where it is not beside."""
+
+
+def test_a_rare_request_that_comes_at_the_same_times_stays_served() -> None:
+    """Beside an end it falls with its target, and is kept from falling so again."""
+    for seed in SEEDS:
+        crowd = Crowd.run(crashing(seed, rare=RARE), seed)
+        assert served(crowd, "rare") >= 0.95, seed
+
+
+AFTERWARDS_S = (4.0, 20.0)
+"""When both are known and the first targets are back; before, up to all eight are away."""
+
+
+def test_two_that_end_their_targets_are_both_found() -> None:
+    """Kept apart, each ends its own."""
+    second = CRASHING._replace(path="second")
+    for seed in SEEDS:
+        crowd = Crowd.run(crashing(seed, second=second), seed)
+        for path in (PATH, ("/launch/second", b"")):
+            assert reached_after(crowd, path) <= MOST_AFTER
+        assert crowd.share("served", ["submit"], between=AFTERWARDS_S) >= 0.97, seed
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -10,11 +10,12 @@
 from pykka import ActorRef
 
 from roadpass.audit import AuditTrail
-from roadpass.gossip import Begin, Events, Gossip
+from roadpass.gossip import Begin, CrashNews, Events, Gossip, Seed
 from roadpass.member import Member, MemberState
 from roadpass.message import check_gossip
 from roadpass.metric import Metrics
 from roadpass.packing import pack, unpack
+from roadpass.quarantine import Quarantine
 from roadpass.settings import Ports, Settings
 
 ADDRESS = "127.0.41.1"
@@ -22,17 +23,25 @@
 LIMIT_S = 10.0
 
 
-def start(metrics: Metrics, nodes: list[str]) -> ActorRef[Gossip]:
+def start(
+    metrics: Metrics,
+    nodes: list[str],
+    *,
+    quarantine: Quarantine | None = None,
+    address: str = ADDRESS,
+) -> ActorRef[Gossip]:
     """Start an actor that notes the nodes it hears of."""
-    own = Member("vm-1", 1, MemberState.ALIVE, ADDRESS, 8081, 8082, "hall", "region")
-    config = Settings("vm-1", "hall", "region", ADDRESS, ADDRESS, PORTS, "http://127.0.0.1:1")
+    own = Member("vm-1", 1, MemberState.ALIVE, address, 8081, 8082, "hall", "region")
+    config = Settings("vm-1", "hall", "region", address, address, PORTS, "http://127.0.0.1:1")
     events = Events(
         on_node=lambda node: nodes.append(node.vm),
         on_version=lambda version, address: None,
         on_hint=lambda target, scores: None,
         on_leave=lambda: None,
     )
-    return Gossip.start(config, own, events, AuditTrail(), metrics, random.Random(1))
+    return Gossip.start(
+        config, own, events, AuditTrail(), metrics, random.Random(1), quarantine or Quarantine()
+    )
 
 
 def eventually(condition: Callable[[], bool]) -> bool:
@@ -67,6 +76,9 @@
         pack({**good, "n": "x"}),
         pack({**good, "news": [["vm-2", 1, 9, "a", 1, 1, "h", "r"]]}),
         pack({**good, "hints": [["t", "x", 0.0, 0.0]]}),
+        pack({**good, "crashes": [["work", -1.0, [["end", "x"]]]]}),
+        pack({**good, "crashes": [["work", -1.0, [["end", 0.1]] * 4]]}),
+        pack({**good, "crashes": [["", -1.0, []]]}),
         datagram("vm-2")[:-7],
     ]
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
@@ -78,6 +90,31 @@
     ref.stop()
 
 
+def test_ends_under_requests_are_told_and_heard() -> None:
+    """At once, in every datagram; what is heard is counted with what was seen here."""
+    quarantine = Quarantine()
+    ref = start(Metrics(), [], quarantine=quarantine, address="127.0.41.3")
+    quarantine.on_news = lambda: ref.tell(CrashNews())
+    ref.tell(Begin())
+    ref.proxy().agreeing_peers.get()  # answered once the socket is bound and read
+    peer = Member("vm-9", 1, MemberState.ALIVE, "127.0.41.9", 8081, 8082, "hall", "region")
+    ref.tell(Seed((peer,), frozenset()))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((peer.address, peer.gossip_port))
+        sock.settimeout(LIMIT_S)
+        quarantine.note_end(time.monotonic(), "work", "target-1/1")
+        heard: list[list[object]] = []
+        while not heard:
+            heard = unpack(sock.recv(2048)).get("crashes", [])
+        assert heard[0][0] == "work"
+        for number in (2, 3):
+            row = ["work", -1.0, [[f"target-{number}/1", 0.5]]]
+            content = pack({**unpack(datagram("vm-9")), "crashes": [row]})
+            sock.sendto(content, ("127.0.41.3", PORTS.gossip))
+        assert eventually(lambda: quarantine.held_s(time.monotonic(), "work") > 0.0)
+    ref.stop()
+
+
 @settings(max_examples=30)
 @given(st.binary(max_size=100), st.integers(0, 100))
 def test_spoilt_datagrams_never_raise_anything_but_their_own_error(noise: bytes, at: int) -> None:
