--- a/tests/fake_sidecar.py
+++ b/tests/fake_sidecar.py
@@ -12,6 +12,7 @@
 from roadpass.outcome import NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
 from roadpass.peer import PeerPool
+from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch, Request
 from roadpass.sidecar import Sidecar
 from roadpass.view import View
@@ -29,6 +30,7 @@
         self.attempts: list[Attempt] = []
         self.verdict = Verdict.NEVER_STARTS
         self.load: LoadReport | None = None
+        self._quarantine = Quarantine()
 
     def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
         self.attempts.append(attempt)
