--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -16,6 +16,7 @@
 from benchmarks._process import Usage
 from benchmarks._synthetic import documents
 from benchmarks.configuration import NET, NodesOnly
+from roadpass import clock
 from roadpass.admission import Admission
 from roadpass.errors import StreamError
 from roadpass.fence import FenceTable
@@ -70,7 +71,7 @@
         names = ("gossip_sent_bytes", "gossip_received_bytes", "pull_bytes")
         total += sum(counters.get(name, 0) for name in names)
     return Reading(
-        time.monotonic(),
+        clock.now(),
         sum(usage.cpu_s for usage in usages),
         max(usage.rss_mb for usage in usages),
         total,
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from roadpass import clock
 from stand_ins.caller import Caller, Load, Result
 from stand_ins.launcher import Launcher
 
@@ -63,7 +64,7 @@
     with launcher as fleet:
         print("   all nodes are ready; traffic starts")
         caller = Caller([fleet.ingress(vm) for vm in fleet.vms[:4]], threads=8)
-        started = time.monotonic()
+        started = clock.now()
         traffic = threading.Thread(target=caller.run, args=(show.loads, WARM_S + GRAY_S))
         traffic.start()
         time.sleep(WARM_S)
--- a/roadpass/belief.py
+++ b/roadpass/belief.py
@@ -69,9 +69,9 @@
 
     Args:
         kind: Of the request, such as its route.
-        started: Monotonic seconds.
+        started: Clock seconds.
         trial: Whether it was let in although the target was believed bad.
-        seen_from: From when on its silence counts, monotonic seconds.
+        seen_from: From when on its silence counts, clock seconds.
         told_ms: What its ingress says is typical for its kind, 0 for nothing.
         ratio: How many times more probable what it showed is at a bad target; `None` while it runs.
         silent: Whether it was counted as lost in silence.
@@ -90,7 +90,7 @@
     """A filter over all that one target shows; pure, the caller's lock guards it.
 
     Args:
-        now: Monotonic seconds.
+        now: Clock seconds.
     """
 
     def __init__(self, now: float) -> None:
@@ -145,7 +145,7 @@
         """Note that the target gets a request; what is returned is to be handed to `end`.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             kind: Of the request.
             trial: Whether it is let in although the target is believed bad.
             told_ms: What its ingress says is typical for its kind, 0 for nothing.
@@ -160,7 +160,7 @@
         """Note how a request ended.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             visit: What `begin` returned.
             end: How it ended.
             stalled_at: When this process last stood still: silence before that tells nothing.
--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -3,12 +3,12 @@
 import logging
 import socket
 import threading
-import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
 
+from roadpass import clock
 from roadpass.caller_answer import outcome_bytes, outcome_headers, own_answer, text_of
 from roadpass.caller_head import Head, RefusedError
 from roadpass.caller_limits import CallerLimits
@@ -119,7 +119,7 @@
         """Serve one request; return whether the connection is kept."""
         if not self._ahead:
             self._ahead = self._wait_for_byte()
-        since = time.monotonic()
+        since = clock.now()
         try:
             head = self._read_head(since)
         except RefusedError as refused:
@@ -165,13 +165,13 @@
         self._write(own_answer(refused.status, headers, text_of(outcome), method))
 
     def _count(self, key: OutcomeKey, since: float) -> None:
-        self._desk.metrics.record(key, time.monotonic() - since)
+        self._desk.metrics.record(key, clock.now() - since)
 
     def _wait_for_byte(self) -> bytes:
         """Wait for a request to begin; an idle connection ends in silence."""
-        since = time.monotonic()
+        since = clock.now()
         while True:
-            left_s = since + self._desk.limits().idle_timeout_s - time.monotonic()
+            left_s = since + self._desk.limits().idle_timeout_s - clock.now()
             data = self._receive(min(IDLE_STEP_S, left_s))
             if data is not None:
                 return data
@@ -190,7 +190,7 @@
             raise RefusedError(431, Reason.TOO_LARGE)
         if event.http_version not in _HTTP_VERSIONS:
             raise RefusedError(400, Reason.BAD_REQUEST)
-        return Head.from_event(event, time.monotonic())
+        return Head.from_event(event, clock.now())
 
     def _read_body(self, head: Head) -> bytes:
         max_bytes = self._limits.max_body_bytes
@@ -220,7 +220,7 @@
 
     def _feed(self, until: float) -> int:
         """Give the codec what comes; return how many bytes came."""
-        left_s = until - time.monotonic()
+        left_s = until - clock.now()
         data = self._receive(left_s) if left_s > 0 else None
         if data is None:
             raise RefusedError(408, Reason.BAD_REQUEST)
@@ -254,8 +254,8 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError as error:
             raise _GoneError from error
-        until = time.monotonic() + LINGER_S
-        while (left_s := until - time.monotonic()) > 0:
+        until = clock.now() + LINGER_S
+        while (left_s := until - clock.now()) > 0:
             self._receive(left_s)
 
     def _request(self, head: Head) -> Request:
--- a/roadpass/caller_head.py
+++ b/roadpass/caller_head.py
@@ -36,7 +36,7 @@
 
 
 class Head(NamedTuple):
-    """The request line and headers; `read_at` is in monotonic seconds."""
+    """The request line and headers; `read_at` is in clock seconds."""
 
     method: str
     target: str
@@ -75,7 +75,7 @@
         return self.header("Host"), self.target
 
     def deadline(self, name: str) -> float | None:
-        """Return the caller's deadline in monotonic seconds, `None` for none."""
+        """Return the caller's deadline in clock seconds, `None` for none."""
         wanted = self.header(name)
         if not any(given.lower() == name.lower() for given, _ in self.headers):
             return None
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -109,7 +109,7 @@
         """Take in what a source tells.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             changes: What it told.
             known_at: When the source had nothing newer than what was held before, in monotonic
                 seconds: what it withdraws now may be gone since then.
--- a/roadpass/choice.py
+++ b/roadpass/choice.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+from roadpass import clock
 from roadpass.balance import Load, LoadOf, Picker
 from roadpass.fleet import Target
 from roadpass.load import LoadTable
@@ -48,7 +49,7 @@
         view = self._view
         service_view = view.service(trip.service.name)
         picker = service_view.picker(view.fleet.groups(trip.route, time.time(), trip.service.name))
-        now = time.monotonic()
+        now = clock.now()
 
         def load_of(name: str) -> Load:
             return self._loads.load(name, now)
@@ -66,7 +67,7 @@
         """Note what a target's word means for the next choice, of this request and of others.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             trip: Of the request.
             target: Which was asked.
             reply: Its word.
--- a/roadpass/daemon.py
+++ b/roadpass/daemon.py
@@ -10,12 +10,11 @@
 import signal
 import sys
 import threading
-import time
 from pathlib import Path
 from types import FrameType
 from typing import TYPE_CHECKING
 
-from roadpass import __version__
+from roadpass import __version__, clock
 
 if TYPE_CHECKING:
     from roadpass.node import Node
@@ -81,7 +80,7 @@
         node.tick()
         asked = changed.is_set()
         changed.clear()
-        settings = file.poll(time.monotonic(), asked=asked)
+        settings = file.poll(clock.now(), asked=asked)
         if settings is not None:
             node.adopt(settings)
     node.leave()
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -4,10 +4,10 @@
 import math
 import random
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 
+from roadpass import clock
 from roadpass.choice import Choice
 from roadpass.detect import Sample, Scores
 from roadpass.fence import Verdict
@@ -106,7 +106,7 @@
 
     def dispatch(self, request: Request) -> Served:
         """See one request to its outcome."""
-        started = time.monotonic()
+        started = clock.now()
         view = self._view
         if view.refusing:
             return self._refused(request, NotRun(Reason.LEAVING, RETRY_SOON_MS))
@@ -178,7 +178,7 @@
             case _:
                 trip.note_arrival()
                 trip.may_have_run = outcome
-        if self._quarantine.held_s(time.monotonic(), trip.request.fingerprint) > 0.0:
+        if self._quarantine.held_s(clock.now(), trip.request.fingerprint) > 0.0:
             return False
         return _may_retry(outcome, trip.route) and trip.may_arrive and budget.take()
 
@@ -193,12 +193,12 @@
         words = sum(reason is Reason.REPEATS_SPENT for reason in trip.refused.values())
         if words < (1 if all_asked or self._spent_lately(trip.service) else SPENT_ASKS):
             return False
-        self._spent_until[trip.service.name] = time.monotonic() + SPENT_S
+        self._spent_until[trip.service.name] = clock.now() + SPENT_S
         return True
 
     def _spent_lately(self, service: Service) -> bool:
         """Tell whether the targets of a service have just said that their repeats are spent."""
-        return time.monotonic() < self._spent_until.get(service.name, -math.inf)
+        return clock.now() < self._spent_until.get(service.name, -math.inf)
 
     def _attempt(self, trip: Trip, target: Target) -> Outcome:
         attempt_id = f"{self._prefix}{next(self._numbers)}"
@@ -206,7 +206,7 @@
             refusal = self._fence_key(trip, attempt_id)
             if refusal is not None:
                 return refusal
-        started = time.monotonic()
+        started = clock.now()
         attempt = self._next_attempt(trip, attempt_id, target, started)
         pending = Pending(trip.service.name, target.name, started)
         reply = self._send(trip, target, attempt, pending)
@@ -249,7 +249,7 @@
         """Have every sidecar of the service vouch that a declared repeat's key never started."""
         vms = {target.vm for target in self._view.fleet.targets_of(trip.service.name)}
         for vm in sorted(vms):
-            left = trip.deadline - time.monotonic()
+            left = trip.deadline - clock.now()
             if left < MIN_ATTEMPT_S:
                 return Unknown(Reason.KEY_USED)
             verdict = self._transport.fence_key(vm, trip.key, attempt_id, min(left, CONNECT_S))
@@ -261,7 +261,7 @@
         self, trip: Trip, target: Target, reply: Reply, pending: Pending, started: float
     ) -> None:
         """Note what an attempt showed of its target, for the choice of targets and their health."""
-        now = time.monotonic()
+        now = clock.now()
         took_ms = (now - started) * 1000.0
         scores, latency_ms = None, 0.0
         body_bytes = len(trip.request.body)
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -53,7 +53,7 @@
         """Tell whether a request may start now.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             trial: Whether it may serve as a trial: it can be repeated, and would be.
             pressing: Whether no other target would take it: it need not wait for its turn.
         """
@@ -67,7 +67,7 @@
         """Tell whether a request is taken though its target is more doubtful than it wants.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             trial: Whether it may serve as a trial: it can be repeated, and would be.
         """
         if not trial and (self.shut(now) or now - self._begun_at < IDLE_S):
--- a/roadpass/drain.py
+++ b/roadpass/drain.py
@@ -26,7 +26,7 @@
     """Follows one planned stop; pure.
 
     Args:
-        now: Monotonic seconds at which it began.
+        now: Clock seconds at which it began.
         leave_s: Seconds for which new work is still taken.
         limit_s: Seconds after which it ends, whatever is in flight. Time in which the process stood
             still does not count: its work in flight got none of it, and to end at once on waking
@@ -44,7 +44,7 @@
         """Return where it stands.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             in_flight: Requests under way. After a pause of the process that counts too little:
                 what came meanwhile lies unread, so quiet begins anew.
         """
--- a/roadpass/evidence.py
+++ b/roadpass/evidence.py
@@ -37,7 +37,7 @@
 
     Args:
         false_ejections: Wanted at the most, a target and week.
-        now: Monotonic seconds.
+        now: Clock seconds.
     """
 
     def __init__(self, false_ejections: float, now: float) -> None:
@@ -60,7 +60,7 @@
 
         Args:
             attempt_id: Of the attempt.
-            started: Monotonic seconds.
+            started: Clock seconds.
             slow_ms: From where on its answer counts as slow, zero if unknown.
         """
         running = self._running[attempt_id] = Running(started, slow_ms)
@@ -74,7 +74,7 @@
         """Return how long a wait for a slot will be: long where the slots' requests hang.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             wait_ms: Expected wait by the usual time.
             service_ms: The usual time.
         """
@@ -87,7 +87,7 @@
         """Count the requests that the target has had for far too long, once at each limit.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             last_stall: At which this process last stood still.
         """
         found = 0
@@ -107,7 +107,7 @@
         """Learn from a request's end.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             running: The request.
             service_ms: Time that the target had it.
             failed: Whether that speaks against the target.
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -4,12 +4,12 @@
 import random
 import socket
 import threading
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import pykka
 
+from roadpass import clock
 from roadpass._actor import Actor
 from roadpass._generated.message_types import Datagram
 from roadpass._ticker import Ticker
@@ -87,7 +87,7 @@
 
     Args:
         revision: Of the source; this node holds all up to it.
-        at: Monotonic seconds of that moment.
+        at: Clock seconds of that moment.
         tell: Whether the data hall is to hear of it now, since this node read it itself.
     """
 
@@ -166,7 +166,7 @@
         self._announcements = 0
         self._tells_on = False
         self._platform_seen_at = float("-inf")
-        self._last_tick = time.monotonic()
+        self._last_tick = clock.now()
         self._told_leaving = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._ticker = Ticker("gossip-tick", TICK_S, lambda: self.actor_ref.tell(Tick()))
@@ -174,7 +174,7 @@
     @property
     def platform_age_s(self) -> float:
         """Seconds since the platform is known to have answered anybody."""
-        return min(UNKNOWN_AGE_S, time.monotonic() - self._platform_seen_at)
+        return min(UNKNOWN_AGE_S, clock.now() - self._platform_seen_at)
 
     @property
     def agreeing_peers(self) -> int:
@@ -216,7 +216,7 @@
                 self._announcements = ANNOUNCE_REPEATS
                 self._announce()
             case PlatformSeen():
-                self._platform_seen_at = time.monotonic()
+                self._platform_seen_at = clock.now()
             case Confirmed():
                 self._on_confirmed(message)
             case Leave():
@@ -226,14 +226,14 @@
             case CrashNews():
                 self._tells_of_crashes = True
             case Say(target=target, scores=scores):
-                if self._hints.say(time.monotonic(), target, scores):
+                if self._hints.say(clock.now(), target, scores):
                     self._announce()
             case _:
                 _log.error("unknown message %r", message)
         self._publish()
 
     def _on_tick(self) -> None:
-        now = time.monotonic()
+        now = clock.now()
         if now - self._last_tick > PAUSE_S:
             self._audit.record(
                 Kind.PAUSE, self._settings.vm, f"did not run for {now - self._last_tick:.1f} s"
@@ -262,7 +262,7 @@
             _log.debug("datagram dropped: %s", error)
 
     def _take(self, message: Datagram) -> None:
-        now = time.monotonic()
+        now = clock.now()
         answers = self._members.receive(
             now,
             message["t"],
@@ -315,7 +315,7 @@
             self._agreeing.add(member.vm)
 
     def _on_seed(self, seed: Seed) -> None:
-        now = time.monotonic()
+        now = clock.now()
         alone = self._members.size == 1
         self._members.seed(now, seed.members, spread=seed.spread)
         for vm in seed.leaving:
@@ -369,7 +369,7 @@
 
     def _message(self, send: Send) -> dict[str, Any]:
         """Return a datagram without its members."""
-        now = time.monotonic()
+        now = clock.now()
         message: dict[str, Any] = {
             "t": send.type,
             "sender": self._settings.vm,
--- a/roadpass/heard.py
+++ b/roadpass/heard.py
@@ -22,7 +22,7 @@
         where only some can be reached, they are found soon. Of these the one that holds the most.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             beyond: The revision that this node holds; words that do not go beyond it are dropped.
 
         Returns:
--- a/roadpass/journal.py
+++ b/roadpass/journal.py
@@ -42,7 +42,7 @@
 
         Args:
             changes: All there is, or what came after the reading noted before it.
-            at: Monotonic seconds at which the source had nothing newer.
+            at: Clock seconds at which the source had nothing newer.
         """
         with self._lock:
             if changes.whole:
--- a/roadpass/load.py
+++ b/roadpass/load.py
@@ -50,7 +50,7 @@
     Args:
         bad: How probable it is that it is in a bad spell.
         wait_ms: Milliseconds until it has a free slot.
-        until: Monotonic seconds up to which the word is taken.
+        until: Clock seconds up to which the word is taken.
     """
 
     bad: float
@@ -154,7 +154,7 @@
         """Note what a target said of itself.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             target: Its name.
             bad: How probable it is that it is in a bad spell.
             wait_ms: Milliseconds until it has a free slot.
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -1,8 +1,8 @@
 """A target on this node's own VM: everything that is decided beside it."""
 
 import threading
-import time
 
+from roadpass import clock
 from roadpass.belief import LATE_S, Belief, End, Visit
 from roadpass.decision import decided
 from roadpass.detect import Scores
@@ -80,7 +80,7 @@
         self._client = TargetClient(
             target.address, max_connections=target.connections, dialect=dialect
         )
-        self._belief = Belief(time.monotonic())
+        self._belief = Belief(clock.now())
         self._door = Door(self._belief)
         self._door_told_shut = False
         self._shedding = Shedding()
@@ -96,7 +96,7 @@
             queue_limit=service.queue_limit,
             lock=self._lock,
         )
-        self._evidence = Evidence(service.false_ejections_per_target_week, time.monotonic())
+        self._evidence = Evidence(service.false_ejections_per_target_week, clock.now())
         self.leaving = target.leaving
 
     @property
@@ -142,7 +142,7 @@
             route: and of which route.
         """
         scores = self._evidence.scores
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             bad = self._doubt(now)
             wait_ms = self._expected_wait_ms(now, traffic_class, route)
@@ -163,7 +163,7 @@
         refusal = self._new_work_refusal(question)
         if refusal is not None:
             return refusal
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             wait_ms = self._expected_wait_ms(now, question.traffic_class, question.route)
             bad = self._belief.bad(now)
@@ -190,7 +190,7 @@
 
     def _note_shedding(self, outcome: Outcome) -> None:
         with self._lock:
-            self._shedding.note(time.monotonic(), outcome)
+            self._shedding.note(clock.now(), outcome)
 
     def _new_work_refusal(self, question: Question) -> NotRun | None:
         """Return why the target is given no new work now, `None` if it is, whatever its queue."""
@@ -205,7 +205,7 @@
         if not self._end.seen:
             return None
         with self._lock:
-            lasts = self._end.lasts(time.monotonic(), self._client.gone)
+            lasts = self._end.lasts(clock.now(), self._client.gone)
         return NotRun(Reason.REFUSED, RETRY_SOON_MS) if lasts else None
 
     def _quarantine_refusal(self, attempt: Attempt) -> NotRun | None:
@@ -214,7 +214,7 @@
         Two in doubt are kept apart: both are there when a target ends, and apart the innocent one
         is answered at its next try, which ends the doubt.
         """
-        now = time.monotonic()
+        now = clock.now()
         held_s = self._quarantine.held_s(now, attempt.fingerprint)
         if held_s > 0.0:
             return NotRun(Reason.QUARANTINED, int(held_s * 1000.0))
@@ -227,13 +227,13 @@
 
     def _repeat_refusal(self, question: Question) -> NotRun | None:
         with self._lock:
-            allowed = not question.repeat or self._repeats.has_one(time.monotonic())
+            allowed = not question.repeat or self._repeats.has_one(clock.now())
         return None if allowed else NotRun(Reason.REPEATS_SPENT, RETRY_SOON_MS)
 
     def _door_refusal(self, question: Question) -> NotRun | None:
         if self.leaving:
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             admitted = self._door.admits(
                 now,
@@ -251,7 +251,7 @@
 
         Args:
             attempt: What to run.
-            deadline: Monotonic seconds.
+            deadline: Clock seconds.
             watch: Tells when the caller has left, where this node is also its ingress.
         """
         refusal = self._quarantine_refusal(attempt) or self.refusal(Question.of(attempt))
@@ -259,7 +259,7 @@
             return refusal
         with self._lock:
             own_ms = self._belief.usual(attempt.route).typical_ms
-            bad = self._belief.bad(time.monotonic())
+            bad = self._belief.bad(clock.now())
         refusal = self._slots.take(attempt, deadline, own_ms)
         if refusal is not None:
             return refusal
@@ -298,7 +298,7 @@
     def _worsened(self, attempt: Attempt, bad: float) -> NotRun | None:
         """Return why an attempt goes elsewhere whose target fell silent while it waited."""
         with self._lock:
-            now_bad = self._belief.bad(time.monotonic())
+            now_bad = self._belief.bad(clock.now())
         if not attempt.last or attempt.pressing or now_bad < bad + WORSE_BY:
             return None
         return NotRun(Reason.DOUBTFUL, 0)
@@ -306,7 +306,7 @@
     def _claim(
         self, attempt: Attempt, deadline: float, watch: CallerWatch | None
     ) -> Outcome | None:
-        now = time.monotonic()
+        now = clock.now()
         if watch is not None and watch.watchable and watch.gone():
             return NotRun(Reason.CANCELLED, RETRY_SOON_MS)
         if (deadline - now) * 1000.0 < MIN_START_MS:
@@ -324,7 +324,7 @@
                 return Unknown(reason)
 
     def _exchange(self, attempt: Attempt, deadline: float, watch: CallerWatch | None) -> Outcome:
-        started = time.monotonic()
+        started = clock.now()
         running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
         visit = self._note_start(attempt, started)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
@@ -376,7 +376,7 @@
             lost = isinstance(error, TargetLostError)
             self._note_loss(attempt, error, gone=lost and self._client.gone(), had=True)
             return Unknown(Reason.TARGET_LOST), End.LOST if lost else End.NOTHING
-        return outcome, end_of(outcome, time.monotonic() - started, deadline - started)
+        return outcome, end_of(outcome, clock.now() - started, deadline - started)
 
     def _ask(self, attempt: Attempt, timeout_s: float, watch: CallerWatch | None) -> TargetAnswer:
         return self._client.send(
@@ -405,7 +405,7 @@
 
         A target that leaves ends by itself, whatever it has.
         """
-        now = time.monotonic()
+        now = clock.now()
         if gone:
             with self._lock:
                 end = self._end.note(now)
@@ -424,7 +424,7 @@
         )
 
     def _note_end(self, attempt: Attempt, visit: Visit, end: End) -> None:
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             self._door.end(now, visit, end, stalled_at=self._pause.last_stall)
         self._tell_door(now, attempt)
@@ -449,15 +449,15 @@
     def _learn(self, attempt: Attempt, outcome: Outcome, running: Running) -> None:
         """Take an attempt's end as evidence; losses at once are the door's, late ones count."""
         if isinstance(outcome, Answered) and outcome.status < SERVER_ERROR:
-            self._quarantine.note_answer(time.monotonic(), attempt.fingerprint)
-        service_ms = (time.monotonic() - running.started) * 1000.0
+            self._quarantine.note_answer(clock.now(), attempt.fingerprint)
+        service_ms = (clock.now() - running.started) * 1000.0
         failed = speaks_against(outcome, kept=service_ms >= LATE_S * 1000.0)
         if failed is None:
             return
         if self._pause.last_stall >= running.started:
             return
         with self._lock:
-            self._evidence.learn(time.monotonic(), running, service_ms, failed=failed)
+            self._evidence.learn(clock.now(), running, service_ms, failed=failed)
             if isinstance(outcome, Answered) and outcome.status != GATEWAY_TIMEOUT:
                 self._slots.learn(service_ms, attempt.slow_ms)
 
--- a/roadpass/log.py
+++ b/roadpass/log.py
@@ -12,11 +12,12 @@
 import os
 import select
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
+from roadpass import clock
+
 PREFIX = "roadpass."
 STDOUT = 1  # file descriptor
 MAX_LINES = 20_000  # lines; with MAX_LINE_BYTES at most 40 MB wait for a stuck reader
@@ -49,7 +50,7 @@
         """Return one line."""
         value: dict[str, Any] = {
             "at": round(record.created, ROUNDED),
-            "mono": round(time.monotonic(), ROUNDED),
+            "mono": round(clock.now(), ROUNDED),
             "level": record.levelname.lower(),
             "part": _part(record),
             "what" if hasattr(record, "decision") else "text": record.getMessage(),
@@ -206,8 +207,8 @@
     Returns:
         Whether nothing is left.
     """
-    end = time.monotonic() + timeout_s
-    return all(h.wait_written(max(0.0, end - time.monotonic())) for h in _handlers())
+    end = clock.now() + timeout_s
+    return all(h.wait_written(max(0.0, end - clock.now())) for h in _handlers())
 
 
 def pair(key: str, value: object) -> str:
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -1,10 +1,10 @@
 """The health monitor: an actor that judges targets and publishes views for the dispatcher."""
 
 import logging
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from roadpass import clock
 from roadpass._actor import Actor
 from roadpass._ticker import Ticker
 from roadpass.audit import AuditTrail, Kind
@@ -115,7 +115,7 @@
         """Handle one message."""
         match message:
             case Tick():
-                self._on_tick(time.monotonic())
+                self._on_tick(clock.now())
             case FleetChanged(fleet=fleet):
                 self._on_fleet(fleet)
             case HintHeard(target=target, scores=scores):
@@ -125,7 +125,7 @@
 
     def statuses(self) -> list[TargetStatus]:
         """Return every configured target's state and its reason; for any thread."""
-        now = time.monotonic()
+        now = clock.now()
         return [self._status(now, name) for name in sorted(self._view.fleet.targets)]
 
     def _status(self, now: float, name: str) -> TargetStatus:
@@ -216,13 +216,13 @@
             active.dirty = True
         self._dispatcher.loads.keep_only(set(fleet.targets))
         self._reasons = {n: why for n, why in self._reasons.items() if n in fleet.targets}
-        self._on_tick(time.monotonic())
+        self._on_tick(clock.now())
 
     def _on_hint(self, name: str, scores: Scores) -> None:
         target = self._view.fleet.targets.get(name)
         active = self._services.get(target.service) if target else None
         if active is not None:
-            active.health.hint(time.monotonic(), name, scores)
+            active.health.hint(clock.now(), name, scores)
             active.dirty = True
 
     def _step(self, now: float, name: str, active: _Active) -> None:
--- a/roadpass/news.py
+++ b/roadpass/news.py
@@ -1,8 +1,8 @@
 """What a source told, as nodes hand it to each other: the written form of `Changes`, and asking."""
 
-import time
 from typing import Any, NamedTuple
 
+from roadpass import clock
 from roadpass._generated.message_types import CatchUp
 from roadpass.caller_limits import CallerLimits
 from roadpass.errors import FrameError, StreamError
@@ -31,7 +31,7 @@
 
     Args:
         revision: Up to which the peer holds the source.
-        at: Monotonic seconds at which the source had nothing newer, by the peer's word.
+        at: Clock seconds at which the source had nothing newer, by the peer's word.
         vm: The peer.
         address: Of its streams.
         near: Whether it is in the own data hall.
@@ -49,8 +49,8 @@
 
     Args:
         changes: As the source told them.
-        at: Monotonic seconds at which the source is known to have had nothing newer.
-        away_at: Monotonic seconds at which it could last not be read, `None` if it always could.
+        at: Clock seconds at which the source is known to have had nothing newer.
+        away_at: Clock seconds at which it could last not be read, `None` if it always could.
     """
 
     changes: Changes
@@ -63,7 +63,7 @@
 
         Args:
             message: Its ages are as of when it was sent.
-            asked_at: A moment before that, in monotonic seconds: news that were held up on their
+            asked_at: A moment before that, in clock seconds: news that were held up on their
                 way then count as older than they are, never as fresher.
 
         Raises:
@@ -82,7 +82,7 @@
         )
 
     def to_message(self, now: float) -> Message:
-        """Return the written form at a moment, in monotonic seconds."""
+        """Return the written form at a moment, in clock seconds."""
         message: dict[str, Any] = {
             "t": "news",
             "revision": self.changes.revision,
@@ -115,7 +115,7 @@
         StreamError: It did not answer, or not with usable news.
     """
     message: CatchUp = {"t": "catch_up", "after": after}
-    asked_at = time.monotonic()
+    asked_at = clock.now()
     reply = peers.exchange(address, message, timeout_s=ASK_S)
     if reply["t"] != "news":
         raise StreamError("The peer has no news.")
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -9,7 +9,7 @@
 
 import pykka
 
-from roadpass import __version__
+from roadpass import __version__, clock
 from roadpass.admin import Admin
 from roadpass.audit import AuditTrail, Kind
 from roadpass.catalogue import Catalogue, Policy
@@ -93,7 +93,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._started_at = time.monotonic()
+        self._started_at = clock.now()
         self._incarnation = int(time.time() * 1000)
         self._rng = random.Random()
         self.audit = AuditTrail()
@@ -223,7 +223,7 @@
         if not self._view.ready:
             self._check_ready()
         self._peers.expire()
-        now = time.monotonic()
+        now = clock.now()
         if now >= self._next_counters:
             self._next_counters = now + COUNTERS_S
             decided("node", "counters", vm=self._settings.vm, counters=self.metrics.counters())
@@ -266,13 +266,13 @@
             Whether that was so within the stop limit.
         """
         drain = Drain(
-            time.monotonic(),
+            clock.now(),
             leave_s=LEAVE_MIN_S if self._settings.store is None else STORE_LEAVE_S,
             limit_s=self._settings.stop_limit_s - STOP_MARGIN_S,
         )
         while True:
             in_flight = self._in_flight() + self._unread()
-            stage = drain.look(time.monotonic(), in_flight)
+            stage = drain.look(clock.now(), in_flight)
             if stage.refusing:
                 self._refuse()
             if stage.over:
@@ -306,7 +306,7 @@
             return
         if self._view.fleet.revision == 0 or not self._platform_asked.is_set():
             return
-        waited = time.monotonic() - self._started_at
+        waited = clock.now() - self._started_at
         agreeing = self._gossip_proxy.agreeing_peers.get()
         if agreeing >= READY_PEERS or waited >= READY_WAIT_S:
             self._view.ready = True
@@ -385,7 +385,7 @@
         news = self._journal.since(message["after"])
         if news is None:
             raise StreamError("Nothing is known of the source yet.")
-        return news.to_message(time.monotonic())
+        return news.to_message(clock.now())
 
     def _offer(self, revision: Offer) -> None:
         self._configuration.tell(revision)
--- a/roadpass/pages.py
+++ b/roadpass/pages.py
@@ -1,10 +1,9 @@
 """The pages of the administration API: what a node shows of itself to operators."""
 
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from roadpass import __version__
+from roadpass import __version__, clock
 from roadpass.admin import TEXT, Handler, Page, Query
 from roadpass.audit import AuditTrail
 from roadpass.metric import Metrics
@@ -19,7 +18,7 @@
     Args:
         settings: Of the node.
         incarnation: Of its process.
-        started_at: Monotonic seconds at which it started.
+        started_at: Clock seconds at which it started.
         view: What it routes by.
         pause: Its pause watch.
         audit: Its audit trail.
@@ -75,7 +74,7 @@
                 "hall": shown.settings.hall,
                 "version": __version__,
                 "incarnation": shown.incarnation,
-                "uptime_s": round(time.monotonic() - shown.started_at, 1),
+                "uptime_s": round(clock.now() - shown.started_at, 1),
                 "ready": view.ready,
                 "leaving": view.leaving,
                 "revision": fleet.revision,
--- a/roadpass/pause.py
+++ b/roadpass/pause.py
@@ -3,6 +3,8 @@
 import threading
 import time
 
+from roadpass import clock
+
 TICK_S = 0.1
 PAUSE_S = 0.5
 """A tick this late means that the process did not run, or could not."""
@@ -16,7 +18,7 @@
     """A thread that ticks; whoever is about to start work calls `settle` first."""
 
     def __init__(self) -> None:
-        self._last_tick = time.monotonic()
+        self._last_tick = clock.now()
         self._settle_until = 0.0
         self._pauses = 0
         self._last_stall = float("-inf")
@@ -30,12 +32,12 @@
 
     @property
     def last_stall(self) -> float:
-        """When this process last began to run again after standing still, monotonic seconds."""
+        """When this process last began to run again after standing still, clock seconds."""
         return self._last_stall
 
     def start(self) -> None:
         """Start to tick."""
-        self._last_tick = time.monotonic()
+        self._last_tick = clock.now()
         self._thread.start()
 
     def stop(self) -> None:
@@ -48,7 +50,7 @@
         Returns:
             Seconds waited, nearly always 0.
         """
-        now = time.monotonic()
+        now = clock.now()
         if now - self._last_tick > PAUSE_S:
             self._note(now)
         wait = self._settle_until - now
@@ -59,7 +61,7 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(TICK_S):
-            now = time.monotonic()
+            now = clock.now()
             if now - self._last_tick > STALL_S:
                 self._last_stall = now
             if now - self._last_tick > PAUSE_S:
--- a/roadpass/peer.py
+++ b/roadpass/peer.py
@@ -1,10 +1,10 @@
 """Pools of streams to other nodes."""
 
 import threading
-import time
 from collections.abc import Sequence
 from typing import TypeAlias
 
+from roadpass import clock
 from roadpass.errors import StreamError
 from roadpass.message import Message
 from roadpass.stream import Stream
@@ -51,7 +51,7 @@
                     timeout_s=timeout_s,
                     source=self._source,
                 )
-            if time.monotonic() - stream.idle_since < IDLE_LIMIT_S and stream.reusable:
+            if clock.now() - stream.idle_since < IDLE_LIMIT_S and stream.reusable:
                 return stream
             stream.close()
 
@@ -64,7 +64,7 @@
 
     def release(self, address: Address, stream: Stream) -> None:
         """Take a stream back after a whole exchange."""
-        stream.idle_since = time.monotonic()
+        stream.idle_since = clock.now()
         with self._lock:
             idle = self._idle.setdefault(address, [])
             if len(idle) < MAX_IDLE:
@@ -86,11 +86,11 @@
         Raises:
             StreamError: No whole reply came in time.
         """
-        deadline = time.monotonic() + timeout_s
+        deadline = clock.now() + timeout_s
         stream = self.acquire(address, timeout_s=timeout_s)
         try:
-            stream.send(message, timeout_s=deadline - time.monotonic())
-            left_s = max(0.0, deadline - time.monotonic())
+            stream.send(message, timeout_s=deadline - clock.now())
+            left_s = max(0.0, deadline - clock.now())
             reply = stream.receive(left_s, rest_s=rest_s).message
         except StreamError:
             stream.close()
@@ -100,7 +100,7 @@
 
     def expire(self) -> None:
         """Close streams that have been idle for too long."""
-        limit = time.monotonic() - IDLE_LIMIT_S
+        limit = clock.now() - IDLE_LIMIT_S
         stale: list[Stream] = []
         with self._lock:
             for address in list(self._idle):
--- a/roadpass/peer_asker.py
+++ b/roadpass/peer_asker.py
@@ -1,12 +1,12 @@
 """Questions to peers, asked by an actor of their own: whoever has one does not wait for it."""
 
 import logging
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import pykka
 
+from roadpass import clock
 from roadpass._actor import Actor
 from roadpass.errors import StreamError
 from roadpass.news import News, Word
@@ -21,7 +21,7 @@
     Args:
         word: Of the peer that is asked.
         after: The revision; 0 for all there is.
-        asked_at: Monotonic seconds at which it was wanted.
+        asked_at: Clock seconds at which it was wanted.
     """
 
     word: Word
@@ -35,7 +35,7 @@
     Args:
         ask: The question.
         result: The peer's news, or why there are none.
-        at: Monotonic seconds at which it was over.
+        at: Clock seconds at which it was over.
     """
 
     ask: Ask
@@ -60,7 +60,7 @@
         """Handle one message."""
         match message:
             case Ask():
-                self._tell(Asked(message, self._result(message), time.monotonic()))
+                self._tell(Asked(message, self._result(message), clock.now()))
             case _:
                 _log.error("unknown message %r", message)
 
--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -1,12 +1,12 @@
 """The platform's metadata store as a source: read-only, every call counted."""
 
 import json
-import time
 from typing import Any
 from urllib.parse import urlencode
 
 import urllib3
 
+from roadpass import clock
 from roadpass.errors import PlatformError
 from roadpass.metric import Metrics
 from roadpass.platform import decode
@@ -76,7 +76,7 @@
     def _get(self, path: str, fields: dict[str, str], timeout_s: float) -> Any:
         self._metrics.count(CALLS)
         url = f"{self._url}{path}?{urlencode(fields)}"
-        until = time.monotonic() + timeout_s
+        until = clock.now() + timeout_s
         try:
             response = self._pool.request(
                 "GET", url, timeout=timeout_s, redirect=False, preload_content=False
@@ -104,7 +104,7 @@
     pieces = []
     while piece := response.read1(PIECE_BYTES):
         pieces.append(piece)
-        if time.monotonic() > until:
+        if clock.now() > until:
             response.close()
             raise urllib3.exceptions.ProtocolError("The answer was not whole in time.")
     response.release_conn()
--- a/roadpass/reader.py
+++ b/roadpass/reader.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
+from roadpass import clock
 from roadpass._actor import Actor
 from roadpass._generated.message_types import Pull
 from roadpass.audit import AuditTrail, Kind
@@ -158,7 +159,7 @@
         self._events.on_platform()
         if manifest is not None:
             self._fetch(manifest)
-        now = time.monotonic()
+        now = clock.now()
         if now >= self._next_vms:
             self._next_vms = now + VM_LIST_S
             self._events.on_vms(self._platform.vms())
@@ -175,8 +176,8 @@
 
     def _remember_unless_taken(self, version: Version) -> None:
         """Wait shortly for the verdict, so that a bad revision is not watched over and over."""
-        deadline = time.monotonic() + VERDICT_S
-        while time.monotonic() < deadline:
+        deadline = clock.now() + VERDICT_S
+        while clock.now() < deadline:
             if self._store.held.version >= version:
                 return
             time.sleep(0.02)
@@ -189,7 +190,7 @@
     def _own_try_due(self, status: Status) -> bool:
         if status.platform_age_s < STALE_S:
             return False
-        now = time.monotonic()
+        now = clock.now()
         mean = max(STALE_S, status.fleet_size * SELF_TRY_PER_NODE_S)
         if self._next_try == 0.0:
             self._next_try = now + self._rng.uniform(0.0, mean)
@@ -253,7 +254,7 @@
                 _log.error("unknown message %r", message)
 
     def _on_news(self, news: VersionHeard) -> None:
-        now = time.monotonic()
+        now = clock.now()
         held = self._store.held
         recent = now - self._offered.get(news.version, float("-inf")) < PULL_S
         if news.version <= held.version or recent or self._store.is_refused(news.version):
@@ -262,7 +263,7 @@
             return
         pulled = self._pull_either_way(held, news.address)
         if pulled is None:
-            self._unanswered.note(news.address, time.monotonic())
+            self._unanswered.note(news.address, clock.now())
             return
         self._unanswered.answered(news.address)
         manifest, documents = pulled
--- a/roadpass/reading_log.py
+++ b/roadpass/reading_log.py
@@ -1,8 +1,8 @@
 """The lines of a source's reader: what it asked for, whom, what came and how long it took."""
 
 import math
-import time
 
+from roadpass import clock
 from roadpass.decision import decided
 from roadpass.errors import PlatformError, StreamError
 from roadpass.news import Word
@@ -28,9 +28,9 @@
         told_by: The peer, empty for the source.
         after: The revision held before.
         config_held: The version of the configuration held before.
-        news_at: Monotonic seconds as of which the source had nothing newer,
+        news_at: Clock seconds as of which the source had nothing newer,
         confirmed_at: the same for what was held before.
-        asked_at: Monotonic seconds at which it was asked.
+        asked_at: Clock seconds at which it was asked.
     """
     configs = [c.config for c in changes.changes if isinstance(c, ConfigPublished)]
     decided(
@@ -100,4 +100,4 @@
 
 def _age_s(at: float) -> float | None:
     """Return how long ago a moment was, `None` if it never came."""
-    return None if math.isinf(at) else round(time.monotonic() - at, 3)
+    return None if math.isinf(at) else round(clock.now() - at, 3)
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -25,7 +25,7 @@
     """A caller's request.
 
     Args:
-        deadline: Monotonic seconds by which the caller wants an answer, `None` for the route's.
+        deadline: Clock seconds by which the caller wants an answer, `None` for the route's.
         key: The caller's idempotency key, empty for none.
         repeat: Whether the caller says that it sent this request before.
         watch: Tells when the caller has left, `None` if nobody can.
--- a/roadpass/retry.py
+++ b/roadpass/retry.py
@@ -81,7 +81,7 @@
         """Tell whether a repeat may arrive now.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
         """
         self._forget(now)
         allowed = self._ratio * len(self._firsts) + self._slack
@@ -91,7 +91,7 @@
         """Count an arrival at the target.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             repeat: Whether it is not the first of its request.
         """
         (self._repeats if repeat else self._firsts).append(now)
--- a/roadpass/settings_file.py
+++ b/roadpass/settings_file.py
@@ -34,7 +34,7 @@
         What cannot be used is logged, and the settings in force stay.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             asked: Whether a signal says that the file changed.
         """
         if not asked and now < self._next_look:
--- a/roadpass/shedding.py
+++ b/roadpass/shedding.py
@@ -37,7 +37,7 @@
         """Return what going there costs by its shedding, as a share of a lost request.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
         """
         return SHED_LOSS * self._share_at(now)
 
@@ -45,7 +45,7 @@
         """Note how an attempt at the target ended.
 
         Args:
-            now: Monotonic seconds.
+            now: Clock seconds.
             outcome: Its end.
         """
         match outcome:
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from roadpass import clock
 from roadpass._generated.message_types import Fenced, Hello
 from roadpass.dialect import OWN, Dialect
 from roadpass.errors import StreamError
@@ -49,7 +50,7 @@
         self._pause = pause
         self._pull = pull
         self._behind = behind
-        self._fences = FenceTable(started_at=time.monotonic())
+        self._fences = FenceTable(started_at=clock.now())
         self._quarantine = Quarantine()
         self._fleet = Fleet.empty()
         self._targets: dict[str, LocalTarget] = {}
@@ -100,7 +101,7 @@
 
     def expire(self) -> None:
         """Drop old fences."""
-        self._fences.expire(time.monotonic())
+        self._fences.expire(clock.now())
 
     def check(self, question: Question) -> Message:
         """Tell whether an attempt would be taken; nothing runs."""
@@ -125,7 +126,7 @@
             age_s: How long its frame was under way or lay unread.
             watch: Tells when the caller has left, where this node is also its ingress.
         """
-        deadline = time.monotonic() + attempt.remaining_ms / 1000.0 - age_s
+        deadline = clock.now() + attempt.remaining_ms / 1000.0 - age_s
         local = self._targets.get(attempt.target)
         refusal = self._refusal(attempt, local, deadline)
         if refusal is not None or local is None:
@@ -142,20 +143,20 @@
         """Return what the ingress should know of a request that was lost, or not let through."""
         match outcome:
             case Unknown(reason=Reason.TARGET_LOST) | NotRun(reason=Reason.QUARANTINED):
-                return self._quarantine.row(time.monotonic(), attempt.fingerprint)
+                return self._quarantine.row(clock.now(), attempt.fingerprint)
             case _:
                 return None
 
     def fence(self, attempt_id: str) -> Verdict:
         """Promise that an attempt never starts here, or cancel it if it runs."""
-        verdict = self._fences.fence(time.monotonic(), attempt_id)
+        verdict = self._fences.fence(clock.now(), attempt_id)
         for local in self._targets.values():
             local.cancel(attempt_id)
         return verdict
 
     def fence_key(self, key: str, token: str) -> Verdict:
         """Promise that only the attempt `token` may still start with a key."""
-        return self._fences.fence_key(time.monotonic(), key, token)
+        return self._fences.fence_key(clock.now(), key, token)
 
     def hello(self) -> Hello:
         """Return this node's hello message."""
@@ -183,7 +184,7 @@
     def _refusal(
         self, attempt: Attempt, local: LocalTarget | None, deadline: float
     ) -> NotRun | None:
-        if time.monotonic() >= deadline:
+        if clock.now() >= deadline:
             return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
         if self.leaving or (local is not None and local.leaving):
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -2,9 +2,9 @@
 
 import math
 import threading
-import time
 from collections.abc import Sequence
 
+from roadpass import clock
 from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
 from roadpass.fleet import TrafficClass
 from roadpass.limit import AdaptiveLimit
@@ -73,13 +73,13 @@
 
         Args:
             attempt: Which wants to run.
-            deadline: Monotonic seconds.
+            deadline: Clock seconds.
             own_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
 
         Returns:
             Why it got none, `None` if it has one, which is to be released.
         """
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             self._admission.set_limit(self._limit.value, self._limit.service_ms)
             decision = self._admission.offer(
@@ -106,7 +106,7 @@
     def release(self, traffic_class: str) -> None:
         """Give a slot back."""
         with self._lock:
-            _wake_all(self._admission.release(time.monotonic(), traffic_class))
+            _wake_all(self._admission.release(clock.now(), traffic_class))
 
     def cancel(self, attempt_id: str) -> bool:
         """Wake an attempt that waits, if it does.
@@ -127,7 +127,7 @@
             service_ms: Time that the target had the request.
             slow_ms: What counts as slow among the service's other targets, 0 if unknown.
         """
-        self._limit.observe(time.monotonic(), service_ms, slow_ms, self._admission.in_use)
+        self._limit.observe(clock.now(), service_ms, slow_ms, self._admission.in_use)
         self._admission.set_limit(self._limit.value, self._limit.service_ms)
 
     def _patience_s(self, expected_ms: float) -> float:
@@ -141,13 +141,16 @@
     ) -> NotRun | None:
         signal = ticket.signal
         assert isinstance(signal, threading.Event)
-        signal.wait(max(0.0, min(deadline, patient_until) - time.monotonic()))
+        until = min(deadline, patient_until)
+        while not signal.wait(max(0.0, min(clock.STEP_S, until - clock.now()))):
+            if clock.now() >= until:
+                break
         with self._lock:
             self._queued.pop(attempt.id, None)
             if ticket.granted:
                 return None
-            _wake_all(self._admission.abandon(time.monotonic(), ticket))
-        now = time.monotonic()
+            _wake_all(self._admission.abandon(clock.now(), ticket))
+        now = clock.now()
         if now >= deadline:
             return NotRun(Reason.TOO_LATE, RETRY_SOON_MS)
         if now >= patient_until:
--- a/roadpass/source_caller.py
+++ b/roadpass/source_caller.py
@@ -1,11 +1,11 @@
 """Calls to a source, made by an actor of their own: whoever wants one does not wait for it."""
 
 import logging
-import time
 from typing import Any, NamedTuple
 
 import pykka
 
+from roadpass import clock
 from roadpass._actor import Actor
 from roadpass.errors import PlatformError
 from roadpass.source import Changes, Source
@@ -19,7 +19,7 @@
     Args:
         after: The revision to go on from, `None` for all there is.
         wait_s: Seconds to wait for changes.
-        asked_at: Monotonic seconds at which it was wanted.
+        asked_at: Clock seconds at which it was wanted.
     """
 
     after: int | None
@@ -33,7 +33,7 @@
     Args:
         call: The reading.
         result: What it brought, or why nothing.
-        at: Monotonic seconds at which it was over.
+        at: Clock seconds at which it was over.
     """
 
     call: Call
@@ -58,7 +58,7 @@
         """Handle one message."""
         match message:
             case Call():
-                self._tell(Called(message, self._result(message), time.monotonic()))
+                self._tell(Called(message, self._result(message), clock.now()))
             case _:
                 _log.error("unknown message %r", message)
 
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -15,10 +15,10 @@
 import logging
 import math
 import random
-import time
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+from roadpass import clock
 from roadpass._actor import Actor
 from roadpass._ticker import Ticker
 from roadpass.audit import AuditTrail, Kind
@@ -176,7 +176,7 @@
             _log.info("no peers found: %s", error)
             return
         if self._name_peers(changes):
-            self._rest_until = time.monotonic() + FIRST_WORD_S
+            self._rest_until = clock.now() + FIRST_WORD_S
 
     def _name_peers(self, changes: Changes) -> bool:
         """Tell beside which targets there are nodes; return whether there are any."""
@@ -187,7 +187,7 @@
 
     def _on_tick(self) -> None:
         self._tick_waits = False
-        now = time.monotonic()
+        now = clock.now()
         if self._is_due(now):
             self._call(now)
         self._catch_up(now)
@@ -202,7 +202,7 @@
     def _on_word(self, word: Word) -> None:
         """Take a peer's word: what it holds beyond this node is to be asked for."""
         if word.revision > self._beyond:
-            now = time.monotonic()
+            now = clock.now()
             self._behind_since = min(self._behind_since, now)
             self._heard.note(word)
             self._catch_up(now)
@@ -249,7 +249,7 @@
                     self._source_away(news.away_at)
                 if news.changes.revision > self._beyond:
                     self._take(news.changes, news.at, origin=word.vm, asked_at=asked.ask.asked_at)
-        self._catch_up(time.monotonic())
+        self._catch_up(clock.now())
 
     def _call(self, now: float) -> None:
         """Have the source called; what comes of it is told later."""
@@ -273,7 +273,7 @@
             case changes:
                 self._succeeded()
                 if changes.changes:
-                    self._rest_until = time.monotonic() + self._turn.rest_s
+                    self._rest_until = clock.now() + self._turn.rest_s
                 if changes.revision < (self._revision or 0):
                     self._overtaken(called)
                 else:
@@ -304,7 +304,7 @@
         self._behind_since = math.inf
         self._journal.note(changes, at)
         self._name_peers(changes)
-        changed, unusable = self._catalogue.take(time.monotonic(), changes, known_at=known_at)
+        changed, unusable = self._catalogue.take(clock.now(), changes, known_at=known_at)
         self._report(changes, unusable, whole=changes.whole and not origin)
         self._publish(changed, origin)
         self._confirm(at, own=not origin)
@@ -319,7 +319,7 @@
 
     def _failed(self, error: PlatformError, asked_at: float) -> None:
         self._failures += 1
-        self._source_away(time.monotonic())
+        self._source_away(clock.now())
         if self._failures == 1:
             self._audit.record(Kind.PLATFORM, "store", f"cannot be read: {error}")
         tell_source_failed(
@@ -330,7 +330,7 @@
             asked_at=asked_at,
         )
         pause = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(8, self._failures - 1))
-        self._rest_until = time.monotonic() + pause * self._rng.uniform(0.7, 1.3)
+        self._rest_until = clock.now() + pause * self._rng.uniform(0.7, 1.3)
 
     def _source_away(self, at: float) -> None:
         self._catalogue.source_away(at)
@@ -344,7 +344,7 @@
 
     def _publish(self, changed: bool, origin: str = "") -> None:
         """Hand the fleet over if it changed, be it by the end of a withdrawn target's time."""
-        changed |= self._catalogue.expire(time.monotonic())
+        changed |= self._catalogue.expire(clock.now())
         config = self._catalogue.config
         if not changed or config is None:
             return
@@ -356,7 +356,7 @@
             revision=fleet.revision,
             store_revision=self._revision,
             told_by=origin or "store",
-            before_s=round(time.monotonic() - self._confirmed_at, 3),
+            before_s=round(clock.now() - self._confirmed_at, 3),
             targets=len(fleet.targets),
             leaving=sum(target.leaving for target in fleet.targets.values()),
             routes=len(fleet.routes),
--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -10,10 +10,10 @@
 import select
 import socket
 import struct
-import time
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
+from roadpass import clock
 from roadpass.errors import ConnectError, FrameError, ReplyTimeoutError, StreamError
 from roadpass.message import Message, check
 from roadpass.packing import pack, unpack
@@ -96,7 +96,7 @@
         limit = min(timeout_s, HELLO_LIMIT_S)
         if limit <= 0.0:
             raise ConnectError(f"No time is left to connect to {address[0]}:{address[1]}.")
-        deadline = time.monotonic() + limit
+        deadline = clock.now() + limit
         try:
             sock = socket.create_connection(
                 address, timeout=limit, source_address=(source, 0) if source else None
@@ -106,8 +106,8 @@
         stream = cls(sock, keys, client=True)
         try:
             stream._handshake(deadline)
-            stream.send(hello, timeout_s=deadline - time.monotonic())
-            reply = stream.receive(deadline - time.monotonic()).message
+            stream.send(hello, timeout_s=deadline - clock.now())
+            reply = stream.receive(deadline - clock.now()).message
         except (StreamError, OSError) as error:
             stream.close()
             raise ConnectError(f"No handshake with {address[0]}:{address[1]}: {error}.") from error
@@ -125,13 +125,13 @@
             StreamError: The peer does not speak this protocol or lacks the key.
         """
         stream = cls(sock, keys, client=False)
-        deadline = time.monotonic() + HELLO_LIMIT_S
+        deadline = clock.now() + HELLO_LIMIT_S
         try:
             stream._handshake(deadline)
-            first = stream.receive(deadline - time.monotonic()).message
+            first = stream.receive(deadline - clock.now()).message
             if first["t"] != "hello":
                 raise FrameError("The first frame is no hello.")
-            stream.send(hello, timeout_s=deadline - time.monotonic())
+            stream.send(hello, timeout_s=deadline - clock.now())
         except OSError as error:
             stream.close()
             raise StreamError(f"The handshake failed: {error}.") from error
@@ -157,7 +157,7 @@
         Raises:
             StreamError: It may have been written in part.
         """
-        payload = pack((time.monotonic_ns(), message))
+        payload = pack((clock.now_ns(), message))
         if len(payload) > MAX_FRAME_BYTES:
             raise FrameError("The frame to send is too long.")
         mac = self._mac(self._keys[0], self._client, self._sent, payload) if self._keys else b""
@@ -186,10 +186,10 @@
             CallerGoneError: The caller closed its connection.
             StreamError: The connection is lost or the frame is bad.
         """
-        deadline = time.monotonic() + timeout_s
+        deadline = clock.now() + timeout_s
         if not self._buffer:
             self._await_data(timeout_s, caller)
-        deadline = max(deadline, time.monotonic() + rest_s)
+        deadline = max(deadline, clock.now() + rest_s)
         try:
             header = self._read(_HEADER.size, deadline)
             (length,) = _HEADER.unpack(header)
@@ -216,7 +216,7 @@
 
     def _handshake(self, deadline: float) -> None:
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock.settimeout(max(READ_MIN_S, deadline - time.monotonic()))
+        self._sock.settimeout(max(READ_MIN_S, deadline - clock.now()))
         own = secrets.token_bytes(NONCE_BYTES)
         self._sock.sendall(MAGIC + own)
         greeting = self._read(len(MAGIC) + NONCE_BYTES, deadline)
@@ -226,9 +226,9 @@
         self._nonce = own + theirs if self._client else theirs + own
 
     def _await_data(self, timeout_s: float, caller: CallerWatch | None) -> None:
-        deadline = time.monotonic() + timeout_s
+        deadline = clock.now() + timeout_s
         while True:
-            left = deadline - time.monotonic()
+            left = min(clock.STEP_S, deadline - clock.now())
             poller = select.poll()
             poller.register(self._sock, select.POLLIN)
             if caller is not None and caller.watchable:
@@ -239,17 +239,17 @@
             if caller is not None and ready:
                 if caller.gone():
                     raise CallerGoneError("The caller closed its connection.")
-            elif not ready:
+            elif not ready and clock.now() >= deadline:
                 raise ReplyTimeoutError("The peer did not reply in time.")
 
     def _read(self, size: int, deadline: float) -> bytes:
         while len(self._buffer) < size:
-            self._sock.settimeout(max(READ_MIN_S, deadline - time.monotonic()))
+            self._sock.settimeout(max(READ_MIN_S, deadline - clock.now()))
             chunk = self._sock.recv(max(65536, size - len(self._buffer)))
             if not chunk:
                 raise StreamError("The peer closed the connection.")
             self._buffer += chunk
-            if len(self._buffer) < size and time.monotonic() >= deadline:
+            if len(self._buffer) < size and clock.now() >= deadline:
                 raise ReplyTimeoutError("The frame was not whole in time.")
         data = bytes(self._buffer[:size])
         del self._buffer[:size]
@@ -263,7 +263,7 @@
                 raise FrameError("The frame is not authentic.")
         self._received += 1
         sent_ns, message = _unpack(payload)
-        difference = time.monotonic_ns() - sent_ns
+        difference = clock.now_ns() - sent_ns
         if self._transit_ns is None or difference < self._transit_ns:
             self._transit_ns = difference
         return Received(check(message), (difference - self._transit_ns) / _NS)
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -3,10 +3,10 @@
 import math
 import re
 import threading
-import time
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from roadpass import clock
 from roadpass.dialect import OWN, Dialect
 from roadpass.errors import TargetRefusedError
 from roadpass.hop import connection_tokens, end_to_end
@@ -162,7 +162,7 @@
             TargetGarbledError: No answer to this request came; it may have run.
             CallerLeftError: The caller left or cancelled; the request may have run.
         """
-        deadline = time.monotonic() + timeout_s
+        deadline = clock.now() + timeout_s
         name = (request_id or attempt_id) if self._dialect.caller_sets_id else attempt_id
         call = _Call(name, method, path, list(headers), body, instance, origin)
         connection = self._connect(timeout_s, fresh)
@@ -237,7 +237,7 @@
             return
         with self._lock:
             self._trusted_s = TRUST_HALVED * rest_s
-            self._distrusted_at = time.monotonic()
+            self._distrusted_at = clock.now()
             idle, self._idle = self._idle, []
         for kept in idle:
             kept.close()
@@ -252,7 +252,7 @@
     def _reuse(self, fresh: bool) -> TargetConnection | None:
         """Take the kept connection that was used last, if it will do."""
         while True:
-            now = time.monotonic()
+            now = clock.now()
             longest_s = self._longest_rest_s(now, fresh)
             with self._lock:
                 if not self._idle or now - self._idle[-1].idle_since > longest_s:
@@ -279,17 +279,17 @@
             id=call.id,
             plain=dialect.echoes_id and not encoded,
         )
-        started = time.monotonic()
+        started = clock.now()
         if started >= deadline:
             raise TargetTimeoutError("No time is left.")
         sent = _sent_headers(call, dialect, self.address, deadline - started)
         message = Message(call.method, call.path, sent, call.body)
         raw = connection.exchange(message, rules, deadline, watch)
-        return raw, (time.monotonic() - started) * 1000.0
+        return raw, (clock.now() - started) * 1000.0
 
     def _release(self, connection: TargetConnection, keep_s: float) -> None:
         """Keep a connection for so many seconds, and close those that are past their time."""
-        now = time.monotonic()
+        now = clock.now()
         connection.idle_since = now
         connection.idle_until = now + keep_s
         with self._lock:
--- a/roadpass/target_connection.py
+++ b/roadpass/target_connection.py
@@ -3,11 +3,11 @@
 import math
 import select
 import socket
-import time
 from typing import NamedTuple
 
 import h11
 
+from roadpass import clock
 from roadpass.errors import TargetError, TargetRefusedError
 from roadpass.outcome import Headers
 from roadpass.request import CallerWatch
@@ -253,7 +253,7 @@
 
     def _wait(self, deadline: float, watch: CallerWatch | None) -> int:
         """Wait for the target or its caller; return what the target's socket is ready for."""
-        left = deadline - time.monotonic()
+        left = deadline - clock.now()
         if left <= 0.0:
             raise TargetTimeoutError("The target did not answer in time.")
         poller = select.poll()
@@ -261,7 +261,7 @@
         caller = watch.fileno() if watch is not None and watch.watchable else -1
         if caller >= 0:
             poller.register(caller, select.POLLIN)
-        ready = dict(poller.poll(math.ceil(left * 1000.0)))
+        ready = dict(poller.poll(math.ceil(min(clock.STEP_S, left) * 1000.0)))
         if watch is not None and caller in ready and watch.gone():
             raise CallerLeftError("The caller has left.")
         return ready.get(self._sock.fileno(), 0)
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -1,8 +1,8 @@
 """One attempt's way from an ingress to the sidecar of its target, and what became of it."""
 
-import time
 from typing import NamedTuple
 
+from roadpass import clock
 from roadpass._generated.message_types import Fence, FenceKey
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
@@ -76,14 +76,14 @@
         address = self._address(target.vm)
         if address is None:
             return Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
-        started = time.monotonic()
+        started = clock.now()
         far = self._view.tier(target) > 0
         opened = self._open(address, attempt)
         self._count("question", opened.carried, far=far)
         if isinstance(opened, _Refusal):
             return opened.reply
         asked = opened.carried
-        spent_ms = (time.monotonic() - started) * 1000.0
+        spent_ms = (clock.now() - started) * 1000.0
         attempt = attempt._replace(remaining_ms=attempt.remaining_ms - spent_ms)
         reply = self._exchange(opened, address, attempt, watch)
         self._count("attempt", opened.carried - asked, far=far)
@@ -150,10 +150,10 @@
         self, stream: Stream, address: Address, attempt: Attempt, watch: CallerWatch | None
     ) -> Reply:
         wait_s = attempt.remaining_ms / 1000.0 + REPLY_GRACE_S
-        until = time.monotonic() + wait_s
+        until = clock.now() + wait_s
         try:
             stream.send(attempt.to_message(), timeout_s=wait_s)
-            left_s = max(0.0, until - time.monotonic())
+            left_s = max(0.0, until - clock.now())
             received = stream.receive(left_s, caller=watch, rest_s=REPLY_REST_S)
             reply = Reply.from_message(received.message)
         except StreamError as error:
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -1,9 +1,9 @@
 """The state of one request on its way through attempts."""
 
 import math
-import time
 from dataclasses import dataclass, field
 
+from roadpass import clock
 from roadpass.fleet import Service, Target
 from roadpass.kind import Kind
 from roadpass.message import Attempt
@@ -58,8 +58,8 @@
         request: The caller's.
         route: By which it goes.
         service: To which it goes.
-        started: Monotonic seconds at which it came.
-        deadline: Monotonic seconds by which it must have an outcome.
+        started: Clock seconds at which it came.
+        deadline: Clock seconds by which it must have an outcome.
         key: Idempotency key as sidecars know it, empty for none.
         usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
         long_ms: Milliseconds that nearly all of its kind take at the most, 0 if unknown.
@@ -117,7 +117,7 @@
             request: The caller's.
             route: By which it goes.
             service: To which it goes.
-            started: Monotonic seconds at which it came.
+            started: Clock seconds at which it came.
             kind: What is known of its kind.
             patience: How many times its objective it may take.
         """
@@ -158,7 +158,7 @@
     @property
     def expired(self) -> bool:
         """Whether too little time is left for an attempt."""
-        return self.deadline - time.monotonic() < MIN_ATTEMPT_S
+        return self.deadline - clock.now() < MIN_ATTEMPT_S
 
     @property
     def asks_near(self) -> bool:
@@ -184,7 +184,7 @@
         One that reached a target already is late in any case where that failed: what is left of
         its time is what bounds it.
         """
-        now = time.monotonic()
+        now = clock.now()
         objective_ms = self.route.target_latency_ms
         left_ms = (self.deadline - now) * 1000.0 - self.usual_ms
         if objective_ms is not None and self.arrivals == 0:
@@ -197,7 +197,7 @@
     def waits_in_vain(self) -> bool:
         """Whether no target took it for so long that its caller is better told now."""
         patience_s = GIVE_UP_SHARE * (self.deadline - self.started)
-        return self.arrivals == 0 and time.monotonic() - self.started > patience_s
+        return self.arrivals == 0 and clock.now() - self.started > patience_s
 
     def note_arrival(self) -> None:
         """Note that it reached a target: for another attempt all are asked again."""
@@ -270,7 +270,7 @@
         Args:
             attempt_id: Unique in the fleet.
             target: To which it goes.
-            now: Monotonic seconds.
+            now: Clock seconds.
             revision: Of the configuration that it is routed by.
             slow_ms: From where on an answer of the target counts as slow, zero if unknown.
             has_repeat: Whether the budget has a repeat to spend after it.
--- a/roadpass/trip_log.py
+++ b/roadpass/trip_log.py
@@ -1,7 +1,6 @@
 """The decision lines of a request's way at the ingress: each attempt, and the end."""
 
-import time
-
+from roadpass import clock
 from roadpass.decision import decided
 from roadpass.fleet import Target
 from roadpass.message import Attempt, Reply
@@ -20,7 +19,7 @@
         target: To which the attempt went.
         attempt: As it was sent.
         reply: What is known of its end, and of its target.
-        started: Monotonic seconds.
+        started: Clock seconds.
         used: Share of the target's slots that was believed to be in use.
     """
     decided(
@@ -33,7 +32,7 @@
         target_vm=target.vm,
         revision=attempt.revision,
         used=round(used, 2),
-        ms=round((time.monotonic() - started) * 1000.0, 1),
+        ms=round((clock.now() - started) * 1000.0, 1),
         bad=reply.load.bad if reply.load is not None else None,
         wait_ms=_wait_ms(reply.outcome),
         most_wait_ms=round(attempt.most_wait_ms),
@@ -68,7 +67,7 @@
     Args:
         trip: Of the request.
         outcome: Its end.
-        started: Monotonic seconds at which the request came.
+        started: Clock seconds at which the request came.
         has_repeat: Whether this node believes that it may repeat a request of the service.
     """
     decided(
@@ -84,8 +83,8 @@
         arrivals=trip.arrivals,
         moves=trip.moves,
         has_repeat=has_repeat,
-        ms=round((time.monotonic() - started) * 1000.0, 1),
-        left_ms=round((trip.deadline - time.monotonic()) * 1000.0, 1),
+        ms=round((clock.now() - started) * 1000.0, 1),
+        left_ms=round((trip.deadline - clock.now()) * 1000.0, 1),
     )
 
 
--- a/roadpass/unanswered.py
+++ b/roadpass/unanswered.py
@@ -26,7 +26,7 @@
         self._silences: dict[Hashable, _Silence] = {}
 
     def note(self, peer: Hashable, now: float) -> None:
-        """Note that a peer did not answer at a moment, in monotonic seconds."""
+        """Note that a peer did not answer at a moment, in clock seconds."""
         self._forget(now)
         times = self.times(peer)
         hold_s = min(HOLD_MAX_S, HOLD_S * 2.0 ** min(times, 8))
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -7,8 +7,8 @@
 import select
 import socket
 import threading
-import time
 
+from roadpass import clock
 from soak.history import CLOSED, GARBLED, LATE, History, Life, Request
 from soak.node import SoakNode
 from soak.target import answer_body
@@ -67,7 +67,7 @@
         path = f"/{route}/{identity}?q={self._rng.randrange(100)}"
         headers = {"Host": HOST, "Request-Id": identity, "Deadline-Ms": str(DEADLINE_MS)}
         body = b"y" * self._rng.randrange(MAX_BODY_BYTES) if method == "POST" else None
-        request = Request(identity, route, method == "GET", life, time.monotonic())
+        request = Request(identity, route, method == "GET", life, clock.now())
         self._history.requests[identity] = request
         try:
             connection.request(method, path, body, headers)
@@ -80,7 +80,7 @@
             request.lost = CLOSED
         except http.client.HTTPException:
             request.lost = GARBLED
-        request.told = time.monotonic()
+        request.told = clock.now()
         return not request.lost and bool(connection.sock)
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -1,10 +1,11 @@
-"""What was seen and done during a soak, in monotonic seconds."""
+"""What was seen and done during a soak, in seconds of the clock."""
 
-import time
 from dataclasses import dataclass, field
 from math import inf
 from typing import NamedTuple
 
+from roadpass import clock
+
 STORE = "store"
 """Subject of the store's troubles; others have the name of a node or of a target's instance."""
 CLOSED, LATE, GARBLED = "connection closed", "no answer in time", "no HTTP"
@@ -80,7 +81,7 @@
     """All that happened; everything only grows, so that any thread may add to it."""
 
     def __init__(self) -> None:
-        self.began = time.monotonic()
+        self.began = clock.now()
         self.requests: dict[str, Request] = {}
         self.lives: list[Life] = []
         self.instances: list[Instance] = []
@@ -89,5 +90,5 @@
 
     def trouble(self, subject: str, what: str) -> Trouble:
         """Note that trouble begins; its end is set on what is returned."""
-        self.troubles.append(Trouble(subject, what, time.monotonic()))
+        self.troubles.append(Trouble(subject, what, clock.now()))
         return self.troubles[-1]
--- a/soak/node.py
+++ b/soak/node.py
@@ -6,10 +6,10 @@
 import socket
 import subprocess
 import sys
-import time
 from math import inf
 from pathlib import Path
 
+from roadpass import clock
 from soak.checker import MIN_SHARE, STOP_LIMIT_S
 from soak.history import History, Life, Trouble
 from soak.target import SoakTarget
@@ -37,12 +37,12 @@
     @property
     def offered(self) -> bool:
         """Whether new connections should go to the node."""
-        return self.down is None or time.monotonic() - self.life.stopping < OFFERED_S
+        return self.down is None or clock.now() - self.life.stopping < OFFERED_S
 
     def stop(self) -> None:
         """Tell the node to stop, once it has started."""
         if self.down is None:
-            self.life.stopping = time.monotonic()
+            self.life.stopping = clock.now()
             self.down = self._history.trouble(self.name, "stop")
         if self.life.stopping < inf:
             self._process.send_signal(signal.SIGTERM)
@@ -60,13 +60,13 @@
     def tick(self) -> None:
         """Note an end and start again; note that the node takes connections."""
         if self._process.poll() is not None:
-            self.life.ended = min(time.monotonic(), self.life.ended)
+            self.life.ended = min(clock.now(), self.life.ended)
             self.life.code = self._process.returncode
             if self.restarts:
                 self._start()
         elif self.down and not self.life.killed and self.life.stopping == inf:
             with contextlib.suppress(OSError), socket.create_connection(self.life.address, LOOK_S):
-                self.down.end = time.monotonic()
+                self.down.end = clock.now()
                 self.down = None
 
     def close(self) -> None:
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -7,6 +7,7 @@
 from math import inf
 from pathlib import Path
 
+from roadpass import clock
 from soak.caller import HOST, ROUTES, Caller
 from soak.checker import STOP_LIMIT_S
 from soak.history import STORE, Configured, History, Instance
@@ -32,7 +33,7 @@
     def __init__(self, folder: Path, history: History, processes: int, net: int, seed: int) -> None:
         self._history = history
         self._log = (folder / "faults.log").open("w", buffering=1)
-        self._scheduler = sched.scheduler(time.monotonic, time.sleep)
+        self._scheduler = sched.scheduler(clock.now, time.sleep)
         self._store = FaultyStore()
         self._server = store_server((f"127.0.{net}.250", STORE_PORT), self._store)
         self._server.start_thread()
@@ -50,7 +51,7 @@
     def play(self, steps: list[Step], seconds: float) -> None:
         """Start callers, apply the faults, and stop all nodes under the callers' load."""
         self._wait(lambda: not any(node.down for node in self._nodes), START_LIMIT_S)
-        self._history.began = time.monotonic()
+        self._history.began = clock.now()
         self._store.fail("")
         for step in steps:
             self._later(step.at, self._apply, step)
@@ -79,7 +80,7 @@
 
     def _apply(self, step: Step) -> None:
         node, target = self._nodes[step.node], self._targets[step.node]
-        self._log.write(f"{time.monotonic():.3f} {step.fault} {node.name} {step.lasts_s:.2f} s\n")
+        self._log.write(f"{clock.now():.3f} {step.fault} {node.name} {step.lasts_s:.2f} s\n")
         match step.fault:
             case "term" | "term-repeated":
                 for delay_s in REPEATS_S if step.fault == "term-repeated" else (0.0,):
@@ -90,7 +91,7 @@
                 self._fail(node.name, node.hold, step)
             case "drain":
                 self._store.put(*_item(target, "draining"))
-                target.instance.left = time.monotonic()
+                target.instance.left = clock.now()
                 self._later(WITHDRAWN_S, self._store.delete, _item(target)[0])
                 self._later(step.lasts_s, target.crash)
                 self._later(step.lasts_s, self._publish, target)
@@ -114,11 +115,11 @@
         trouble = self._history.trouble(subject, step.fault)
         fail(step.fault)
         self._later(step.lasts_s, fail, "")
-        self._later(step.lasts_s, lambda: setattr(trouble, "end", time.monotonic()))
+        self._later(step.lasts_s, lambda: setattr(trouble, "end", clock.now()))
 
     def _publish(self, target: SoakTarget) -> None:
         self._store.put(*_item(target))
-        target.instance.born = time.monotonic()
+        target.instance.born = clock.now()
         self._history.instances.append(target.instance)
 
     def _write_config(self, moved: int) -> None:
@@ -127,14 +128,14 @@
         self._services[route] = SERVICES[self._services[route] == SERVICES[0]]
         version = len(self._history.configurations) + 1
         rows = [[r, HOST, f"/{r}/", KINDS[m], self._services[r], None] for r, m in ROUTES.items()]
-        written = Configured(time.monotonic(), version, dict(self._services))
+        written = Configured(clock.now(), version, dict(self._services))
         self._history.configurations.append(written)
         self._store.put("op/config", config(version, rows, SERVICES))
 
     def _wait(self, done: Callable[[], bool], limit_s: float) -> None:
         """Do what is due until all is done, or for so long."""
-        until = time.monotonic() + limit_s
-        while not done() and time.monotonic() < until:
+        until = clock.now() + limit_s
+        while not done() and clock.now() < until:
             self._scheduler.run(blocking=False)
             for node in self._nodes:
                 node.tick()
--- a/soak/target.py
+++ b/soak/target.py
@@ -10,6 +10,7 @@
 from http.server import BaseHTTPRequestHandler
 from socketserver import ThreadingTCPServer
 
+from roadpass import clock
 from soak.history import Arrival, History, Instance
 
 SICK_SHARE = 0.6
@@ -70,7 +71,7 @@
         if self.headers.get("Expected-Instance", instance.name) != instance.name:
             fault = "foreign"
         request = target.history.requests[self.headers["Request-Id"]]
-        request.arrivals.append(Arrival(time.monotonic(), instance, fault not in NOT_RUN))
+        request.arrivals.append(Arrival(clock.now(), instance, fault not in NOT_RUN))
         time.sleep(target.rng.uniform(*SLOW_S) if fault == "slow" else WORK_S)
         self.close_connection |= fault in ("reset-early", "reset-late", "hang", "garbled")
         body = answer_body(request.id, self.path)
--- a/stand_ins/caller.py
+++ b/stand_ins/caller.py
@@ -13,6 +13,7 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
+from roadpass import clock
 from roadpass.outcome import OUTCOME_HEADER, REASON_HEADER
 
 TIMEOUT_S = 20.0
@@ -67,7 +68,7 @@
 
     def run(self, loads: Sequence[Load], duration_s: float) -> list[Result]:
         """Send for a while and return every result."""
-        stop_at = time.monotonic() + duration_s
+        stop_at = clock.now() + duration_s
         threads = []
         for load in loads:
             for index in range(self._threads):
@@ -83,7 +84,7 @@
         """Send one request."""
         request_id = f"{self._prefix}{next(self._numbers)}"
         pool = self._rng.choice(self._pools)
-        started = intended if intended is not None else time.monotonic()
+        started = intended if intended is not None else clock.now()
         headers = {"X-Request": request_id, **dict(load.headers)}
         body = b"payload" if load.method == "POST" else None
         path = f"{load.path}?q={request_id}"
@@ -102,9 +103,9 @@
         interval = self._threads / load.rate
 
         def send_all() -> None:
-            next_at = time.monotonic() + interval * index / self._threads
+            next_at = clock.now() + interval * index / self._threads
             while next_at < stop_at:
-                pause = next_at - time.monotonic()
+                pause = next_at - clock.now()
                 if pause > 0.0:
                     time.sleep(pause)
                 self.send(load, intended=next_at)
@@ -130,7 +131,7 @@
 def _judge(
     request_id: str, route: str, path: str, started: float, response: urllib3.BaseHTTPResponse
 ) -> Result:
-    latency_s = time.monotonic() - started
+    latency_s = clock.now() - started
     outcome = response.headers.get(OUTCOME_HEADER, "direct")
     target, wrong = "", False
     if response.status == 200:
@@ -147,7 +148,7 @@
 
 
 def _lost(request_id: str, route: str, started: float, why: str) -> Result:
-    latency_s = time.monotonic() - started
+    latency_s = clock.now() - started
     return Result(request_id, route, 0, "lost", why, "", started, latency_s, False)
 
 
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -12,6 +12,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from roadpass import clock
 from roadpass.web import WebGateway, WebServer
 
 THREADS = 64
@@ -54,13 +55,13 @@
 
     def watch(self, after: int, wait_s: float) -> dict[str, Any] | None:
         """Wait for a manifest newer than a revision."""
-        deadline = time.monotonic() + wait_s
+        deadline = clock.now() + wait_s
         with self.lock:
             while True:
                 newest = self.newest()
                 if newest is not None and newest["revision"] > after:
                     return newest
-                left = deadline - time.monotonic()
+                left = deadline - clock.now()
                 if left <= 0.0 or self.down:
                     return None
                 self.lock.wait(left)
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -3,10 +3,10 @@
 import base64
 import json
 import threading
-import time
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from roadpass import clock
 from roadpass.web import WebGateway, WebServer
 
 THREADS = 16
@@ -71,7 +71,7 @@
 
     def watch(self, prefix: str, after: int, wait_s: float) -> dict[str, Any] | None:
         """Wait for events after a revision; `None` if that history is gone."""
-        deadline = time.monotonic() + wait_s
+        deadline = clock.now() + wait_s
         with self.changed:
             while True:
                 if after < self.history_from:
@@ -81,7 +81,7 @@
                     for event in self.events
                     if event["Revision"] > after and event["TlsKey"].startswith(prefix)
                 ]
-                left = deadline - time.monotonic()
+                left = deadline - clock.now()
                 if found or left <= 0.0:
                     return {"events": found, "AtRev": self.revision}
                 self.changed.wait(left)
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -45,14 +45,14 @@
     Mechanism(
         "an exchange with a peer is bounded as a whole",
         "roadpass/stream.py",
-        "settimeout(max(READ_MIN_S, deadline - time.monotonic()))\n            chunk",
+        "settimeout(max(READ_MIN_S, deadline - clock.now()))\n            chunk",
         "settimeout(FRAME_LIMIT_S)\n            chunk",
         "tests/test_peer.py",
     ),
     Mechanism(
         "a call to the store is bounded as a whole",
         "roadpass/platform/store.py",
-        "if time.monotonic() > until:",
+        "if clock.now() > until:",
         "if False:",
         "tests/test_platform.py",
     ),
@@ -139,8 +139,8 @@
     Mechanism(
         "the age of a frame counts against its deadline",
         "roadpass/sidecar.py",
-        "deadline = time.monotonic() + attempt.remaining_ms / 1000.0 - age_s",
-        "deadline = time.monotonic() + attempt.remaining_ms / 1000.0",
+        "deadline = clock.now() + attempt.remaining_ms / 1000.0 - age_s",
+        "deadline = clock.now() + attempt.remaining_ms / 1000.0",
         "tests/test_sidecar.py",
     ),
     Mechanism(
