--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -21,12 +21,12 @@
 from roadpass.drain import Drain
 from roadpass.errors import StreamError
 from roadpass.fleet import Fleet
-from roadpass.gossip import (
+from roadpass.gossip import Gossip
+from roadpass.gossip_messages import (
     Begin,
     Confirmed,
     CrashNews,
     Events,
-    Gossip,
     InForce,
     Leave,
     PlatformSeen,
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,7 +11,8 @@
 
 from roadpass import clock
 from roadpass.audit import AuditTrail
-from roadpass.gossip import Begin, CrashNews, Events, Gossip, Seed
+from roadpass.gossip import Gossip
+from roadpass.gossip_messages import Begin, CrashNews, Events, Seed
 from roadpass.member import Member, MemberState
 from roadpass.message import check_gossip
 from roadpass.metric import Metrics
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from roadpass.gossip import Begin, Gossip
+from roadpass.gossip import Gossip
+from roadpass.gossip_messages import Begin
 from roadpass.node import Node
 from roadpass.settings import Ports, Settings, StoreSettings
 
