--- a/soak/stage.py
+++ b/soak/stage.py
@@ -97,6 +97,8 @@
     def _apply(self, step: Step) -> None:
         node, target = self._nodes[step.node], self._targets[step.node]
         self._log.write(f"{clock.now():.3f} {step.fault} {node.name} {step.lasts_s:.2f} s\n")
+        if target.down and step.fault in ("drain", "crash"):
+            return
         match step.fault:
             case "term" | "term-repeated":
                 for delay_s in REPEATS_S if step.fault == "term-repeated" else (0.0,):
--- a/soak/target.py
+++ b/soak/target.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
+from math import inf
 from socketserver import ThreadingTCPServer
 
 from roadpass import clock
@@ -41,6 +42,8 @@
         self.instance, self.history, self.fault = instance, history, ""
         self.rng = random.Random(instance.name)
         self.open: set[socket.socket] = set()
+        self.down = False
+        self._ending = threading.Lock()
         self.on_end: Callable[[SoakTarget], None] = lambda target: None
         self._serve()
 
@@ -54,9 +57,12 @@
 
     def end(self) -> None:
         """End as a process does that is killed: no connection is taken from now on."""
-        with contextlib.suppress(OSError):  # two requests may end it at once
-            self.socket.shutdown(socket.SHUT_RDWR)
-            self.on_end(self)
+        with self._ending:
+            if self.down:
+                return
+            self.down = True
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.on_end(self)
         for sock in self.open.copy():
             _reset(sock)
 
@@ -68,6 +74,7 @@
         self.socket = socket.socket(self.address_family, self.socket_type)
         self.server_bind()
         self.server_activate()
+        self.down = False
         self._serve()
 
     def _serve(self) -> None:
@@ -98,8 +105,7 @@
         request = target.history.requests[self.headers["Request-Id"]]
         request.arrivals.append(Arrival(clock.now(), instance, fault not in NOT_RUN))
         if ENDING in self.path and fault not in NOT_RUN:
-            target.history.ends.append(request.arrivals[-1].at)
-            target.end()
+            self._end(target, request.arrivals[-1])
             return
         time.sleep(target.rng.uniform(*SLOW_S) if fault == "slow" else WORK_S)
         self.close_connection |= fault in ("reset-early", "reset-late", "hang", "garbled")
@@ -126,6 +132,15 @@
             case _:
                 self._reply(200, body)
 
+    def _end(self, target: SoakTarget, arrival: Arrival) -> None:
+        """End the target; one that leaves only loses the request, as it ends by a schedule."""
+        self.close_connection = True
+        if arrival.instance.left < inf:
+            _reset(self.connection)
+        else:
+            target.history.ends.append(arrival.at)
+            target.end()
+
     def _reply(self, status: int, body: bytes, headers: str = "", identity: str = "") -> None:
         identity = identity or self.headers["Request-Id"]
         head = f"HTTP/1.1 {status} Status\r\nRequest-Id: {identity}\r\n{headers}"
