--- a/roadpass/quarantine.py
+++ b/roadpass/quarantine.py
@@ -34,11 +34,11 @@
 VOID_KEPT_S = 30.0
 """Seconds for which a voided record is kept, so that all hear of the answer."""
 MAX_RECORDS = 512
-"""Fingerprints with ends that a node remembers, 0.2 MB; the least proved go first."""
+"""Fingerprints with ends that a node remembers, 0.3 MB; the least proved go first."""
 MAX_ANSWERS = 1024
-"""Fingerprints whose latest answer a sidecar remembers, 0.2 MB: the popular stay among them."""
+"""Fingerprints whose latest answer a sidecar remembers, 0.14 MB: the popular stay among them."""
 ROWS = 4
-"""Records on one datagram, some 90 bytes each: it has room for them beside members and hints."""
+"""Records on one datagram, under 90 bytes each: it has room for them beside members and hints."""
 HELD_ROWS = 2
 """Of these, how many that were told often enough: a node that starts hears the held ones so."""
 RENEWED_S = 1.0
