--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -80,7 +80,7 @@
 
     def acquire(self, address: Address, **_: Any) -> _Stream:
         peer = self._crowd.nodes.get(address[0])
-        if peer is None:
+        if peer is None or not self._crowd.hears(self._node, peer):
             raise ConnectError("No such node.")
         way_s = 0.0014 if peer.hall != self._node.hall else 0.0002
         return _Stream(self._crowd, peer, way_s)
@@ -312,12 +312,29 @@
 
     def _advance_to(self, at: float) -> None:
         self.world.advance(at - self.world.now, lambda: None)
+        if any(self.load.forgets):
+            self._forget()
         for node in self.nodes.values():
             if node.target.is_due(self.world.now):
                 self.restart(node.target)
             node.tick()
             self._gossip(node)
 
+    def hears(self, node: CrowdNode, peer: CrowdNode) -> bool:
+        """Tell whether two nodes reach each other now."""
+        begin, end = self.load.apart
+        return node.hall == peer.hall or not begin <= self.world.now - FIRST_S < end
+
+    def _forget(self) -> None:
+        """Let the nodes whose turn has come begin with nothing known of crashes."""
+        begin, end = self.load.forgets
+        nodes = list(self.nodes.values())
+        for number, node in enumerate(nodes):
+            at = FIRST_S + begin + (end - begin) * (number + 1) / len(nodes)
+            if at - TICK_S / 2.0 <= self.world.now < at + TICK_S / 2.0:
+                node.sidecar.quarantine._records.clear()
+                node.sidecar.quarantine._answers.clear()
+
     def _gossip(self, node: CrowdNode) -> None:
         """Let a node tell a few others what it knows of crashes, as datagrams do."""
         if not node.has_news and self.gossip_rng.random() > TICK_S:
@@ -327,6 +344,8 @@
         near = [one for one in self.nodes.values() if one.hall == node.hall and one is not node]
         peers = self.gossip_rng.sample(near, min(NEAR_TOLD, len(near)))
         for peer in (*peers, self.gossip_rng.choice(list(self.nodes.values()))):
+            if not self.hears(node, peer):
+                continue
             for row in node.sidecar.quarantine.rows(now):
                 with self.world.acting(peer.process):
                     peer.sidecar.quarantine.hear(now, row)
--- a/tests/load.py
+++ b/tests/load.py
@@ -69,6 +69,8 @@
         troubles: Of the targets.
         slack: Repeats of a service in ten seconds, beyond a fifth of its requests.
         halls: Data halls over which the targets are spread.
+        apart: Seconds between which data halls neither reach nor hear each other.
+        forgets: Seconds between which each node starts anew once, in turn, knowing nothing.
     """
 
     kinds: dict[str, Kind]
@@ -78,6 +80,8 @@
     troubles: tuple[Trouble, ...] = ()
     slack: float = 60.0
     halls: int = 1
+    apart: tuple[float, float] = (0.0, 0.0)
+    forgets: tuple[float, float] = (0.0, 0.0)
 
 
 class Told(NamedTuple):
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -12,7 +12,7 @@
 
 import functools
 
-from tests.crowd import Crowd
+from tests.crowd import FIRST_S, Crowd
 from tests.load import Kind
 from tests.loads import CRASHING, crashing
 
@@ -97,3 +97,21 @@
         for path in (PATH, ("/launch/second", b"")):
             assert reached_after(crowd, path) <= MOST_AFTER
         assert crowd.share("served", ["submit"], between=AFTERWARDS_S) >= 0.97, seed
+
+
+def test_data_halls_that_were_apart_know_of_it_once_they_are_joined() -> None:
+    """Each counts for itself meanwhile; what one holds then, or what several saw, all hold."""
+    apart_s = (0.5, 5.0)
+    for seed in SEEDS:
+        crowd = Crowd.run(crashing(seed)._replace(apart=apart_s), seed)
+        joined = [at - FIRST_S for at in crowd.reached[PATH] if at - FIRST_S > apart_s[1]]
+        assert sum(at > apart_s[1] + CONTACT_S for at in joined) <= MOST_AFTER
+        assert crowd.share("served", ["submit"], between=(apart_s[1] + CONTACT_S, 10.0)) >= 0.97
+
+
+def test_nodes_that_start_anew_learn_of_it_from_others() -> None:
+    """Every node forgets all once, one after the other, while the request goes on coming."""
+    for seed in SEEDS:
+        crowd = Crowd.run(crashing(seed)._replace(forgets=(3.5, 9.0)), seed)
+        assert len(crowd.crashed[PATH]) >= 3, "the load shows nothing"
+        assert reached_after(crowd) <= MOST_AFTER
