--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -362,6 +362,9 @@
 
     def _send(self, node: CrowdNode, name: str) -> None:
         kind, at = self.load.kinds[name], self.world.now
+        for other, one in self.load.kinds.items():
+            if one.beside == name:
+                self._send(node, other)
 
         def see_to_it() -> None:
             outcome = node.dispatch(name, at + kind.timeout_ms / 1000.0)
--- a/tests/load.py
+++ b/tests/load.py
@@ -22,6 +22,7 @@
         path: Of all its requests behind the route's, empty if each has its own.
         body: Of its requests.
         route: Kind on whose route it goes, empty for its own.
+        beside: Kind with each request of which one of its own is sent, to the same node.
     """
 
     service: str
@@ -37,6 +38,7 @@
     path: str = ""
     body: bytes = b""
     route: str = ""
+    beside: str = ""
 
 
 class Trouble(NamedTuple):
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -85,6 +85,18 @@
         assert served(crowd, "rare") >= 0.95, seed
 
 
+COMPANION = Kind("lab", 60.0, 300, 800, True, path="companion", route="launch", beside="crashing")
+"""Sent with each coming of the one that ends targets, at the same moment to the same node."""
+
+
+def test_a_request_that_always_comes_with_it_stays_served() -> None:
+    """Where both fall with one target, each is tried apart from then on."""
+    for seed in SEEDS:
+        crowd = played(seed, companion=COMPANION)
+        assert reached_after(crowd) <= MOST_AFTER
+        assert served(crowd, "companion") >= 0.9, seed
+
+
 AFTERWARDS_S = (4.0, 10.0)
 """When both are known and the first targets are back; before, up to all eight are away."""
 
