Let no question to a silent peer outlast the node that asks

The cause of requests cut by a stop, in a second place: a request whose last targets do not answer is given 0.6 s to connect and 0.6 s to a word, twice over, and a declared repeat asks one VM after the other whether its key is free. Both knew the request's deadline only, so a request that began to ask just before its node's last moment was still asking when the process ended. Now both are bounded by the end, with time left for the caller's answer.

Excluded: to ask no one from the last start on, since the question is what finds a free slot.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -294,7 +294,7 @@
         """Have every sidecar of the service vouch that a declared repeat's key never started."""
         vms = {target.vm for target in self._view.fleet.targets_of(trip.service.name)}
         for vm in sorted(vms):
-            left = trip.deadline - clock.now()
+            left = min(trip.deadline, self._view.ending.asks_until) - clock.now()
             if left < MIN_ATTEMPT_S:
                 return Unknown(Reason.KEY_USED)
             verdict = self._transport.fence_key(vm, trip.key, attempt_id, min(left, CONNECT_S))
--- a/roadpass/ending.py
+++ b/roadpass/ending.py
@@ -21,6 +21,11 @@
     def __init__(self) -> None:
         self.at = math.inf
 
+    @property
+    def asks_until(self) -> float:
+        """Clock seconds until which other nodes are asked for a request, or about it."""
+        return self.at - ANSWER_MIN_S / 2.0
+
     def last_start(self, usual_ms: float) -> float:
         """Return the clock seconds from which on a request is not started any more.
 
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -147,7 +147,9 @@
 
     def _try_open(self, address: Address, attempt: Attempt) -> "tuple[Stream | _Refusal, bool]":
         """Open one stream, and tell whether it was used before."""
-        left_s = attempt.remaining_ms / 1000.0
+        left_s = min(
+            attempt.remaining_ms / 1000.0, self._view.ending.asks_until - clock.now()
+        )  # a peer that is silent must not hold the request until this node has ended
         connect_s = min(PRESSING_S if attempt.pressing else CONNECT_S, left_s)
         check_s = min(PRESSING_S if attempt.pressing else CHECK_S, left_s)
         try:
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -1,5 +1,6 @@
 """What waits at a target when its node, or the one that asked, ends."""
 
+import socket
 import threading
 
 import pytest
@@ -7,10 +8,14 @@
 from roadpass import clock
 from roadpass.admission import Ticket
 from roadpass.ending import ANSWER_FACTOR, ANSWER_MIN_S, Ending
-from roadpass.fleet import TrafficClass
+from roadpass.fleet import Target, TrafficClass
 from roadpass.message import Attempt
 from roadpass.outcome import NotRun, Outcome, Reason
+from roadpass.peer import PeerPool
 from roadpass.slots import Slots
+from roadpass.transport import Transport
+from roadpass.view import PeerNode, View
+from tests.fake_sidecar import FakeSidecar, dispatcher
 from tests.test_sidecar import Bench, attempt, bench
 
 __all__ = ["bench"]
@@ -127,3 +132,18 @@
     late = bench.sidecar.run(attempt(7)).outcome
     assert isinstance(late, NotRun)
     assert late.reason is Reason.FENCED
+
+
+def test_a_silent_peer_does_not_hold_a_request_until_the_node_has_ended(
+    listener: socket.socket,
+) -> None:
+    """Where no other target is left a way is given two losses' time, a stop permitting."""
+    view = View("vm-2", "hall", "region")
+    target: Target = dispatcher(FakeSidecar([]))._view.fleet.targets["t0"]
+    address, port = listener.getsockname()
+    view.nodes[target.vm] = PeerNode(target.vm, address, port, "hall", "region")
+    transport = Transport(view, FakeSidecar([]), PeerPool({"t": "hello"}, ()))
+    view.ending.at = clock.now() + ANSWER_MIN_S
+    outcome = transport.send(target, attempt(1, pressing=True), None).outcome
+    assert isinstance(outcome, NotRun)
+    assert clock.now() < view.ending.at - 0.2
