Count an answer on its way to a peer as work in flight of a stop

A node that stops took itself for quiet half a second later and ended, while a large answer was still on a slow link; the caller elsewhere was told that its request may have run, though its answer was ready. Outcomes that may not be lost are counted until they are written. Refusals are not: they are short, and a leaving node gives them as long as peers ask, which would keep it from ever being quiet.

test_stream_server, 12 MB to a peer that does not read: in flight 0 before, 1 now until it is read.

--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -2,7 +2,6 @@
 
 import logging
 import socket
-import threading
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -10,6 +9,7 @@
 
 from roadpass import clock
 from roadpass.access import Access
+from roadpass.active_count import ActiveCount
 from roadpass.caller_answer import outcome_bytes, outcome_headers, own_answer, text_of
 from roadpass.caller_head import Head, RefusedError
 from roadpass.caller_limits import CallerLimits
@@ -45,30 +45,6 @@
 _log = logging.getLogger("roadpass.ingress")
 
 
-class ActiveCount:
-    """Counts what is under way, by any thread; entered once for each."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._count = 0
-
-    @property
-    def value(self) -> int:
-        """How many are under way."""
-        return self._count
-
-    def add(self, change: int) -> None:
-        """Count that one began or ended."""
-        with self._lock:
-            self._count += change
-
-    def __enter__(self) -> None:
-        self.add(1)
-
-    def __exit__(self, *_: object) -> None:
-        self.add(-1)
-
-
 class Desk(NamedTuple):
     """What all connections of an ingress work with.
 
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -8,7 +8,8 @@
 
 from roadpass._actor import Actor
 from roadpass.access import identify
-from roadpass.caller_connection import ActiveCount, CallerConnection, Desk
+from roadpass.active_count import ActiveCount
+from roadpass.caller_connection import CallerConnection, Desk
 from roadpass.dialect import OWN, Dialect
 from roadpass.metric import Metrics
 from roadpass.request import Request, Served
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -7,6 +7,7 @@
 
 from roadpass import clock
 from roadpass._generated.message_types import Fenced, Hello
+from roadpass.active_count import ActiveCount
 from roadpass.call_log import CallLog
 from roadpass.dialect import OWN, Dialect
 from roadpass.ending import Ending
@@ -38,6 +39,7 @@
 
     Attributes:
         calls: What became of the requests that this VM's targets may have made.
+        replies: Counts outcomes of attempts on their way back to peers.
     """
 
     def __init__(
@@ -67,11 +69,12 @@
         self._lock = threading.Lock()
         self.leaving = False
         self.refused = 0
+        self.replies = ActiveCount()
 
     @property
     def in_flight(self) -> int:
-        """Attempts that run or wait at all targets."""
-        return sum(local.in_flight for local in self._known())
+        """Attempts that run or wait at all targets, and outcomes on their way to peers."""
+        return sum(local.in_flight for local in self._known()) + self.replies.value
 
     @property
     def targets(self) -> dict[str, LocalTarget]:
--- a/roadpass/stream_server.py
+++ b/roadpass/stream_server.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from contextlib import nullcontext
 
 from roadpass._actor import Actor
 from roadpass.errors import StreamError
@@ -15,6 +16,9 @@
 """Streams held at once, each by a thread."""
 IDLE_LIMIT_S = 60.0
 """Seconds after which a stream without an exchange is closed."""
+OUTCOMES = ("answered", "unknown")
+"""Replies that a stop waits for until they are written: their attempts may have run, and large ones
+take seconds on a slow link. Refusals are short, and come as long as peers ask."""
 ACCEPT_POLL_S = 0.2
 """Seconds between looks at whether to stop listening."""
 
@@ -99,4 +103,6 @@
     def _answer_all(self, stream: Stream) -> None:
         while True:
             received = stream.receive(IDLE_LIMIT_S, rest_s=FRAME_LIMIT_S)
-            stream.send(self._sidecar.answer(received.message, received.age_s))
+            reply = self._sidecar.answer(received.message, received.age_s)
+            with self._sidecar.replies if reply["t"] in OUTCOMES else nullcontext():
+                stream.send(reply)
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -1,16 +1,57 @@
 """The server of peers' streams: it goes on accepting, whatever becomes of one connection."""
 
+import random
 import threading
+import time
 
 import pytest
 
+from roadpass.drain import QUIET_S
 from roadpass.errors import ConnectError
-from roadpass.message import Message
+from roadpass.message import LoadReport, Message, Reply
+from roadpass.outcome import Answered
 from roadpass.pause import PauseWatch
 from roadpass.settings import Ports, Settings
 from roadpass.sidecar import Sidecar
 from roadpass.stream import Stream
 from roadpass.stream_server import StreamServer
+from tests.calling import until
+
+ADDRESS = "127.0.44.1"
+HELLO: Message = {"t": "hello", "vm": "vm-2", "incarnation": 1}
+LARGE_BYTES = 12_000_000
+"""Of an answer that the buffers between two processes do not hold."""
+
+
+class AnsweringSidecar(Sidecar):
+    """Gives each attempt a large answer that does not compress."""
+
+    def answer(self, message: Message, age_s: float) -> Message:
+        load = LoadReport(0, 0, 1, 0.0, 0.0, 1.0, 1)
+        return Reply(Answered(200, [], random.Random(1).randbytes(LARGE_BYTES)), load).to_message()
+
+
+def test_an_answer_on_its_way_to_a_peer_is_in_flight() -> None:
+    """A node that stops meanwhile waits for it: its target has run the request.
+
+    Its slot is free by then, so nothing else counts it; on a slow link it takes seconds.
+    """
+    settings = Settings("vm-1", "hall", "region", ADDRESS, ADDRESS, Ports(0, 7802, 0, 0), "")
+    sidecar = AnsweringSidecar("vm-1", 7, PauseWatch(), pull=dict, behind=lambda *_: None)
+    ref = StreamServer.start(settings, sidecar)
+    ref.ask("whether it listens")
+    stream = Stream.connect((ADDRESS, settings.ports.stream), (), HELLO)
+    try:
+        assert sidecar.in_flight == 0
+        stream.send({"t": "fence", "id": "vm-2/1/1"})
+        until(lambda: sidecar.in_flight == 1)
+        time.sleep(QUIET_S)
+        assert sidecar.in_flight == 1
+        assert len(stream.receive(5.0).message["body"]) == LARGE_BYTES
+        until(lambda: sidecar.in_flight == 0)
+    finally:
+        stream.close()
+        ref.stop()
 
 
 def test_a_thread_that_cannot_be_started_ends_no_accepting(
@@ -21,8 +62,7 @@
     Seen on a machine whose threads were used up: the accept loop of a node ended with
     `RuntimeError: can't start new thread`, and no peer could open a stream to it any more.
     """
-    address = "127.0.44.1"
-    settings = Settings("vm-1", "hall", "region", address, address, Ports(0, 7801, 0, 0), "")
+    settings = Settings("vm-1", "hall", "region", ADDRESS, ADDRESS, Ports(0, 7801, 0, 0), "")
     sidecar = Sidecar("vm-1", 7, PauseWatch(), pull=dict, behind=lambda vm, revision: None)
     ref = StreamServer.start(settings, sidecar)
     ref.ask("whether it listens")
@@ -36,12 +76,11 @@
         start(thread)
 
     monkeypatch.setattr(threading.Thread, "start", start_but_for_the_first)
-    hello: Message = {"t": "hello", "vm": "vm-2", "incarnation": 1}
-    peer = (address, settings.ports.stream)
+    peer = (ADDRESS, settings.ports.stream)
     try:
         with pytest.raises(ConnectError):
-            Stream.connect(peer, (), hello)
-        Stream.connect(peer, (), hello).close()
+            Stream.connect(peer, (), HELLO)
+        Stream.connect(peer, (), HELLO).close()
     finally:
         ref.stop()
     assert len(refused) == 1
