Send back at once what waits at a target that is drained

What waited there when the target was told to leave, or was replaced, waited on for its turn, was refused then, and went elsewhere with less time, or with none. Now the target's slots send it back when it leaves.

--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -105,6 +105,15 @@
         self._evidence = Evidence(service.false_ejections_per_target_week, clock.now())
         self.leaving = target.leaving
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the target leaves, or has been replaced."""
+        return self._slots.leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        self._slots.leaving = leaving
+
     @property
     def in_flight(self) -> int:
         """Attempts that run or wait."""
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -43,6 +43,19 @@
         self._queued: dict[str, Ticket] = {}
         self._lock = lock
         self._ending = ending
+        self._leaving = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target leaves: nobody gets a slot any more."""
+        return self._leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        """Send back who waits: at its turn it would be refused, with less time to go elsewhere."""
+        self._leaving = leaving
+        if leaving:
+            _wake_all(list(self._queued.values()))
 
     @property
     def in_use(self) -> int:
@@ -84,9 +97,9 @@
             Why it got none, `None` if it has one, which is to be released.
         """
         now = clock.now()
-        if now >= self._ending.last_start(attempt.usual_ms):
-            return NotRun(Reason.LEAVING, RETRY_SOON_MS)
         with self._lock:
+            if self._leaving or now >= self._ending.last_start(attempt.usual_ms):
+                return NotRun(Reason.LEAVING, RETRY_SOON_MS)
             self._admission.set_limit(self._limit.value, self._limit.service_ms)
             decision = self._admission.offer(
                 now,
@@ -164,7 +177,7 @@
                 return None
             _wake_all(self._admission.abandon(clock.now(), ticket))
         now = clock.now()
-        if now >= last_start():
+        if self._leaving or now >= last_start():
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
         if now >= deadline:
             return NotRun(Reason.TOO_LATE, RETRY_SOON_MS)
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -10,7 +10,7 @@
 from roadpass.ending import ANSWER_FACTOR, ANSWER_MIN_S, Ending
 from roadpass.fleet import Target, TrafficClass
 from roadpass.message import Attempt
-from roadpass.outcome import NotRun, Outcome, Reason
+from roadpass.outcome import Answered, NotRun, Outcome, Reason
 from roadpass.peer import PeerPool
 from roadpass.slots import Slots
 from roadpass.transport import Transport
@@ -89,6 +89,37 @@
     assert slots.in_use == 0
 
 
+def test_what_waits_at_a_target_that_is_drained_is_sent_back_at_once(bench: Bench) -> None:
+    """It would be refused at its turn, when its time has gone by; a target that stays keeps it."""
+    bench.state.behaviour.median_ms = 900.0
+    outcomes: list[Outcome] = []
+
+    def run(number: int) -> None:
+        one = attempt(number, may_wait=True, most_wait_ms=9e3)
+        outcomes.append(bench.sidecar.run(one).outcome)
+
+    threads = [threading.Thread(target=run, args=(number,)) for number in range(3)]
+    for thread in threads:
+        thread.start()
+    slots = bench.sidecar.targets["t"]._slots
+    while bench.runs < 2 or slots.waiting < 1:
+        threading.Event().wait(0.001)
+    bench.configure(revision=3)
+    assert slots.waiting == 1
+    bench.configure(revision=4, leaving=True)
+    told_at = clock.now()
+    while not outcomes:
+        threading.Event().wait(0.001)
+    assert clock.now() - told_at < 0.3
+    assert isinstance(outcomes[0], NotRun)
+    assert outcomes[0].reason is Reason.LEAVING
+    for thread in threads:
+        thread.join()
+    assert bench.runs == 2
+    bench.configure(revision=5)
+    assert isinstance(bench.sidecar.run(attempt(9)).outcome, Answered)
+
+
 def test_a_slot_that_is_granted_at_the_same_moment_is_kept(monkeypatch: pytest.MonkeyPatch) -> None:
     """Whoever has a slot starts, or gives it back; it is not lost between the two."""
     ending = Ending()
