Tell a caller whose body is not whole when the node ends that its request did not run

A caller that uploads slowly met a closed connection at the stop's limit. It gets 503 and Retry-After now, while it can still read that; nothing of it has run. The wait looks up every 0.4 s, as that for a first byte does.

--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -17,6 +17,7 @@
 from roadpass.customer import Credential
 from roadpass.decision import decided
 from roadpass.dialect import OWN, Dialect
+from roadpass.ending import Ending
 from roadpass.fingerprint import fingerprint
 from roadpass.metric import Metrics, OutcomeKey
 from roadpass.outcome import (
@@ -36,7 +37,7 @@
 LINGER_S = 1.0
 """Seconds to read on after the last answer; closing over unread bytes would reset it away."""
 IDLE_STEP_S = 0.4
-"""Seconds between looks at whether the node is leaving, while a connection is idle."""
+"""Seconds between looks at whether the node is leaving, while nothing comes on a connection."""
 READ_MIN_S = 0.001
 """Seconds a read waits at least; zero would mean not to wait at all and is an error here."""
 
@@ -54,6 +55,7 @@
         leaving: Returns whether connections should end.
         metrics: Counts outcomes.
         active: Counts requests that are being answered.
+        ending: When this process ends.
         dialect: Header names towards callers.
         caller_header: Header that names the caller.
         origin: Service of the VM at which requests begin, empty if unknown.
@@ -65,6 +67,7 @@
     leaving: Callable[[], bool]
     metrics: Metrics
     active: ActiveCount
+    ending: Ending
     dialect: Dialect = OWN
     caller_header: str = ""
     origin: str = ""
@@ -206,10 +209,14 @@
 
     def _feed(self, until: float) -> int:
         """Give the codec what comes; return how many bytes came."""
-        left_s = until - clock.now()
-        data = self._receive(left_s) if left_s > 0 else None
-        if data is None:
-            raise RefusedError(408, Reason.BAD_REQUEST)
+        data: bytes | None = None
+        while data is None:
+            now, last_start = clock.now(), self._desk.ending.last_start(0.0)
+            if now >= last_start:  # told while it still can be: nothing of it has run
+                raise RefusedError(503, Reason.LEAVING)
+            if now >= until:
+                raise RefusedError(408, Reason.BAD_REQUEST)
+            data = self._receive(min(IDLE_STEP_S, until - now, last_start - now))
         self._codec.receive_data(data)
         return len(data)
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -11,6 +11,7 @@
 import pytest
 
 from roadpass import caller_connection, clock, ingress
+from roadpass.ending import ANSWER_MIN_S
 from roadpass.outcome import Answered
 from roadpass.request import Request, Served
 from tests.calling import (
@@ -18,6 +19,7 @@
     WAIT_S,
     Bench,
     opened,
+    post,
     until,
     watch_of,
 )
@@ -169,6 +171,19 @@
         assert caller.rest() == b""
 
 
+def test_a_body_that_is_not_whole_when_the_node_ends_is_told_so(bench: Bench) -> None:
+    """Its request has not run; a caller that sends slowly would else meet a closed connection."""
+    caller = bench.caller()
+    caller.send(post(b"x" * 50)[:-20])
+    until(lambda: bench.active == 1)
+    bench.view.leaving = True
+    bench.view.ending.at = clock.now() + ANSWER_MIN_S + 0.2
+    reply = caller.reply()
+    assert (reply.status, reply.header("Connection")) == (503, "close")
+    assert clock.now() < bench.view.ending.at - 0.2
+    assert not bench.requests
+
+
 class _Starved(caller_connection.CallerConnection):
     """A connection whose thread does not come to read."""
 
