Let the parts of a limit that nodes admit by themselves add up to no more than one

A node that does not hear a customer's owner admits its part of the limit: the greater of what the owner last told it and an even part. Told parts follow each node's last second and differ by chance, so the sum of the greater ones was nearly twice the whole. It is the mean of both now, which adds up to one; a node that was never told anything takes the even part.

Without the exception for nodes that were told nothing the test of one that is by itself fails.

--- a/roadpass/quota_gate.py
+++ b/roadpass/quota_gate.py
@@ -140,8 +140,9 @@
         return reports
 
     def _admits(self, now: float, demand: _Demand, fleet_size: int) -> bool:
-        part_per_s = max(demand.part_per_s, demand.limit.lasting_per_s / max(1, fleet_size))
-        part_per_s *= LONE_SHARE
+        even_per_s = demand.limit.lasting_per_s / max(1, fleet_size)
+        told_per_s = demand.part_per_s if demand.heard else even_per_s
+        part_per_s = LONE_SHARE * (told_per_s + even_per_s) / 2.0  # adds up to one over the fleet
         earned = (now - demand.tokens_at) * part_per_s
         demand.tokens = min(max(DEPTH, part_per_s), demand.tokens + earned)
         demand.tokens_at = now
