Give up silent peers and dark targets in time to tell callers before the node ends

Callers saw a closed connection at the end of their node's stop, for requests that no target had: beside a VM that stands still nobody took them back, and a target that takes no connection held them as started for up to a second.

An attempt whose sidecar says no word when it is asked back, several times, is given up 0.3 s before the end; its caller is told that it may have run. One of whose start the sidecar knows is left alone. A connection to a target of the same VM is given 0.3 s: the kernel makes it in a millisecond, or tries again a second later. Questions have 0.25 s to a word, and 0.9 s before the end to be asked.

Excluded: to tell callers of what runs, which would put a word of our own in place of an answer.

--- a/roadpass/ending.py
+++ b/roadpass/ending.py
@@ -2,9 +2,11 @@
 
 import math
 
-ANSWER_MIN_S = 0.6
+ANSWER_MIN_S = 0.9
 """Seconds that a request needs at the least from its start at a target to an answer that its caller
-has read; also those in which a word that it did not run gets there."""
+has read; also those in which peers are asked, several times, to take back what waits there."""
+TELL_S = 0.3
+"""Seconds in which a word on a request gets to its caller."""
 ANSWER_FACTOR = 1.5
 """How many times its usual time it is given: of two that were given their usual time just one would
 be answered, and a caller learns nothing from the other."""
@@ -24,7 +26,7 @@
     @property
     def asks_until(self) -> float:
         """Clock seconds until which other nodes are asked for a request, or about it."""
-        return self.at - ANSWER_MIN_S / 2.0
+        return self.at - TELL_S
 
     def last_start(self, usual_ms: float) -> float:
         """Return the clock seconds from which on a request is not started any more.
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -80,7 +80,17 @@
 
 @dataclass(slots=True)
 class Pending:
-    """An attempt under way; `looks` counts how often it was found to be pending too long."""
+    """An attempt under way.
+
+    Args:
+        service: Of its route.
+        target: To which it was sent.
+        since: Clock seconds at which it was.
+        vm: Of the target.
+        usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
+        looks: How often it was found to be pending for too long.
+        is_spoken_for: Whether its target's sidecar has said a word when it was asked back.
+    """
 
     service: str
     target: str
@@ -88,6 +98,7 @@
     vm: str = ""
     usual_ms: float = 0.0
     looks: int = 0
+    is_spoken_for: bool = False
 
 
 class Way(NamedTuple):
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -36,8 +36,9 @@
     "TargetTimeoutError",
 ]
 
-CONNECT_LIMIT_S = 1.0
-"""Seconds to connect; a target in the same fleet that takes longer is as good as down."""
+CONNECT_LIMIT_S = 0.3
+"""Seconds to connect; the target is on the same VM, where the kernel connects in a millisecond or
+drops the packet and tries again a second later. It counts as started all that time."""
 LOOK_LIMIT_S = 0.05
 """Seconds to find out whether a target of this VM takes connections: a refusal comes at once."""
 MAX_IDLE = 32
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections.abc import Callable
 from typing import NamedTuple
 
 from roadpass import clock
@@ -26,6 +27,8 @@
 REPLY_REST_S = 0.3
 """Seconds from its first byte to its last that a reply may take although its time is over: a ready
 answer is delivered, and its route's time is passed by less than half a second."""
+RECALL_S = 0.25
+"""Seconds to a word on attempts that are asked back: busy nodes take some ten times 3 ms."""
 CONNECT_S = 0.12
 """Seconds to connect: within a region it takes 3 ms, and a second if the first packet is lost."""
 CHECK_S = 0.09
@@ -67,6 +70,7 @@
         self._view = view
         self._sidecar = sidecar
         self._peers = peers
+        self._streams: dict[str, Stream] = {}
 
     def send(self, target: Target, attempt: Attempt, watch: CallerWatch | None) -> Reply:
         """See one attempt to its end; whatever fails, the reply says what is known.
@@ -100,24 +104,36 @@
             self._metrics.count(f"far_{kind}s")
             self._metrics.count(f"far_{kind}_bytes", carried)
 
-    def recall(self, vm: str, attempt_ids: list[str]) -> None:
-        """Ask a VM's sidecar not to start attempts; their own replies tell what became of them."""
+    def recall(self, vm: str, attempt_ids: list[str], heard: Callable[[], None]) -> None:
+        """Ask a VM's sidecar not to start attempts; their own replies tell what became of them.
+
+        Args:
+            vm: The sidecar's.
+            attempt_ids: Which ones.
+            heard: Called by another thread if the sidecar says a word.
+        """
         address = self._address(vm)
         if address is None:
             return
         message: Recall = {"t": "recall", "ids": attempt_ids}
-        threading.Thread(target=self._recall, args=(address, message), daemon=True).start()
+        threading.Thread(target=self._recall, args=(address, message, heard), daemon=True).start()
 
-    def _recall(self, address: Address, message: Recall) -> None:
+    def _recall(self, address: Address, message: Recall, heard: Callable[[], None]) -> None:
+        count = len(message["ids"])
         try:
-            word = self._peers.exchange(address, message, timeout_s=FENCE_S)
+            word = self._peers.exchange(address, message, timeout_s=RECALL_S)
         except StreamError as error:
-            _log.info(
-                "nobody at %s takes %d attempts back: %s", address, len(message["ids"]), error
-            )
+            _log.info("nobody at %s takes %d attempts back: %s", address, count, error)
             return
+        heard()
         decided("transport", "recalled", asked=message["ids"], never_start=word.get("ids"))
 
+    def give_up(self, attempt_id: str) -> None:
+        """Wait no longer for the reply to an attempt: the stream on which it is awaited ends."""
+        stream = self._streams.get(attempt_id)
+        if stream is not None:
+            stream.shutdown()
+
     def fence_key(self, vm: str, key: str, token: str, timeout_s: float) -> Verdict:
         """Have a VM's sidecar promise that only the attempt `token` may start with a key."""
         if vm == self._view.vm:
@@ -176,6 +192,7 @@
     ) -> Reply:
         wait_s = attempt.remaining_ms / 1000.0 + REPLY_GRACE_S
         until = clock.now() + wait_s
+        self._streams[attempt.id] = stream
         try:
             stream.send(attempt.to_message(), timeout_s=wait_s)
             left_s = max(0.0, until - clock.now())
@@ -184,6 +201,8 @@
         except StreamError as error:
             stream.close()
             return Reply(self._after_loss(address, attempt, stream.peer_incarnation, error))
+        finally:
+            del self._streams[attempt.id]
         self._peers.release(address, stream)
         return reply
 
