Have an ingress that knows of three ends send the request on, which fails: it does not stop

A request that ends its targets waits at a door, or is sent back by it: the target is drained, full, or the wait took too long. Meanwhile its ingress hears that three targets ended under it. It is asked for at the next doors all the same, up to 40 of them; the first that has not heard lets it through, and a fourth target ends. Cause: the ingress looks once, when a request comes, and after an attempt that may have run; not after one that did not.

--- a/tests/test_deadly.py
+++ b/tests/test_deadly.py
@@ -9,9 +9,11 @@
 import threading
 from collections.abc import Callable
 
+import pytest
+
 from roadpass import clock
 from roadpass.message import Attempt, Reply
-from roadpass.outcome import RETRY_SOON_MS, Answered, NotRun, Outcome, Reason
+from roadpass.outcome import RETRY_SOON_MS, Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.quarantine import ENDS, Row
 from roadpass.request import CallerWatch
 from tests.fake_sidecar import FakeSidecar, dispatcher, request
@@ -111,6 +113,34 @@
         return super().run(attempt, age_s, watch)
 
 
+LOST = Unknown(Reason.TARGET_LOST)
+
+
+@pytest.mark.parametrize("why", [Reason.LEAVING, Reason.BUSY, Reason.QUEUE_FULL, Reason.FENCED])
+@pytest.mark.parametrize(
+    ("method", "before"),
+    [("GET", []), ("POST", []), ("GET", [LOST])],
+    ids=["repeatable", "not repeatable", "lost before"],
+)
+def test_what_is_sent_back_is_not_sent_on_by_an_ingress_that_knows(
+    method: str, before: list[Outcome], why: Reason
+) -> None:
+    """The next door may not have heard yet; what was lost before is not told as not run.
+
+    What was seen: an ingress that had heard of three ends sent the request on all the same, to up
+    to 40 doors, and the first that had not heard let it through.
+    """
+    sidecar = DrainedSidecar(*before, NotRun(why, RETRY_SOON_MS))
+    outcome = dispatcher(sidecar).dispatch(request(method, fingerprint=WORK)).outcome
+    assert len(sidecar.attempts) == len(before) + 1
+    if before:
+        assert outcome == LOST
+        return
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason is Reason.QUARANTINED
+    assert outcome.retry_after_ms > 1000
+
+
 def test_another_request_that_is_sent_back_goes_elsewhere() -> None:
     """As any does of which nothing is known."""
     sidecar = DrainedSidecar(NotRun(Reason.LEAVING, RETRY_SOON_MS))
