Have a peer promise never to start an attempt whose reply is lost, which fails: nobody is told

Seen: the word on a recall is logged and dropped; the caller waits for the attempt's own reply until its node ends, and meets a closed connection, though the node holds the proof that nothing ran. Cause: `Transport._recall` wakes nobody; frame and reply go over another connection than the recall, which may be lost, slow, or closed to this side. Excluded: that the peer refuses the recall (its word names the attempt).

--- a/tests/test_stop_order.py
+++ b/tests/test_stop_order.py
@@ -1,24 +1,123 @@
 """A stop meets a request in whatever order their steps come."""
 
+import itertools
 import signal
 import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from roadpass import clock
-from roadpass.message import Attempt
+from roadpass.ending import ANSWER_MIN_S
+from roadpass.fleet import Target
+from roadpass.message import Attempt, Message, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Reason
+from roadpass.pause import PauseWatch
+from roadpass.peer import PeerPool
+from roadpass.settings import Ports, Settings
+from roadpass.sidecar import Sidecar
+from roadpass.stream_server import StreamServer
+from roadpass.transport import Transport
+from roadpass.view import PeerNode, View
+from tests.fake_sidecar import FakeSidecar, dispatcher
 from tests.stopping import GRACE_S, Asked, Stopping, wait_until
 from tests.test_sidecar import Bench, attempt, bench
 from tests.test_stop import RUNS_ON_S, assert_sent_back, waits
 
 __all__ = ["bench"]
 
+ADDRESS = "127.0.44.2"
+HELLO: Message = {"t": "hello", "vm": "vm-2", "incarnation": 1}
 PAUSED_UNTIL_S = GRACE_S - 0.7
 """Seconds from SIGTERM: later than what waits is usually sent back."""
+_PORTS = itertools.count(7811)
+
+
+class Peer(Sidecar):
+    """A peer whose word and whose taking of an attempt wait until a test lets them."""
+
+    def __init__(self) -> None:
+        super().__init__("vm-1", 7, PauseWatch(), pull=dict, behind=lambda *_: None)
+        self.agrees = threading.Event()
+        self.arrives = threading.Event()
+        self.asked = threading.Event()
+        self.attempts: list[str] = []
+
+    def answer(self, message: Message, age_s: float) -> Message:
+        match message["t"]:
+            case "check":
+                self.asked.set()
+                self.agrees.wait(10.0)
+                return {"t": "accepted"}
+            case "attempt":
+                self.attempts.append(message["id"])
+                self.arrives.wait(10.0)
+                return Reply(Answered(200, [], b"ok")).to_message()
+            case _:
+                return super().answer(message, age_s)
+
+
+class Way:
+    """An ingress with a transport, and its peer behind a stream."""
+
+    def __init__(self, port: int) -> None:
+        self.peer = Peer()
+        settings = Settings("vm-1", "hall", "region", ADDRESS, ADDRESS, Ports(0, port, 0, 0), "")
+        self.ref = StreamServer.start(settings, self.peer)
+        self.ref.ask("whether it listens")
+        self.view = View("vm-2", "hall", "region")
+        self.target: Target = dispatcher(FakeSidecar([]))._view.fleet.targets["t0"]
+        self.view.nodes["vm-1"] = PeerNode("vm-1", ADDRESS, port, "hall", "region")
+        self.transport = Transport(self.view, FakeSidecar([]), PeerPool(HELLO, ()))
+        self.outcomes: list[Outcome] = []
+
+    def send(self, number: int, **changes: object) -> threading.Thread:
+        """Send an attempt from a thread of its own."""
+        one = attempt(number, **changes)
+
+        def run() -> None:
+            self.outcomes.append(self.transport.send(self.target, one, None).outcome)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        return thread
+
+    def close(self) -> None:
+        self.peer.agrees.set()
+        self.peer.arrives.set()
+        self.ref.stop()
+
+
+@pytest.fixture
+def way() -> Iterator[Way]:
+    """Open a way to a peer."""
+    made = Way(next(_PORTS))
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+def wait_for(holds: Any) -> None:
+    """Wait a short while for something."""
+    limit = clock.now() + 5.0
+    while not holds():
+        assert clock.now() < limit, "it never came about"
+        threading.Event().wait(0.002)
+
+
+def test_what_a_peer_promised_never_to_start_is_told_its_caller(way: Way) -> None:
+    """Its frame may still be on the way, or its reply lost: the word on the recall is proof."""
+    way.peer.agrees.set()
+    thread = way.send(1)
+    wait_for(lambda: way.peer.attempts)
+    way.view.ending.at = clock.now() + ANSWER_MIN_S
+    way.transport.recall("vm-1", ["vm-2/1/1"])
+    thread.join(ANSWER_MIN_S)
+    assert way.outcomes == [NotRun(Reason.LEAVING, 500)]
 
 
 def test_a_recall_before_the_frame_is_there(bench: Bench) -> None:
