Test that a read that comes while its node stops is sent back, as the record shows reads

Cause: what waits was tested with requests sent before SIGTERM; of those only what must not repeat was cut, as a read's attempt was limited to its objective then, and its caller was told 503. Excluded: that reads were never cut. Conclusion: the record's reads are cut by the same cause if they came after SIGTERM, or when their service had no repeat left (not run); which it was, the record does not tell.

--- a/tests/test_stop_order.py
+++ b/tests/test_stop_order.py
@@ -31,6 +31,8 @@
 
 ADDRESS = "127.0.44.2"
 HELLO: Message = {"t": "hello", "vm": "vm-2", "incarnation": 1}
+COMES_S = 0.5
+"""Seconds from SIGTERM: callers are still served."""
 PAUSED_UNTIL_S = GRACE_S - 0.7
 """Seconds from SIGTERM: later than what waits is usually sent back."""
 _PORTS = itertools.count(7811)
@@ -182,6 +184,21 @@
     return asked
 
 
+@pytest.mark.parametrize("node", [0, 1])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_what_comes_while_its_node_stops_and_waits_is_sent_back(
+    pair: Stopping, node: int, method: str
+) -> None:
+    """A node that stops has no repeat to offer, so no objective ends the wait of a read."""
+    pair.ask_target(1, 1, "POST", RUNS_ON_S, "runs")
+    told_at = pair.tell_to_stop(node)
+    threading.Event().wait(COMES_S)
+    asked = pair.ask(node, method, 0.0, "queued")
+    wait_until(lambda: waits(pair, node, "queued"), 2.0)
+    assert_sent_back(asked, told_at)
+    assert "queued" not in pair.targets[1].came
+
+
 def test_both_nodes_stop(pair: Stopping) -> None:
     """The one with the caller and the one with the queue."""
     asked = queued(pair)
