Have the fault soak see requests that a stop cuts, and excuse only what a target is at work on

The soak missed that stopped nodes cut requests which they had read and no target had. Cause: its callers gave up after 1.5 s while its nodes had eight to stop, so that no request met the end of a node's time; and a cut later than 7 s after SIGTERM was excused, whether a target had the request or not.

Now two callers a target are patient (15 s), with requests that take up to six seconds or hang; targets have two slots, and a fourth of them has more such requests than slots, so that they wait there and from other VMs; nodes have six seconds and are killed at their end. Checks, each as strict or stricter: a cut counts unless a target was at work on the request in the last sixth of the grace time and it was sent within 3 s of SIGTERM, or its node was killed then, or paused into the last third of its stop; a node that is there at the end of the grace time without a pause is a finding, and an end with 1 without work at a target; so is a failure of the node's own in place of the answer of a target at work. A target of which all slots are at work is not taken for one that gets no requests: with requests of seconds it is just full.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,7 +48,12 @@
     """Play one soak; told to stop, it ends the nodes as well."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
-    for name, kind, value in (("seed", int, 1), ("seconds", float, 15.0), ("processes", int, 5)):
+    for name, kind, value in (
+        ("seed", int, 1),
+        ("seconds", float, 15.0),
+        ("processes", int, 5),
+        ("net", int, 60),
+    ):
         parser.add_argument(f"--{name}", type=kind, default=value)
     parser.add_argument("--ending", action="store_true", help="with a request that ends targets")
     parser.add_argument("--logs", type=Path, help="folder for logs, kept in any case")
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -16,9 +16,14 @@
 
 HOST = "soak.example"
 ROUTES = {"a": "GET", "b": "POST", "c": "GET", "d": "POST"}
-"""Method by route; a route's requests are repeatable if it is GET."""
-DEADLINE_MS, ANSWER_LIMIT_S = 1500, 6.0
-"""For an answer: the request's own, and with what a pause of three seconds adds to it."""
+LONG_ROUTES = {"e": "GET", "f": "POST", "g": "GET", "h": "POST"}
+"""Method by route; a route's requests are repeatable if it is GET. Those of long routes take
+seconds or hang, and their callers wait longer than a node that stops may take."""
+DEADLINE_S, LONG_DEADLINE_S, PAUSED_S = 1.5, 15.0, 4.5
+"""For an answer: the requests' own, and what a pause of three seconds adds to it."""
+LONG_WORK_S, LONGEST_WORK_S, HANG_S = (0.2, 2.0), (2.0, 6.0), 30.0
+LONGEST_SHARE, HANG_SHARE = 0.25, 0.08
+"""How long a target is at work on a request of a long route, and how many take so long."""
 FRESH_SHARE = 0.15
 """Share of requests for which a kept connection is given up, so that new ones are seen too."""
 NEVER_SHARE, PASSING_SHARE = 0.04, 0.1
@@ -29,6 +34,8 @@
 class Caller(threading.Thread):
     """Sends requests until `stopped` is set, to nodes that are offered or still connected."""
 
+    routes, deadline_s = ROUTES, DEADLINE_S
+
     def __init__(self, name: str, history: History, nodes: list[SoakNode], seed: int) -> None:
         super().__init__(name=name, daemon=True)
         self.stopped = threading.Event()
@@ -37,6 +44,7 @@
         self._key_rng = random.Random(f"{seed} {name} keys")
         self._customer = self._key_rng.choice(CUSTOMERS)
         self._kept: dict[Life, http.client.HTTPConnection] = {}
+        self._patience_s = self.deadline_s + PAUSED_S
 
     def run(self) -> None:
         """Send until stopped."""
@@ -61,7 +69,7 @@
             if kept and self._rng.random() > FRESH_SHARE and not _is_closed(kept.sock):
                 return kept
             if life in self._offered():
-                made = http.client.HTTPConnection(*life.address, timeout=ANSWER_LIMIT_S)
+                made = http.client.HTTPConnection(*life.address, timeout=self._patience_s)
                 made.connect()
                 return made
         return None
@@ -69,13 +77,18 @@
     def _ask(self, life: Life, connection: http.client.HTTPConnection, identity: str) -> bool:
         """Send a request and note its end; return whether the connection is kept."""
         route, path = self._work(identity)
-        method = ROUTES[route]
+        method = self.routes[route]
         whose, key = self._key()
-        headers = {"Host": HOST, "Request-Id": identity, "Deadline-Ms": str(DEADLINE_MS)}
+        headers = {
+            "Host": HOST,
+            "Request-Id": identity,
+            "Deadline-Ms": f"{self.deadline_s * 1000:.0f}",
+        }
         headers |= {"Authorization": f"Token {key}", "Tenant-Id": "somebody-else"}
         body = b"y" * self._rng.randrange(MAX_BODY_BYTES) if method == "POST" else None
         request = Request(identity, route, method == "GET", life, clock.now(), path=path)
         request.customer, request.key = whose, key
+        request.work_s, request.limit_s = self._work_s(), self.deadline_s
         self._history.requests[identity] = request
         try:
             connection.request(method, path, body, headers)
@@ -103,9 +116,26 @@
 
     def _work(self, identity: str) -> tuple[str, str]:
         """Return the route and the path of the next request."""
-        route = self._rng.choice(list(ROUTES))
+        route = self._rng.choice(list(self.routes))
         return route, f"/{route}/{identity}?q={self._rng.randrange(100)}"
 
+    def _work_s(self) -> float:
+        """Return how long the target of the next request is at work, 0 for its usual time."""
+        return 0.0
+
+
+class PatientCaller(Caller):
+    """Sends requests that take seconds or hang, and waits for their answers."""
+
+    routes, deadline_s = LONG_ROUTES, LONG_DEADLINE_S
+
+    def _work_s(self) -> float:
+        drawn = self._rng.random()
+        if drawn < HANG_SHARE:
+            return HANG_S
+        most = drawn < HANG_SHARE + LONGEST_SHARE
+        return self._rng.uniform(*(LONGEST_WORK_S if most else LONG_WORK_S))
+
 
 class EndingCaller(Caller):
     """Sends one request again and again that ends each target that runs it."""
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -8,7 +8,7 @@
 
 from soak.customer import BURST, LIMITED, OVER, RATE_PER_S, SLACK, passing_key
 from soak.customer import WINDOW_S as WINDOW
-from soak.history import CLOSED, GARBLED, LATE, STORE, History, Instance, Life, Request
+from soak.history import CLOSED, GARBLED, LATE, STORE, Arrival, History, Instance, Life, Request
 from soak.target import ENDING
 
 IN_FORCE_S, SETTLED_S = 2.0, 3.0
@@ -18,8 +18,17 @@
 where a close crosses a request, which takes 1 ms else, so that nobody reads it."""
 NOT_RUN, OWN_BODY, NO_BODY = (400, 401, 404, 408, 413, 421, 429, 503), (200, 500), (503, 504)
 """Statuses that say "not run", and those of sound requests with the target's body or without."""
-STOP_LIMIT_S, STOP_MARGIN_S = 8.0, 1.0
-"""Stop limit of the nodes, and what they keep of it; a stop held up beyond may cut."""
+OWN_FROM, EARLY_S = 500, 0.2
+"""Lowest status of a failure, and how long before the end of its time a request may be given up."""
+ROUTE_LIMIT_S = dict.fromkeys("abcd", 2.0)
+"""Seconds after which routes end requests, where these are not more patient than their callers."""
+GRACE_S = 6.0
+"""From SIGTERM to SIGKILL; the nodes' stop limit."""
+LAST_S, SENT_S, PAUSED_S = GRACE_S * 5.0 / 6.0, 3.0, GRACE_S * 2.0 / 3.0
+"""Seconds after SIGTERM: from the first on what a target is at work on may be cut, if it was sent
+by the second; a pause that lasts beyond the third leaves too little time to end in order."""
+SLOTS = 2
+"""Of each target."""
 ENDS = 3
 """Targets that a request may end before it must be known."""
 MIN_SHARE, WINDOW_S, ENOUGH = 0.7, 2.0, 10
@@ -68,15 +77,62 @@
         yield "at most once"
     if runs and not lost and request.status in NOT_RUN:
         yield "not run"
-    held_up = request.told >= life.stopping + STOP_LIMIT_S - STOP_MARGIN_S
     was_read = bool(request.arrivals or request.status) or took_s > CROSSING_S
-    if lost == CLOSED and was_read and not (life.killed or held_up):
+    if lost == CLOSED and was_read and not _may_cut(history, request):
         yield "cut"
-    for at, instance, *_ in request.arrivals:
+    if _is_replaced(history, request) and not _may_cut(history, request):
+        yield "replaced"
+    for arrival in request.arrivals:
+        at, instance = arrival.at, arrival.instance
         if at > instance.left and at > due(history, instance.left, STORE, instance.node):
             yield "leaving"
 
 
+def _may_cut(history: History, request: Request) -> bool:
+    """Tell whether a request that a node has read may end without its answer."""
+    life = request.life
+    killed = life.killed and request.told >= life.ended - SLACK_S
+    if killed or _held_up(history, life):
+        return True
+    last = life.stopping + LAST_S
+    at_work = any(a.ran and a.at <= request.told and a.done >= last for a in request.arrivals)
+    return at_work and request.told >= last and request.asked <= life.stopping + SENT_S
+
+
+def _held_up(history: History, life: Life) -> bool:
+    """Tell whether a pause left a node too little time to stop in order."""
+    since = life.stopping + PAUSED_S
+    return _disturbed(history, since, life.ended, life.node, what="pause")
+
+
+def _is_replaced(history: History, request: Request) -> bool:
+    """Tell whether a node that stops has put an answer in place of a target's that is at work.
+
+    Only the target's word, the request's own deadline, or the loss of the node beside the target
+    make that right.
+    """
+    stopping, told = request.life.stopping, request.told
+    over = request.asked + min(request.limit_s, ROUTE_LIMIT_S.get(request.route, math.inf))
+    own = request.status >= OWN_FROM and not request.whole
+    if not own or told < stopping or told >= over - EARLY_S:
+        return False
+    return any(
+        a.ran
+        and (a.done > told or (a.cut and a.done >= stopping))
+        and not _is_lost(history, request, a)
+        for a in request.arrivals
+    )
+
+
+def _is_lost(history: History, request: Request, arrival: Arrival) -> bool:
+    """Tell whether the node beside a target was away while that was at work for another node."""
+    node, until = arrival.instance.node, request.told + SLACK_S
+    if _disturbed(history, arrival.at, until, node, request.life.node, what="pause"):
+        return True
+    lives = [o for o in history.lives if o.node == node and o is not request.life]
+    return any(arrival.at <= life.ended <= until for life in lives)
+
+
 def _sound_statuses(history: History, request: Request) -> tuple[int, ...]:
     """Return the statuses that a request may be told, by its key and its customer's limit."""
     if request.whole:
@@ -136,10 +192,32 @@
 def _ends(history: History) -> Iterator[Finding]:
     """A node ends only when told to, cleanly and in time."""
     for life in history.lives:
-        held_up = _disturbed(history, life.stopping, life.ended, life.node, what="pause")
-        clean = life.stopping <= life.ended < math.inf and (life.code == 0 or held_up)
+        held_up = _held_up(history, life)
+        if life.overdue:  # a node gives its work the time back in which it stood still
+            held_up = _disturbed(history, life.stopping, life.ended, life.node, what="pause")
+        in_order = life.code == 0 or (life.code == 1 and _has_work(history, life))
+        clean = life.stopping <= life.ended < math.inf and (in_order or held_up)
         if not (life.killed or clean):
-            yield Finding(life.ended, "end", life.node, "", f"ended with {life.code}")
+            what = "was still there after its grace time" if life.overdue else "ended"
+            after = f"{life.ended - life.stopping:.2f} s after SIGTERM"
+            yield Finding(life.ended, "end", life.node, "", f"{what}, {life.code}, {after}")
+
+
+def _has_work(history: History, life: Life) -> bool:
+    """Tell whether a target was at work at the end of a stop, beside a node or for its callers."""
+    last = life.stopping + LAST_S
+    return any(
+        arrival.ran and arrival.at <= life.ended and arrival.done >= last
+        for request in history.requests.values()
+        for arrival in request.arrivals
+        if life in (request.life, _beside(history, arrival))
+    )
+
+
+def _beside(history: History, arrival: Arrival) -> Life | None:
+    """Return the process beside the target of an arrival, `None` if there was none."""
+    lives = [life for life in history.lives if life.node == arrival.instance.node]
+    return next((life for life in lives if life.ended >= arrival.at), None)
 
 
 def _configurations(history: History) -> Iterator[Finding]:
@@ -155,7 +233,8 @@
             before[request] = max([seen[life], *(c.version for by, c in dues if by <= asked)])
             continue
         oldest = before[request]
-        for at, instance, *_ in request.arrivals:
+        for arrival in request.arrivals:
+            at, instance = arrival.at, arrival.instance
             written = [c for c in history.configurations if c.version >= oldest and c.at <= at]
             versions = [c.version for c in written if c.services[request.route] == instance.service]
             seen[life] = max([seen[life], *versions[:1]])
@@ -172,7 +251,8 @@
         counts = Counter(a.instance for a in arrivals if at <= a.at < at + WINDOW_S)
         for service in sorted({instance.service for instance in history.instances}):
             sound = [i for i in history.instances if _is_sound(history, i, service, at)]
-            silent = [instance.name for instance in sound if not counts[instance]]
+            at_work = Counter(a.instance for a in arrivals if a.at < at + WINDOW_S and a.done >= at)
+            silent = [i.name for i in sound if not counts[i] and at_work[i] < SLOTS]
             enough = sum(counts[instance] for instance in sound) >= ENOUGH * len(sound)
             if enough and len(sound) - len(silent) < math.ceil(MIN_SHARE * len(sound)):
                 yield Finding(at, "share", "", "", f"{service}: nothing for {silent}")
--- a/soak/history.py
+++ b/soak/history.py
@@ -14,7 +14,11 @@
 
 @dataclass(eq=False)
 class Life:
-    """One process of a node; `killed` tells whether it was ended from outside."""
+    """One process of a node.
+
+    `killed` tells whether it was ended from outside, `overdue` whether that was as it was still
+    there at the end of the grace time.
+    """
 
     node: str
     address: tuple[str, int] = ("", 0)
@@ -22,6 +26,7 @@
     ended: float = inf
     code: int = 0
     killed: bool = False
+    overdue: bool = False
 
 
 @dataclass(eq=False)
@@ -35,7 +40,8 @@
     left: float = inf
 
 
-class Arrival(NamedTuple):
+@dataclass(eq=False)
+class Arrival:
     """A target has read a whole request.
 
     Args:
@@ -44,6 +50,8 @@
         ran: Whether it ran it.
         customer: Whose request it was told that it is.
         key_shown: Whether it was shown a key.
+        done: When its work ended, with or without an answer.
+        cut: Whether whoever had sent the request ended that work.
     """
 
     at: float
@@ -51,13 +59,16 @@
     ran: bool = True
     customer: str = ""
     key_shown: bool = False
+    done: float = inf
+    cut: bool = False
 
 
 @dataclass(eq=False)
 class Request:
     """A caller's request and its end; `whole` tells whether the body is the request's own.
 
-    `customer` is whose key it shows, `key` that key.
+    `customer` is whose key it shows, `key` that key; `work_s` is how long its target is at work,
+    `limit_s` when it ends by its own deadline.
     """
 
     id: str
@@ -73,6 +84,8 @@
     path: str = ""
     customer: str = ""
     key: str = ""
+    work_s: float = 0.0
+    limit_s: float = inf
 
 
 class Configured(NamedTuple):
--- a/soak/node.py
+++ b/soak/node.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from roadpass import clock
-from soak.checker import MIN_SHARE, STOP_LIMIT_S
+from soak.checker import GRACE_S, MIN_SHARE
 from soak.history import History, Life, Trouble
 from soak.target import SoakTarget
 
@@ -58,12 +58,15 @@
         self._process.send_signal(signal.SIGSTOP if fault else signal.SIGCONT)
 
     def tick(self) -> None:
-        """Note an end and start again; note that the node takes connections."""
+        """Note an end and start again; end what is there after its grace time; note a start."""
         if self._process.poll() is not None:
             self.life.ended = min(clock.now(), self.life.ended)
             self.life.code = self._process.returncode
             if self.restarts:
                 self._start()
+        elif clock.now() - self.life.stopping >= GRACE_S and not self.life.overdue:
+            self.life.overdue = True
+            self._process.kill()
         elif self.down and not self.life.killed and self.life.stopping == inf:
             with contextlib.suppress(OSError), socket.create_connection(self.life.address, LOOK_S):
                 self.down.end = clock.now()
@@ -87,5 +90,5 @@
     source = {"address": store, "floor_share": MIN_SHARE, "retry_ratio": 0.2, "retry_slack": 10}
     return {
         **{"vm": ip, "address": ip, "hall": "h", "region": "r", "origin_service": "soak"},
-        **{"ports": PORTS, "store": source, "stop_limit_s": STOP_LIMIT_S, "log": LOG},
+        **{"ports": PORTS, "store": source, "stop_limit_s": GRACE_S, "log": LOG},
     }
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -9,8 +9,16 @@
 
 from roadpass import clock
 from soak import customer
-from soak.caller import HOST, ROUTES, Caller, EndingCaller
-from soak.checker import STOP_LIMIT_S
+from soak.caller import (
+    HOST,
+    LONG_DEADLINE_S,
+    LONG_ROUTES,
+    ROUTES,
+    Caller,
+    EndingCaller,
+    PatientCaller,
+)
+from soak.checker import GRACE_S, SLOTS
 from soak.history import STORE, Configured, History, Instance
 from soak.node import SoakNode
 from soak.plan import Step
@@ -18,10 +26,17 @@
 from soak.target import SoakTarget
 from stand_ins.store import config, entry, store_server
 
-SERVICES = ("red", "blue")
+SERVICES, CROWDED = ("red", "blue"), "green"
+"""Routes move between two of them; a fourth of the targets has the third, with half of the long
+routes and more requests than slots, so that they wait, here and beside other VMs."""
 KINDS = {"GET": "idempotent", "POST": "non_idempotent"}
 CALLERS, TICK_S, STORE_PORT = 12, 0.03, 8104
-START_LIMIT_S, END_LIMIT_S = 30.0, STOP_LIMIT_S + 6.0
+PATIENT = 2
+"""Patient callers a target."""
+LONG_TIMEOUT = f"{LONG_DEADLINE_S + 5.0:g}s"
+OBJECTIVES = {"e": "12s", "f": "12s", "g": "4s", "h": "4s"}
+"""Of long routes; requests wait for a slot for a share of it: more than a stop takes, and less."""
+START_LIMIT_S, END_LIMIT_S = 30.0, GRACE_S + 6.0
 """A busy machine starts and ends processes late; what has not ended by then is a finding."""
 REPEATS_S, TWICE_S, WITHDRAWN_S, LAPSE_S = (0.0, 0.2, 1.0), (0.0, 0.1), 1.2, 0.8
 """When signals are sent and configurations written, if repeated; and seconds from a target's
@@ -51,17 +66,22 @@
         self._store = FaultyStore()
         self._server = store_server((f"127.0.{net}.250", STORE_PORT), self._store)
         self._server.start_thread()
-        self._services = dict.fromkeys(ROUTES, "blue") | {"b": "red"}
+        self._routes = ROUTES | LONG_ROUTES
+        self._services = dict.fromkeys(self._routes, "blue") | {"b": "red", "g": "red"}
+        self._services |= {"e": CROWDED, "f": CROWDED}
+        self._moving = [name for name, service in self._services.items() if service in SERVICES]
         self._write_config(0)
         self._targets: list[SoakTarget] = []
         for number in range(1, processes + 1):
-            instance = Instance(f"i-{number}-1", SERVICES[number % 2], f"node-{number}")
+            instance = Instance(f"i-{number}-1", _service(number), f"node-{number}")
             self._targets.append(SoakTarget(f"127.0.{net}.{number}", instance, history))
             self._targets[-1].on_end = self._on_end
             self._publish(self._targets[-1])
         store = f"127.0.{net}.250:{STORE_PORT}"
         self._nodes = [SoakNode(target, folder, store, history) for target in self._targets]
         self._callers = [Caller(f"c{n}", history, self._nodes, seed) for n in range(CALLERS)]
+        patient = range(PATIENT * processes)
+        self._callers += [PatientCaller(f"p{n}", history, self._nodes, seed) for n in patient]
         if ending:
             self._callers.append(EndingCaller("e", history, self._nodes, seed))
 
@@ -150,13 +170,20 @@
 
     def _write_config(self, moved: int) -> None:
         """Write the next version, with one of the routes moved to the other service."""
-        route = list(ROUTES)[moved % len(ROUTES)]
+        route = self._moving[moved % len(self._moving)]
         self._services[route] = SERVICES[self._services[route] == SERVICES[0]]
         version = len(self._history.configurations) + 1
-        rows = [[r, HOST, f"/{r}/", KINDS[m], self._services[r], None] for r, m in ROUTES.items()]
+        of, methods = self._services, self._routes.items()
+        rows = [[r, HOST, f"/{r}/", KINDS[m], of[r], None] for r, m in methods]
         written = Configured(clock.now(), version, dict(self._services))
         self._history.configurations.append(written)
-        self._store.put("op/config", config(version, rows, SERVICES, customer.rows(version)))
+        value = config(version, rows, (*SERVICES, CROWDED), customer.rows(version))
+        columns = value["Routes"]["Columns"]
+        for row in value["Routes"]["Rows"]:
+            if row[0] in LONG_ROUTES:
+                row[columns.index("Timeout")] = LONG_TIMEOUT
+                row[columns.index("TargetLatency")] = OBJECTIVES[row[0]]
+        self._store.put("op/config", value)
 
     def _wait(self, done: Callable[[], bool], limit_s: float) -> None:
         """Do what is due until all is done, or for so long."""
@@ -168,7 +195,13 @@
             time.sleep(TICK_S)
 
 
+def _service(number: int) -> str:
+    """Return the service of a node's target."""
+    return CROWDED if number % 4 == 3 else SERVICES[number % 2]
+
+
 def _item(target: SoakTarget, state: str = "ready") -> tuple[str, object]:
     """Return key and value of a target's entry in the store."""
     value = entry(target.address, service=target.instance.service, state=state)
+    value["Info"]["Capacity"] = SLOTS
     return f"servers/{target.instance.name}", value
--- a/soak/target.py
+++ b/soak/target.py
@@ -13,7 +13,7 @@
 from socketserver import ThreadingTCPServer
 
 from roadpass import clock
-from soak.history import Arrival, History, Instance
+from soak.history import Arrival, History, Instance, Request
 
 ENDING = "/ending"
 """In the path of a request that ends each target that runs it."""
@@ -107,9 +107,20 @@
         shown = "Authorization" in self.headers
         ran = fault not in NOT_RUN
         request.arrivals.append(Arrival(clock.now(), instance, ran, told, shown))
-        if ENDING in self.path and fault not in NOT_RUN:
-            self._end(target, request.arrivals[-1])
-            return
+        arrival = request.arrivals[-1]
+        try:
+            if ENDING in self.path and ran:
+                self._end(target, arrival)
+            elif ran and request.work_s and self._is_left(arrival, request.work_s):
+                return
+            else:
+                self._play(fault, request, arrival)
+        finally:
+            arrival.done = clock.now()
+
+    def _play(self, fault: str, request: Request, arrival: Arrival) -> None:
+        """Answer a request as the fault says."""
+        target = self.server
         time.sleep(target.rng.uniform(*SLOW_S) if fault == "slow" else WORK_S)
         self.close_connection |= fault in ("reset-early", "reset-late", "hang", "garbled")
         body = answer_body(request.id, self.path)
@@ -117,7 +128,7 @@
             case "reset-early" | "reset-late":
                 _reset(self.connection)
             case "hang":
-                select.select([self.connection], [], [], HANG_LIMIT_S)
+                self._is_left(arrival, HANG_LIMIT_S)
             case "garbled":
                 self.wfile.write(b"HTTP/1.1 2x0 ?\r\n\r\n" + body)
             case "fail":
@@ -135,6 +146,18 @@
             case _:
                 self._reply(200, body)
 
+    def _is_left(self, arrival: Arrival, seconds: float) -> bool:
+        """Be at work for so long, and tell whether the connection ended meanwhile."""
+        try:
+            select.select([self.connection], [], [], seconds)
+            left = bool(select.select([self.connection], [], [], 0)[0])
+        except (OSError, ValueError):
+            left = True
+        own = self.server.down or self.server.instance is not arrival.instance
+        arrival.cut = left and not own
+        self.close_connection |= left
+        return left
+
     def _end(self, target: SoakTarget, arrival: Arrival) -> None:
         """End the target; one that leaves only loses the request, as it ends by a schedule."""
         self.close_connection = True
