Split the exchange with a target from what is decided beside it

Hard to read: roadpass/local.py held two jobs in 456 lines: what is decided beside a target (admission, refusals, belief, door) and the exchange with it (asking, reading the answer, what became of it, its log lines).

Behaviour is unchanged; the constructor of LocalTarget takes what it took. The virtual worlds of the tests put their clients into the exchange, and its clock is swapped like that of the module it came from; no assertion changed.

Run, all passed: tests/test_sidecar.py, test_crashed_target.py, test_door.py, test_ending.py, test_dispatch.py, test_machine.py, test_trip.py, test_quarantined_request.py, test_node.py, test_customer.py, test_shedding.py, test_retry.py, test_drain.py, test_crashing.py, test_platform_path.py, test_stop.py, test_crowd.py; ruff, mypy. test_stop.py and test_ending.py failed to bind their fixed addresses while another run on this machine held them, and passed once it had ended.

--- /dev/null
+++ b/roadpass/exchange.py
@@ -0,0 +1,187 @@
+"""The exchange with one target: an attempt is put to it, and what became of it is told."""
+
+from roadpass import clock
+from roadpass.belief import End
+from roadpass.call_log import CallLog
+from roadpass.crash_guard import CrashGuard
+from roadpass.decision import decided
+from roadpass.dialect import OWN, Dialect
+from roadpass.errors import TargetError, TargetRefusedError
+from roadpass.evidence import end_of
+from roadpass.fleet import Service, Target
+from roadpass.message import Attempt
+from roadpass.outcome import (
+    RETRY_LATER_MS,
+    RETRY_SOON_MS,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
+from roadpass.quarantine import Quarantine
+from roadpass.request import CallerWatch
+from roadpass.slots import Slots
+from roadpass.target import (
+    CallerLeftError,
+    TargetAnswer,
+    TargetClient,
+    TargetLostError,
+    TargetTimeoutError,
+)
+
+
+class Exchange:
+    """Puts attempts that were admitted to a target; any thread may use it.
+
+    Args:
+        target: As configured.
+        service: As configured.
+        slots: Of the target; they also know whether it leaves.
+        quarantine: What the node knows of requests under which targets ended.
+        calls: What became of the requests that the target may have made.
+        dialect: How the target is spoken to.
+
+    Attributes:
+        guard: Notes what the target has, and under what it ended.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        service: Service,
+        slots: Slots,
+        quarantine: Quarantine,
+        calls: CallLog,
+        *,
+        dialect: Dialect = OWN,
+    ) -> None:
+        self._target = target
+        self._service = service
+        self._slots = slots
+        self._calls = calls
+        self._client = TargetClient(
+            target.address, max_connections=target.connections, dialect=dialect
+        )
+        self.guard = CrashGuard(target.name, quarantine, lambda: self._client.gone())
+
+    def configure(self, target: Target, service: Service) -> None:
+        """Take over changed settings of a target whose address stays."""
+        self._target = target
+        self._service = service
+
+    def cancel(self, attempt_id: str) -> None:
+        """Pass a cancellation on to an attempt that runs."""
+        self._client.cancel(attempt_id)
+
+    def run(
+        self,
+        attempt: Attempt,
+        started: float,
+        deadline: float,
+        watch: CallerWatch | None,
+        *,
+        bad: float,
+        trial: bool,
+    ) -> tuple[Outcome, End]:
+        """See an attempt to its end at the target.
+
+        Args:
+            attempt: What to run; it has been admitted, and holds a slot.
+            started: Clock seconds of its start.
+            deadline: Clock seconds of its end at the latest.
+            watch: Tells when the caller has left, where this node is also its ingress.
+            bad: How probably bad the target was believed to be, for the log.
+            trial: Whether the attempt is a trial, for the log.
+
+        Returns:
+            What became of the attempt, and what that shows of the target.
+        """
+        self.guard.begin(attempt)
+        end = End.NOTHING
+        try:
+            self._log_start(attempt, bad=bad, trial=trial)
+            outcome, end = self._outcome(attempt, started, deadline, watch)
+            return outcome, end
+        finally:
+            self.guard.finish(attempt, broken_off=end is End.SILENT)
+
+    def _outcome(
+        self, attempt: Attempt, started: float, deadline: float, watch: CallerWatch | None
+    ) -> tuple[Outcome, End]:
+        try:
+            outcome = self._read_answer(self._ask(attempt, deadline - started, watch))
+        except TargetRefusedError as error:
+            gone = isinstance(error.__cause__, ConnectionRefusedError)
+            if gone:
+                self.guard.refused(leaving=self._slots.leaving)
+            self._log_loss(attempt, error, gone=gone)
+            return NotRun(Reason.REFUSED, RETRY_LATER_MS), End.LOST
+        except TargetTimeoutError:
+            return Unknown(Reason.TIMEOUT), End.SILENT
+        except CallerLeftError:
+            return Unknown(Reason.CANCELLED), End.SILENT
+        except TargetError as error:
+            lost = isinstance(error, TargetLostError)
+            gone = lost and self.guard.lost(attempt, leaving=self._slots.leaving)
+            self._log_loss(attempt, error, gone=gone)
+            return Unknown(Reason.TARGET_LOST), End.LOST if lost else End.NOTHING
+        now = clock.now()
+        end = end_of(outcome, now - started, deadline - started)
+        if end is End.FAILED and self._calls.explains(started, now, deadline):
+            end = End.EXCUSED
+        return outcome, end
+
+    def _ask(self, attempt: Attempt, timeout_s: float, watch: CallerWatch | None) -> TargetAnswer:
+        return self._client.send(
+            attempt.id,
+            attempt.method,
+            attempt.path,
+            attempt.headers,
+            attempt.body,
+            timeout_s=timeout_s,
+            fresh=not attempt.repeatable,
+            request_id=attempt.request_id,
+            instance=self._target.instance,
+            origin=attempt.origin,
+            customer=attempt.customer,
+            watch=watch,
+        )
+
+    def _read_answer(self, got: TargetAnswer) -> Outcome:
+        """Tell apart an answer from a target's word that it did not run the request."""
+        answer = got.answer
+        if got.not_run or answer.status == self._service.shed_status:
+            return NotRun(Reason.SHED, _retry_after_ms(answer.headers))
+        return answer
+
+    def _log_start(self, attempt: Attempt, *, bad: float, trial: bool) -> None:
+        decided(
+            "sidecar",
+            "start",
+            request=attempt.request_id,
+            attempt=attempt.id,
+            target=self._target.name,
+            bad=round(bad, 3),
+            trial=trial,
+            running=self._slots.in_use,
+        )
+
+    def _log_loss(self, attempt: Attempt, error: TargetError, *, gone: bool) -> None:
+        decided(
+            "sidecar",
+            "target-lost",
+            request=attempt.request_id,
+            attempt=attempt.id,
+            target=self._target.name,
+            error=str(error),
+            fingerprint=attempt.fingerprint,
+            gone=gone,
+            beside=self._slots.in_use - 1,
+        )
+
+
+def _retry_after_ms(headers: list[tuple[str, str]]) -> int:
+    for name, value in headers:
+        if name.lower() == "retry-after" and value.isdigit():
+            return int(value) * 1000
+    return RETRY_SOON_MS
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -1,23 +1,21 @@
-"""A target on this node's own VM: everything that is decided beside it."""
+"""A target on this node's own VM: what is decided beside it; `exchange` then speaks with it."""
 
 import threading
 
 from roadpass import clock
 from roadpass.belief import LATE_S, Belief, End, Visit
 from roadpass.call_log import CallLog
-from roadpass.crash_guard import CrashGuard
-from roadpass.decision import decided
 from roadpass.detect import Scores
 from roadpass.dialect import OWN, Dialect
 from roadpass.door import Door
+from roadpass.door_log import DoorLog
 from roadpass.ending import Ending
-from roadpass.errors import TargetError, TargetRefusedError
-from roadpass.evidence import GATEWAY_TIMEOUT, Evidence, Running, end_of, speaks_against
+from roadpass.evidence import GATEWAY_TIMEOUT, Evidence, Running, speaks_against
+from roadpass.exchange import Exchange
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
 from roadpass.message import Attempt, LoadReport, Question
 from roadpass.outcome import (
-    RETRY_LATER_MS,
     RETRY_SOON_MS,
     SERVER_ERROR,
     Answered,
@@ -32,13 +30,6 @@
 from roadpass.retry import RepeatAllowance
 from roadpass.shedding import Shedding
 from roadpass.slots import Slots
-from roadpass.target import (
-    CallerLeftError,
-    TargetAnswer,
-    TargetClient,
-    TargetLostError,
-    TargetTimeoutError,
-)
 
 MIN_START_MS = 2.0
 """Milliseconds; with less time left an attempt is not started."""
@@ -80,14 +71,8 @@
         self._service = service
         self._fences = fences
         self._pause = pause
-        self._calls = calls
-        self._guard = CrashGuard(target.name, quarantine, lambda: self._client.gone())
-        self._client = TargetClient(
-            target.address, max_connections=target.connections, dialect=dialect
-        )
         self._belief = Belief(clock.now())
         self._door = Door(self._belief)
-        self._door_told_shut = False
         self._shedding = Shedding()
         self._repeats = RepeatAllowance(
             service.retry_ratio,
@@ -95,6 +80,7 @@
             window_s=service.retry_window_s,
         )
         self._lock = threading.Lock()
+        self._door_log = DoorLog(target.name, self._door, self._belief, self._lock)
         self._slots = Slots(
             service.classes,
             slots=target.slots,
@@ -102,6 +88,8 @@
             lock=self._lock,
             ending=ending,
         )
+        self._exchange = Exchange(target, service, self._slots, quarantine, calls, dialect=dialect)
+        self._guard = self._exchange.guard
         self._evidence = Evidence(service.false_ejections_per_target_week, clock.now())
         self.leaving = target.leaving
 
@@ -139,6 +127,7 @@
         with self._lock:
             self.target = target
             self._service = service
+            self._exchange.configure(target, service)
             self._slots.resize(target.slots)
             self._repeats.configure(
                 service.retry_ratio,
@@ -227,7 +216,7 @@
                 pressing=question.pressing,
             )
             wait_s = self._door.wait_s(now)
-        self._tell_door(now)
+        self._door_log.tell(now)
         if admitted:
             return None
         return NotRun(Reason.SICK, max(SICK_RETRY_MS, int(wait_s * 1000.0)))
@@ -254,14 +243,14 @@
             unclaimed = self._worsened(attempt, bad) or self._claim(attempt, deadline, watch)
             if unclaimed is not None:
                 return unclaimed
-            return self._exchange(attempt, deadline, watch)
+            return self._put(attempt, deadline, watch)
         finally:
             self._slots.release(attempt.traffic_class)
 
     def cancel(self, attempt_id: str) -> None:
         """Pass a cancellation on to an attempt that waits or runs here."""
         if not self.send_back(attempt_id):
-            self._client.cancel(attempt_id)
+            self._exchange.cancel(attempt_id)
 
     def send_back(self, attempt_id: str) -> bool:
         """End the wait of an attempt; return whether it waited."""
@@ -309,16 +298,18 @@
             case _:
                 return Unknown(reason)
 
-    def _exchange(self, attempt: Attempt, deadline: float, watch: CallerWatch | None) -> Outcome:
+    def _put(self, attempt: Attempt, deadline: float, watch: CallerWatch | None) -> Outcome:
+        """Put an attempt to the target, and note what that shows of it."""
         started = clock.now()
         running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
-        visit = self._note_start(attempt, started)
+        visit, bad = self._note_start(attempt, started)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         end = End.NOTHING
         try:
-            outcome, end = self._outcome(attempt, started, deadline, watch)
+            outcome, end = self._exchange.run(
+                attempt, started, deadline, watch, bad=bad, trial=visit.trial
+            )
         finally:
-            self._guard.finish(attempt, broken_off=end is End.SILENT)
             self._evidence.end(attempt.id)
             self._note_shedding(outcome)
             self._note_end(attempt, visit, end)
@@ -326,112 +317,21 @@
             self._learn(attempt, outcome, running)
         return outcome
 
-    def _note_start(self, attempt: Attempt, started: float) -> Visit:
-        """Count and log that the target gets an attempt."""
+    def _note_start(self, attempt: Attempt, started: float) -> tuple[Visit, float]:
+        """Count that the target gets an attempt; return also how bad it was believed to be."""
         with self._lock:
             bad = self._belief.bad(started)
             visit = self._door.begin(
                 started, attempt.route, told_ms=attempt.usual_ms, customer=attempt.customer
             )
             self._repeats.arrive(started, repeat=attempt.retry)
-        self._guard.begin(attempt)
-        decided(
-            "sidecar",
-            "start",
-            request=attempt.request_id,
-            attempt=attempt.id,
-            target=self.target.name,
-            bad=round(bad, 3),
-            trial=visit.trial,
-            running=self._slots.in_use,
-        )
-        return visit
-
-    def _outcome(
-        self, attempt: Attempt, started: float, deadline: float, watch: CallerWatch | None
-    ) -> tuple[Outcome, End]:
-        """Ask the target; return what became of the attempt, and what that shows of the target."""
-        try:
-            outcome = self._read_answer(self._ask(attempt, deadline - started, watch))
-        except TargetRefusedError as error:
-            gone = isinstance(error.__cause__, ConnectionRefusedError)
-            if gone:
-                self._guard.refused(leaving=self.leaving)
-            self._log_loss(attempt, error, gone=gone)
-            return NotRun(Reason.REFUSED, RETRY_LATER_MS), End.LOST
-        except TargetTimeoutError:
-            return Unknown(Reason.TIMEOUT), End.SILENT
-        except CallerLeftError:
-            return Unknown(Reason.CANCELLED), End.SILENT
-        except TargetError as error:
-            lost = isinstance(error, TargetLostError)
-            gone = lost and self._guard.lost(attempt, leaving=self.leaving)
-            self._log_loss(attempt, error, gone=gone)
-            return Unknown(Reason.TARGET_LOST), End.LOST if lost else End.NOTHING
-        now = clock.now()
-        end = end_of(outcome, now - started, deadline - started)
-        if end is End.FAILED and self._calls.explains(started, now, deadline):
-            end = End.EXCUSED
-        return outcome, end
-
-    def _ask(self, attempt: Attempt, timeout_s: float, watch: CallerWatch | None) -> TargetAnswer:
-        return self._client.send(
-            attempt.id,
-            attempt.method,
-            attempt.path,
-            attempt.headers,
-            attempt.body,
-            timeout_s=timeout_s,
-            fresh=not attempt.repeatable,
-            request_id=attempt.request_id,
-            instance=self.target.instance,
-            origin=attempt.origin,
-            customer=attempt.customer,
-            watch=watch,
-        )
-
-    def _read_answer(self, got: TargetAnswer) -> Outcome:
-        """Tell apart an answer from a target's word that it did not run the request."""
-        answer = got.answer
-        if got.not_run or answer.status == self._service.shed_status:
-            return NotRun(Reason.SHED, _retry_after_ms(answer.headers))
-        return answer
-
-    def _log_loss(self, attempt: Attempt, error: TargetError, *, gone: bool) -> None:
-        decided(
-            "sidecar",
-            "target-lost",
-            request=attempt.request_id,
-            attempt=attempt.id,
-            target=self.target.name,
-            error=str(error),
-            fingerprint=attempt.fingerprint,
-            gone=gone,
-            beside=self._slots.in_use - 1,
-        )
+        return visit, bad
 
     def _note_end(self, attempt: Attempt, visit: Visit, end: End) -> None:
         now = clock.now()
         with self._lock:
             self._door.end(now, visit, end, stalled_at=self._pause.last_stall)
-        self._tell_door(now, attempt)
-
-    def _tell_door(self, now: float, attempt: Attempt | None = None) -> None:
-        """Log that the door has opened or shut since the last line, by an attempt or by time."""
-        with self._lock:
-            shut = self._door.shut(now)
-            if shut is self._door_told_shut:
-                return
-            self._door_told_shut = shut
-            bad = self._belief.bad(now)
-        decided(
-            "sidecar",
-            "door-shut" if shut else "door-open",
-            request=attempt.request_id if attempt else "",
-            attempt=attempt.id if attempt else None,
-            target=self.target.name,
-            bad=round(bad, 3),
-        )
+        self._door_log.tell(now, attempt)
 
     def _learn(self, attempt: Attempt, outcome: Outcome, running: Running) -> None:
         """Take an attempt's end as evidence; losses at once are the door's, late ones count."""
@@ -447,10 +347,3 @@
             self._evidence.learn(clock.now(), running, service_ms, failed=failed)
             if isinstance(outcome, Answered) and outcome.status != GATEWAY_TIMEOUT:
                 self._slots.learn(service_ms, attempt.slow_ms)
-
-
-def _retry_after_ms(headers: list[tuple[str, str]]) -> int:
-    for name, value in headers:
-        if name.lower() == "retry-after" and value.isdigit():
-            return int(value) * 1000
-    return RETRY_SOON_MS
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -131,7 +131,7 @@
     def configure(self, fleet: Fleet) -> None:
         """Put a fleet in force, in which the own target may have started again."""
         self.sidecar.configure(fleet)
-        self.local._client = CrowdClient(self._crowd, self.target, self)
+        self.local._exchange._client = CrowdClient(self._crowd, self.target, self)
         self.view.fleet = fleet
 
     @property
--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -9,6 +9,7 @@
 from roadpass import (
     choice,
     dispatch,
+    exchange,
     local,
     pause,
     peer,
@@ -30,6 +31,7 @@
 PLACES: dict[ModuleType, tuple[str, ...]] = {
     choice: ("clock", "time"),
     dispatch: ("clock",),
+    exchange: ("clock",),
     local: ("clock", "threading"),
     pause: ("clock", "time"),
     peer: ("clock",),
@@ -114,7 +116,7 @@
         for target in targets:
             if TARGETS[target.name] == self.vm:
                 client = ModelClient(self._world, target)
-                self.sidecar.targets[target.name]._client = client
+                self.sidecar.targets[target.name]._exchange._client = client
         ports = Ports(callers=1, stream=PORT, gossip=2, admin=3)
         settings = Settings(self.vm, "hall", "region", self.vm, self.vm, ports, "", keys=KEYS)
         self._server = stream_server.StreamServer(settings, self.sidecar)
