Tell callers at once what a peer has promised never to start

Callers saw a closed connection although their node held the proof that their request did not run: the word on a recall came, and the attempt's own reply, on another connection, was late or lost. Cause: the word was logged, and the wait went on for the reply only. Now the wait ends with the word, as not run. It is proof only from the process that was given the attempt, so it tells its incarnation, and that of the stream is compared: a peer that started anew never had the attempt and knows nothing.

What is waited for is kept in one place, with whether the peer has said a word; the dispatcher no longer notes it.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -489,7 +489,7 @@
     r"""
     recalled.
 
-    Names those of them that never start.
+    Names those of them that never start, by this incarnation.
     """
 
     t: Required[Literal['recalled']]
@@ -502,6 +502,9 @@
     Required property
     """
 
+    incarnation: Required[int]
+    r""" Required property """
+
 
 
 class Revision(TypedDict, total=False):
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -5,8 +5,7 @@
 import random
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable
-from functools import partial
+from collections.abc import Callable
 
 from roadpass import clock
 from roadpass.choice import Choice
@@ -128,16 +127,13 @@
         Nobody but this node knows there that it ends. Each question is asked again until the
         attempt is over: its frame may have been on the way.
         """
-        now, ending = clock.now(), self._view.ending
-        waiting: dict[str, dict[str, Pending]] = {}
+        now, last_start = clock.now(), self._view.ending.last_start
+        waiting: dict[str, list[str]] = {}
         for attempt_id, pending in list(self.pending.items()):
-            if pending.vm == self._view.vm or now < ending.last_start(pending.usual_ms):
-                continue
-            if now >= ending.asks_until and not pending.is_spoken_for:
-                self._transport.give_up(attempt_id)  # a silent peer's: its caller gets a word yet
-            waiting.setdefault(pending.vm, {})[attempt_id] = pending
-        for vm, asked in waiting.items():
-            self._transport.recall(vm, list(asked), partial(_note_word, asked.values()))
+            if pending.vm != self._view.vm and now >= last_start(pending.usual_ms):
+                waiting.setdefault(pending.vm, []).append(attempt_id)
+        for vm, attempt_ids in waiting.items():
+            self._transport.recall(vm, attempt_ids)
 
     def dispatch(self, request: Request) -> Served:
         """See one request to its outcome."""
@@ -351,12 +347,6 @@
             self._waiting[slot] -= 1
 
 
-def _note_word(asked: Iterable[Pending]) -> None:
-    """Note that the sidecar has said of attempts which ones never start."""
-    for pending in asked:
-        pending.is_spoken_for = True
-
-
 def _given_up(outcome: Outcome) -> Outcome:
     """Return the word on a request that was given up: what a target said of its wait was wrong."""
     match outcome:
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -89,7 +89,6 @@
         vm: Of the target.
         usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
         looks: How often it was found to be pending for too long.
-        is_spoken_for: Whether its target's sidecar has said a word when it was asked back.
     """
 
     service: str
@@ -98,7 +97,6 @@
     vm: str = ""
     usual_ms: float = 0.0
     looks: int = 0
-    is_spoken_for: bool = False
 
 
 class Way(NamedTuple):
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from roadpass import clock
-from roadpass._generated.message_types import Fenced, Hello
+from roadpass._generated.message_types import Fenced, Hello, Recalled
 from roadpass.active_count import ActiveCount
 from roadpass.call_log import CallLog
 from roadpass.dialect import OWN, Dialect
@@ -203,7 +203,7 @@
             case "fence":
                 return self._fenced(self.fence(message["id"]))
             case "recall":
-                return {"t": "recalled", "ids": self.recall(message["ids"])}
+                return self._recalled(self.recall(message["ids"]))
             case "fence_key":
                 return self._fenced(self.fence_key(message["key"], message["id"]))
             case "pull" | "catch_up":
@@ -211,6 +211,9 @@
             case other:
                 raise StreamError(f"The peer sent '{other}', which is no request.")
 
+    def _recalled(self, never_start: list[str]) -> Recalled:
+        return {"t": "recalled", "ids": never_start, "incarnation": self._incarnation}
+
     def _fenced(self, verdict: Verdict) -> Fenced:
         return {"t": "fenced", "verdict": verdict.value, "incarnation": self._incarnation}
 
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from roadpass import clock
@@ -53,6 +53,21 @@
     silent: bool = False
 
 
+@dataclass(slots=True)
+class _Waiting:
+    """An attempt whose reply is awaited.
+
+    Args:
+        stream: On which.
+        is_spoken_for: Whether its sidecar has said a word when it was asked back.
+        never_starts: Whether that was the promise that it never starts.
+    """
+
+    stream: Stream
+    is_spoken_for: bool = False
+    never_starts: bool = False
+
+
 class Transport:
     """Carries attempts; used by the threads of all callers at once.
 
@@ -70,7 +85,7 @@
         self._view = view
         self._sidecar = sidecar
         self._peers = peers
-        self._streams: dict[str, Stream] = {}
+        self._waiting: dict[str, _Waiting] = {}
 
     def send(self, target: Target, attempt: Attempt, watch: CallerWatch | None) -> Reply:
         """See one attempt to its end; whatever fails, the reply says what is known.
@@ -104,35 +119,41 @@
             self._metrics.count(f"far_{kind}s")
             self._metrics.count(f"far_{kind}_bytes", carried)
 
-    def recall(self, vm: str, attempt_ids: list[str], heard: Callable[[], None]) -> None:
-        """Ask a VM's sidecar not to start attempts; their own replies tell what became of them.
+    def recall(self, vm: str, attempt_ids: list[str]) -> None:
+        """Ask a VM's sidecar not to start attempts; what is waited for in vain is given up.
 
-        Args:
-            vm: The sidecar's.
-            attempt_ids: Which ones.
-            heard: Called by another thread if the sidecar says a word.
+        The word on an attempt that never starts is proof, whatever becomes of its own reply. Of one
+        that has started the reply is awaited to the end; where nothing was heard in time, its
+        caller is told that it may have run.
         """
+        if clock.now() >= self._view.ending.asks_until:
+            for attempt_id in attempt_ids:
+                waiting = self._waiting.get(attempt_id)
+                if waiting is not None and not waiting.is_spoken_for:
+                    waiting.stream.shutdown()
         address = self._address(vm)
         if address is None:
             return
         message: Recall = {"t": "recall", "ids": attempt_ids}
-        threading.Thread(target=self._recall, args=(address, message, heard), daemon=True).start()
+        threading.Thread(target=self._recall, args=(address, message), daemon=True).start()
 
-    def _recall(self, address: Address, message: Recall, heard: Callable[[], None]) -> None:
-        count = len(message["ids"])
+    def _recall(self, address: Address, message: Recall) -> None:
+        asked = message["ids"]
         try:
             word = self._peers.exchange(address, message, timeout_s=RECALL_S)
         except StreamError as error:
-            _log.info("nobody at %s takes %d attempts back: %s", address, count, error)
+            _log.info("nobody at %s takes %d attempts back: %s", address, len(asked), error)
             return
-        heard()
-        decided("transport", "recalled", asked=message["ids"], never_start=word.get("ids"))
-
-    def give_up(self, attempt_id: str) -> None:
-        """Wait no longer for the reply to an attempt: the stream on which it is awaited ends."""
-        stream = self._streams.get(attempt_id)
-        if stream is not None:
-            stream.shutdown()
+        never_start = word.get("ids", ())
+        decided("transport", "recalled", asked=asked, never_start=never_start)
+        for attempt_id in asked:
+            waiting = self._waiting.get(attempt_id)
+            if waiting is None or waiting.stream.peer_incarnation != word.get("incarnation"):
+                continue
+            waiting.is_spoken_for = True
+            if attempt_id in never_start:
+                waiting.never_starts = True
+                waiting.stream.shutdown()
 
     def fence_key(self, vm: str, key: str, token: str, timeout_s: float) -> Verdict:
         """Have a VM's sidecar promise that only the attempt `token` may start with a key."""
@@ -192,7 +213,7 @@
     ) -> Reply:
         wait_s = attempt.remaining_ms / 1000.0 + REPLY_GRACE_S
         until = clock.now() + wait_s
-        self._streams[attempt.id] = stream
+        waiting = self._waiting[attempt.id] = _Waiting(stream)
         try:
             stream.send(attempt.to_message(), timeout_s=wait_s)
             left_s = max(0.0, until - clock.now())
@@ -200,9 +221,11 @@
             reply = Reply.from_message(received.message)
         except StreamError as error:
             stream.close()
+            if waiting.never_starts:
+                return Reply(NotRun(Reason.LEAVING, RETRY_SOON_MS))
             return Reply(self._after_loss(address, attempt, stream.peer_incarnation, error))
         finally:
-            del self._streams[attempt.id]
+            del self._waiting[attempt.id]
         self._peers.release(address, stream)
         return reply
 
