Stop to send a request on once its ingress has heard that targets end under it

A request under which targets end waited at a door, or was sent back by it, while its ingress heard of the third end. It was asked for at the next doors all the same, up to forty, and the first that had not heard let it through to a fourth target. Cause: the ingress looked when a request came, and after attempts that may have run, but not after one that did not. It looks before each attempt now.

test_deadly: 12 cases failed before, all pass; test_dispatch and test_quarantined_request pass. What was lost before is still told as such, never as not run. Excluded: a look at the doors alone, since it is the door that has not heard that lets it through.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -191,6 +191,9 @@
                 return trip.final(NotRun(Reason.EXPIRED, RETRY_SOON_MS))
             if clock.now() >= self._view.ending.last_start(trip.told_usual_ms):
                 return trip.final(NotRun(Reason.LEAVING, RETRY_SOON_MS))
+            held_s = self._quarantine.held_s(clock.now(), trip.request.fingerprint)
+            if held_s > 0.0:  # heard while it waited; the next door may not have heard yet
+                return trip.final(NotRun(Reason.QUARANTINED, int(held_s * 1000.0)))
             target = self._choice.pick(trip, has_repeat=self._has_repeat(trip))
             if target is None and not trip.offers and trip.press():
                 continue
