--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -4,17 +4,16 @@
 import math
 import random
 import threading
-from collections import deque
 from collections.abc import Callable
 
 from roadpass import clock
 from roadpass.choice import Choice
-from roadpass.detect import Sample, Scores
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
 from roadpass.kind import Kinds
+from roadpass.learning import Learning
 from roadpass.load import LoadTable
-from roadpass.message import Attempt, LoadReport, Reply
+from roadpass.message import Attempt, Reply
 from roadpass.metric import Metrics
 from roadpass.outcome import (
     RETRY_LATER_MS,
@@ -29,7 +28,7 @@
 from roadpass.pause import PauseWatch
 from roadpass.peer import PeerPool
 from roadpass.quota_keeper import Quotas
-from roadpass.request import Observation, Pending, Request, Served, Way
+from roadpass.request import Pending, Request, Served, Way
 from roadpass.retry import RetryBudget
 from roadpass.route import Route
 from roadpass.sidecar import Sidecar
@@ -86,17 +85,18 @@
         self._quarantine = sidecar.quarantine
         self._calls = sidecar.calls
         self._quotas = quotas or Quotas()
-        self._pause = pause
-        self._behind = behind
         self._loads = LoadTable()
         self._choice = Choice(view, self._loads, random.Random(seed))
         self._numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
         self._spent_until: dict[str, float] = {}
         self._kinds = Kinds()
+        self._learning = Learning(
+            view, self._choice, self._loads, self._kinds, self._quarantine, pause, behind=behind
+        )
         self._waiting: dict[tuple[str, str], int] = {}
         self._lock = threading.Lock()
-        self.observations: deque[Observation] = deque(maxlen=100_000)
+        self.observations = self._learning.observations
         self.pending: dict[str, Pending] = {}
         self._trips: dict[int, Trip] = {}
 
@@ -257,7 +257,8 @@
         attempt = self._next_attempt(trip, attempt_id, target, started)
         pending = Pending(trip.service.name, target.name, started, target.vm, attempt.usual_ms)
         reply = self._send(trip, target, attempt, pending)
-        self._learn(trip, target, reply, pending, started)
+        last = trip.is_last(self._has_repeat(trip))
+        self._learning.note(clock.now(), trip, target, reply, pending, started, last=last)
         used = self._loads.load(target.name, started).utilization
         log_attempt(trip, target, attempt, reply, started, used)
         return reply.outcome
@@ -305,31 +306,6 @@
                 return Unknown(Reason.KEY_USED)
         return None
 
-    def _learn(
-        self, trip: Trip, target: Target, reply: Reply, pending: Pending, started: float
-    ) -> None:
-        """Note what an attempt showed of its target, for the choice of targets and their health."""
-        now = clock.now()
-        took_ms = (now - started) * 1000.0
-        scores, latency_ms = None, 0.0
-        body_bytes = len(trip.request.body)
-        self._kinds.learn(trip.route.name, reply.outcome, body_bytes=body_bytes, took_ms=took_ms)
-        last = trip.is_last(self._has_repeat(trip))
-        self._choice.learn(now, trip, target, reply, last=last)
-        if reply.crash is not None:
-            self._quarantine.hear(now, reply.crash)
-        if reply.load is not None:
-            self._loads.report(now, target.name, reply.load)
-            if reply.load.revision > self._view.fleet.revision:
-                self._behind(target.vm, reply.load.revision)
-            scores, latency_ms = _scores(reply.load), reply.load.latency_ms
-        stalled = self._pause.last_stall >= started
-        sample = None if stalled else _sample(reply.outcome, took_ms)
-        service, looks = trip.service.name, pending.looks
-        self.observations.append(
-            Observation(service, target.name, sample, scores, latency_ms, now, looks > 0)
-        )
-
     def _budget(self, service: Service) -> RetryBudget:
         budget = self._budgets.get(service.name)
         if budget is None or not budget.allows_as(service.retry_ratio, service.retry_burst):
@@ -374,24 +350,3 @@
             return False
         case Unknown():
             return route.repeatable
-
-
-def _sample(outcome: Outcome, took_ms: float) -> Sample | None:
-    """Return what an outcome tells of its target's health, `None` for nothing."""
-    match outcome:
-        case Answered(status=status, service_ms=service_ms):
-            return Sample(status >= SERVER_ERROR, service_ms)
-        case NotRun(reason=Reason.REFUSED | Reason.UNREACHABLE | Reason.FENCED):
-            return Sample(True, took_ms)
-        case Unknown(
-            reason=Reason.CANCELLED | Reason.KEY_USED | Reason.DUPLICATE | Reason.TARGET_LOST
-        ):
-            return None
-        case Unknown():
-            return Sample(True, took_ms)
-        case _:
-            return None
-
-
-def _scores(load: LoadReport) -> Scores:
-    return Scores(load.failure_score, load.slow_score)
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -4,7 +4,6 @@
 import random
 import threading
 import time
-from collections.abc import Sequence
 from typing import Any
 
 import pykka
@@ -13,58 +12,34 @@
 from roadpass.admin import Admin
 from roadpass.audit import AuditTrail, Kind
 from roadpass.catalogue import Catalogue, Policy
-from roadpass.configuration import Configuration, Offer, Store
+from roadpass.configuration import Configuration, Store
 from roadpass.decision import decided
-from roadpass.detect import Scores
 from roadpass.dialect import OWN
 from roadpass.dispatch import Dispatcher
-from roadpass.errors import StreamError
-from roadpass.fleet import Fleet
 from roadpass.gossip import Gossip
-from roadpass.gossip_messages import (
-    Begin,
-    Confirmed,
-    CrashNews,
-    Events,
-    InForce,
-    Leave,
-    PlatformSeen,
-    Say,
-    Seed,
-)
+from roadpass.gossip_messages import Begin, Events, Leave
 from roadpass.ingress import Ingress
-from roadpass.introduction import listed_members, neighbours, own_member
+from roadpass.introduction import own_member
 from roadpass.journal import Journal
-from roadpass.manifest import Platform, VmEntry
-from roadpass.message import Message
+from roadpass.manifest import Platform
 from roadpass.metric import Metrics
-from roadpass.monitor import FleetChanged, HealthMonitor, HintHeard
-from roadpass.news import Word, ask
+from roadpass.monitor import HealthMonitor
+from roadpass.news import ask
 from roadpass.pages import Pages, Shown
-from roadpass.patch import offer
 from roadpass.pause import PauseWatch
-from roadpass.peer import Address, PeerPool
+from roadpass.peer import PeerPool
 from roadpass.platform.dialect import PLATFORM
 from roadpass.platform.store import StoreClient
 from roadpass.quota import Terms
-from roadpass.quota_keeper import QuotaKeeper, Quotas, QuotaTalk
-from roadpass.reader import (
-    Puller,
-    Reader,
-    ReaderEvents,
-    Status,
-    VersionHeard,
-    choose_readers,
-)
-from roadpass.reading_turn import Standing
-from roadpass.revision import Version
+from roadpass.quota_keeper import QuotaKeeper, Quotas
+from roadpass.reader import Puller, Reader, ReaderEvents, Status
 from roadpass.settings import Settings, StoreSettings
 from roadpass.sidecar import Sidecar
-from roadpass.source import PublishedConfig, TargetEntry
 from roadpass.stop import LEAVE_MIN_S, STORE_LEAVE_S, PlannedStop
 from roadpass.store_reader import StoreEvents, StoreReader
 from roadpass.stream_server import StreamServer
-from roadpass.view import PeerNode, View
+from roadpass.switchboard import Switchboard
+from roadpass.view import View
 
 READY_PEERS = 2
 """A starting node is ready once it holds what so many peers do not exceed,"""
@@ -74,9 +49,6 @@
 """Seconds between logs of the plain counters, for whoever has only logs."""
 
 
-_log = logging.getLogger("roadpass.node")
-
-
 class Node:
     """One process of the fleet.
 
@@ -94,15 +66,19 @@
         self._pause = PauseWatch()
         self._dialect = PLATFORM if settings.store else OWN
         self._view = View(settings.vm, settings.hall, settings.region)
+        self._store = Store()
+        self._journal = Journal()
+        self._board = Switchboard(settings, self._view, self._store, self._journal, self.audit)
         self._sidecar = Sidecar(
             settings.vm,
             self._incarnation,
             self._pause,
-            pull=self._on_pull,
-            behind=self._on_behind,
+            pull=self._board.on_pull,
+            behind=self._board.on_behind,
             dialect=self._dialect,
             ending=self._view.ending,
         )
+        self._board.sidecar = self._sidecar
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         terms = settings.store.quota_terms if settings.store else Terms()
         self._quotas = Quotas(self._incarnation, terms)
@@ -112,15 +88,11 @@
             self._sidecar,
             self._peers,
             self._pause,
-            behind=self._on_behind,
+            behind=self._board.on_behind,
             metrics=self.metrics,
             quotas=self._quotas,
         )
         self._platform = Platform(settings.platform_url, self.metrics)
-        self._readers: list[str] = []
-        self._standing = Standing()
-        self._journal = Journal()
-        self._store = Store()
         self._platform_asked = threading.Event()
         self._actors: list[pykka.ActorRef[Any]] = []
         self._next_counters = self._started_at + COUNTERS_S
@@ -129,19 +101,25 @@
         """Start all parts; the node reports ready once it has the newest configuration."""
         self.audit.record(Kind.START, self._settings.vm, f"version {__version__}")
         self._pause.start()
-        self._configuration = self._start(Configuration, self._store, self.audit, self._on_fleet)
-        self._gossip = self._start_gossip()
-        self._gossip_proxy = self._gossip.proxy()
-        self._quota_keeper = self._start(QuotaKeeper, self._quotas, self._view, self._say_quota)
-        self._sidecar.quarantine.on_news = self._on_crash_news
-        self._monitor = self._start_monitor()
-        self._puller = self._start(Puller, self._peers, self._store, self._offer, self.metrics)
+        self._board.configuration = self._start(
+            Configuration, self._store, self.audit, self._board.on_fleet
+        )
+        self._board.gossip = self._start_gossip()
+        self._gossip_proxy = self._board.gossip.proxy()
+        self._board.quota_keeper = self._start(
+            QuotaKeeper, self._quotas, self._view, self._board.tell_quota
+        )
+        self._sidecar.quarantine.on_news = self._board.on_crash_news
+        self._board.monitor = self._start_monitor()
+        self._board.puller = self._start(
+            Puller, self._peers, self._store, self._board.on_offer, self.metrics
+        )
         self._start(StreamServer, self._settings, self._sidecar)
         if self._settings.store is not None:
             self._start_store_reader(self._settings.store)
         else:
             self._start_reader()
-        self._gossip.tell(Begin())
+        self._board.gossip.tell(Begin())
         self._start(Admin, self._settings, self._pages().handlers())
         self._ingress_proxy = self._start_ingress().proxy()
 
@@ -151,12 +129,12 @@
             self._settings,
             own_member(self._settings, self._incarnation),
             Events(
-                self._on_node,
-                self._on_version,
-                self._on_hint,
+                self._board.on_node,
+                self._board.on_version,
+                self._board.on_hint,
                 self.leave,
-                self._on_word if self._settings.store else None,
-                self._on_quota,
+                self._board.on_word if self._settings.store else None,
+                self._board.on_quota,
             ),
             self.audit,
             self.metrics,
@@ -171,7 +149,7 @@
             self._dispatcher,
             self._sidecar,
             self._pause,
-            self._say,
+            self._board.tell_scores,
             self.audit,
         )
 
@@ -187,17 +165,17 @@
         )
 
     def _start_store_reader(self, store: StoreSettings) -> None:
-        self._store_reader = self._start(
+        self._board.store_reader = self._start(
             StoreReader,
             StoreClient(store.address, self.metrics),
             Catalogue(Policy.from_settings(store)),
             self._journal,
             StoreEvents(
-                on_fleet=self._on_published,
-                on_peers=self._on_peers,
-                on_confirmed=self._on_confirmed,
+                on_fleet=self._board.on_published,
+                on_peers=self._board.on_peers,
+                on_confirmed=self._board.on_confirmed,
                 ask=lambda address, after: ask(self._peers, address, after),
-                standing=lambda: self._standing,
+                standing=lambda: self._board.standing,
             ),
             self.audit,
             self._rng,
@@ -211,7 +189,7 @@
             self._platform,
             self._store,
             self._status,
-            ReaderEvents(self._offer, self._on_platform, self._on_vms),
+            ReaderEvents(self._board.on_offer, self._board.on_platform, self._board.on_vms),
             self.audit,
             self._rng,
             self._platform_asked,
@@ -234,7 +212,7 @@
         taken = own._replace(stop_limit_s=settings.stop_limit_s, log_level=settings.log_level)
         if own.store is not None and settings.store is not None:
             taken = taken._replace(store=settings.store._replace(address=own.store.address))
-            self._store_reader.tell(Policy.from_settings(settings.store))
+            self._board.store_reader.tell(Policy.from_settings(settings.store))
             self._quotas.adopt(settings.store.quota_terms)
         self._settings = taken
         left = [name for name in own._fields if getattr(taken, name) != getattr(settings, name)]
@@ -251,7 +229,7 @@
         self._view.leaving = True
         if self._settings.store is None:
             self._refuse()
-        self._gossip.tell(Leave())
+        self._board.gossip.tell(Leave())
         self.audit.record(Kind.STOP, self._settings.vm, "leaving, takes no new work")
 
     def _refuse(self) -> None:
@@ -313,96 +291,10 @@
             evidence = f"revision {self._view.fleet.revision} after {waited:.2f} s"
             self.audit.record(Kind.READY, self._settings.vm, evidence)
 
-    def _on_fleet(self, fleet: Fleet) -> None:
-        self._view.fleet = fleet
-        self._sidecar.configure(fleet)
-        self._monitor.tell(FleetChanged(fleet))
-        if self._settings.store is None:
-            self._gossip.tell(InForce(Version(fleet.revision, fleet.digest)))
-
-    def _on_published(self, fleet: Fleet, config: PublishedConfig) -> None:
-        """Put the fleet of a source in force."""
-        self._view.limits = config.limits
-        self._on_fleet(fleet)
-        if not self._view.ready:
-            self._view.ready = True
-            self.audit.record(Kind.READY, self._settings.vm, f"revision {fleet.revision}")
-
-    def _on_peers(self, entries: Sequence[TargetEntry]) -> None:
-        """Know the nodes beside the targets that a source names."""
-        members = neighbours(self._settings, entries)
-        self._gossip.tell(Seed(members, frozenset(), spread=False))
-
-    def _on_confirmed(self, revision: int, at: float, own: bool) -> None:
-        self._gossip.tell(Confirmed(revision, at, tell=own))
-
-    def _on_word(self, word: Word) -> None:
-        self._store_reader.tell(word)
-
-    def _on_quota(self, talk: QuotaTalk) -> None:
-        self._quota_keeper.tell(talk)
-
-    def _say_quota(self, talk: QuotaTalk) -> None:
-        self._gossip.tell(talk)
-
-    def _on_node(self, node: PeerNode) -> None:
-        self._view.nodes[node.vm] = node
-        nodes = self._view.nodes.values()
-        hall = {n.vm for n in nodes if n.alive and n.hall == self._settings.hall and not n.leaving}
-        order = choose_readers({*hall, self._settings.vm}, len(hall) + 1)
-        self._readers = order[: self._settings.readers_per_hall]
-        self._standing = Standing(order.index(self._settings.vm), len(nodes))
-
-    def _on_version(self, version: Version, address: Address) -> None:
-        if self._settings.store is not None:
-            return
-        self._puller.tell(VersionHeard(version, address))
-
-    def _on_behind(self, vm: str, revision: int) -> None:
-        """Pull from a node that was seen to hold a newer revision."""
-        peer = self._view.nodes.get(vm)
-        if peer is not None and self._settings.store is None:
-            self._puller.tell(VersionHeard(Version(revision, ""), (peer.address, peer.stream_port)))
-
-    def _on_hint(self, target: str, scores: Scores) -> None:
-        self._monitor.tell(HintHeard(target, scores))
-
-    def _on_crash_news(self) -> None:
-        try:
-            self._gossip.tell(CrashNews())
-        except pykka.ActorDeadError:  # the request's answer is delivered all the same
-            _log.debug("nobody is told of a crash any more: the node has stopped")
-
-    def _on_platform(self) -> None:
-        self._gossip.tell(PlatformSeen())
-
-    def _on_vms(self, entries: list[VmEntry]) -> None:
-        leaving = frozenset(entry.vm for entry in entries if entry.leaving)
-        self._gossip.tell(Seed(listed_members(entries), leaving))
-
-    def _on_pull(self, message: Message) -> Message:
-        """Tell a peer what it lacks.
-
-        Raises:
-            StreamError: This node knows nothing of the source yet.
-        """
-        if message["t"] == "pull":
-            return offer(self._store.held, message["have"])
-        news = self._journal.since(message["after"])
-        if news is None:
-            raise StreamError("Nothing is known of the source yet.")
-        return news.to_message(clock.now())
-
-    def _offer(self, revision: Offer) -> None:
-        self._configuration.tell(revision)
-
-    def _say(self, target: str, scores: Scores) -> None:
-        self._gossip.tell(Say(target, scores))
-
     def _status(self) -> Status:
         return Status(
             is_reader=not self._view.leaving
-            and (self._settings.vm in self._readers or not self._readers),
+            and (self._settings.vm in self._board.readers or not self._board.readers),
             platform_age_s=self._gossip_proxy.platform_age_s.get(),
             fleet_size=len(self._view.nodes) + 1,
         )
@@ -418,8 +310,8 @@
                 self.audit,
                 self.metrics,
                 gossip=self._gossip_proxy,
-                monitor=self._monitor,
-                readers=lambda: self._readers,
+                monitor=self._board.monitor,
+                readers=lambda: self._board.readers,
                 in_flight=self._in_flight,
             )
         )
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -403,7 +403,7 @@
     ),
     Mechanism(
         "a door tells of a request under which targets ended",
-        "roadpass/dispatch.py",
+        "roadpass/learning.py",
         "            self._quarantine.hear(now, reply.crash)\n",
         "            pass\n",
         "tests/test_quarantined_request.py",
