Say what constants are for, not how they were found

Hard to read: comments on constants told figures of trials and what other values had cost, so a reader had to find the unit and the purpose among them, and could not tell which still held.

They now say the unit, what the constant protects or buys, and the reason where one would wonder. The same in two class docstrings (shedding, retry).

Behaviour and all values are unchanged: with docstrings taken out, the syntax trees of the 17 files are the same before and after, and no line of the diff assigns a constant.

--- a/roadpass/belief.py
+++ b/roadpass/belief.py
@@ -17,19 +17,19 @@
 from roadpass.usual import UsualTime
 
 BAD_SHARE = 0.75
-"""Share of its requests that a target fails in a bad spell: 0.7 to 0.86 were seen."""
+"""Share of its requests that a target is taken to fail in a bad spell; the higher, the more a good
+answer proves."""
 SOUND_LOSS = 0.001
 """Share of its requests that a sound target loses at once: so rare that the first loss shuts the
 door even of a target that has just answered."""
 SETTLED_S = 0.03
-"""Seconds after which a request was not lost at once: resets came within 5 ms in all but 8 of 617
-losses seen."""
+"""Seconds after which a request was not lost at once: several times what a reset takes to come."""
 LATE_S = 0.1
 """Seconds after which a loss tells nothing of whether the next request is taken: more than
 `SETTLED_S`, since a node that gets little processor time notices a loss at once late."""
 BEGIN_PRIOR_S = 15.0
 LAST_PRIOR_S = 4.0
-"""Seconds from spell to spell, and of a spell, before any was seen: 9 to 20 and 3 to 6 were."""
+"""Seconds from spell to spell, and of a spell, that are assumed before any was seen."""
 IN_SPELL = 0.7
 OUT_OF_SPELL = 0.2
 """Beliefs from which on a spell is counted as begun, and as over, to learn how often and long."""
@@ -45,8 +45,8 @@
 """Losses at once, and in silence, that are taken to have been seen before any was: so few that the
 first reset tells how the target fails; until then a request that is kept proves nothing."""
 FAILURES_PRIOR = 0.5
-"""The same for answers that are failures, as evidence of which a quarter of a spell's work ends so:
-with the usual share of them one makes a target twelve times more probably bad."""
+"""The same for answers that are failures: until some were seen, a quarter of a spell's work is
+expected to end so."""
 MODE_MEMORY = 20.0
 """Losses of which it is remembered how they came."""
 
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -38,10 +38,8 @@
 QUEUE_LIMIT = 24
 """Requests that may wait at a target's sidecar; the expected wait bounds them before that."""
 RETRY_SHARE = 0.57
-"""Share of the allowed repeats that is used: the calls that a repeated run makes count as repeats
-too, at the service that is called, and no door there can tell them. On a crowded day on which the
-called service shed while its callers' runs were repeated, 0.85 brought 196 where 194 were allowed
-in ten seconds, 31 of them such calls; with `called_sheds` of `tests/loads.py` 0.6 is 1 too many."""
+"""Share of the allowed repeats that is used. The rest is room for the calls that a repeated run
+makes: they count as repeats too, at the service that is called, and no door there can tell them."""
 JUDGEMENT = Judgement(slow_margin=6.0, trial_weight=0.15, trial_successes=3)
 """Targets run at different speeds and their requests at different lengths, so only six times the
 others' is slow; an ingress sends a target about one request in two seconds, so a trial is short."""
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -40,13 +40,12 @@
 FREE_MOVES = 40
 """Refusals before the first byte reached a target after which a request is given up."""
 SPENT_ASKS = 4
-"""Targets that may say that their repeats are spent before a request is given up: with as many
-repeats left at one target in three, four of five requests still find one. Without a bound each of
-the requests that a large service sheds would ask forty."""
+"""Targets that may say that their repeats are spent before a request is given up: most requests
+find a repeat that is left at one target in three, and a service that sheds is not asked through."""
 SPENT_S = 0.3
 """Seconds for which a service's repeats are taken to be spent after that: a request sent meanwhile
 counts as lost if it fails, so it goes to surer targets, and one that needs a repeat asks one target
-for it. About as long as the targets of a service of some dozen take to be given the next few."""
+for it. Meanwhile the targets of a service of some dozen are given the next few."""
 _FINAL_REASONS = frozenset((Reason.EXPIRED, Reason.CANCELLED, Reason.QUARANTINED))
 """Refusals that no other target would change."""
 
--- a/roadpass/door.py
+++ b/roadpass/door.py
@@ -20,9 +20,9 @@
 """Seconds after a loss in which nothing is tried."""
 HOLD_GROWTH = 1.8
 HOLD_MAX_S = 1.5
-"""A lost trial makes the next wait longer, up to so many seconds: spells last for seconds and a
-trial in one costs a repeat. With a growth of 1.4 up to 0.8 s trials spent all repeats in a crowded
-moment; then nothing was tried any more, and doors stayed shut."""
+"""A lost trial makes the next wait so many times longer, up to so many seconds: spells last for
+seconds and a trial in one costs a repeat. Trials that spent all repeats would leave none to open
+the doors with."""
 DECIDED = 3.0
 """A trial that makes its target so many times more or less probably bad no longer bars the next."""
 
--- a/roadpass/failure_share.py
+++ b/roadpass/failure_share.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 USUAL_SHARE = 0.02
-"""Share of its answers that are failures before any was seen: 1.2 of 100 on the users' sheets."""
+"""Share of its answers that are taken to be failures before any was seen."""
 USUAL_WEIGHT = 10.0
 """Answers that this counts for: three failures of a kind that always fails make them usual."""
 MEMORY = 40.0
--- a/roadpass/offer.py
+++ b/roadpass/offer.py
@@ -11,16 +11,13 @@
 REFUSED_LOSS = 1.0
 """What a refusal costs: a target that costs more is not taken."""
 FAR_LOSS_PER_KB = 0.1
-"""What a kilobyte carried to another data hall costs, where nobody sets it: where bytes between
-data halls are dear, the way of ten kilobytes costs as much as a request earns. At half of this the
-bytes of four crowded days cost 0.115 of their worth, now 0.104, with as many requests served."""
+"""What a kilobyte carried to another data hall costs, as a share of a lost request, where nobody
+sets it: the way of ten kilobytes costs as much as a request earns, where such bytes are dear."""
 FAR_OVERHEAD_KB = 0.8
 """Kilobytes of frames, headers and acknowledgements that come with a request and its answer."""
 FAR_WAIT_FACTOR = 2.0
 """How many times the way costs a request that would wait for a slot in another data hall: it takes
-the turn of a caller there, who carries no bytes between data halls. With this, and with nothing
-taken that costs more than a refusal, the bytes of those days cost 0.078 instead of 0.104 of their
-worth, with 0.70 of the requests served instead of 0.71."""
+the turn of a caller there, who carries no bytes between data halls."""
 
 
 class Offer(NamedTuple):
--- a/roadpass/packing.py
+++ b/roadpass/packing.py
@@ -17,8 +17,8 @@
 """Deflate's window of 4 KB, without header: the dictionary and a usual message fit in it."""
 _LEVEL = 6
 _MEMORY = 3
-"""Deflate's memory level: 20 KB a message with it; with the usual one 144 KB, which made a node
-12 MB larger."""
+"""Deflate's memory level: some 20 KB for each message in work, far less than the usual
+level takes."""
 _WORDS = (
     b"manifest documents whole config withdrawn targets away_age_s age_s catch_up news "
     b"announce sync ping_req ping ack sender hints on digest platform_age_s n revision "
--- a/roadpass/peer.py
+++ b/roadpass/peer.py
@@ -13,7 +13,7 @@
 
 IDLE_LIMIT_S = 8.0
 """Shorter than a node waits for the next frame, so that this side closes first. Each idle stream
-holds a thread of the peer; a new one costs three ways there and back, 9 ms at most in a region."""
+holds a thread of the peer; a new one costs three ways there and back, milliseconds in a region."""
 MAX_IDLE = 16
 
 
--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -13,7 +13,8 @@
 from roadpass.source import Change, Changes, HistoryLostError
 
 CALL_LIMIT_S = 1.0
-"""Seconds to wait for an answer beyond what the store was asked to wait; it answers in 4 ms."""
+"""Seconds to wait for an answer beyond what the store was asked to wait; bounds a call that hangs,
+and is far more than the way and the store's work take."""
 CALLS = "platform_calls"
 """Counter of calls; a waiting watch is one."""
 PAGES = 200
--- a/roadpass/reading_turn.py
+++ b/roadpass/reading_turn.py
@@ -12,7 +12,8 @@
 """Share of the bound after which the second in the order reads: a call, also one of a slow source,
 and a lost datagram fit into what is left."""
 PATIENCE_STEP = 0.035
-"""Share of the bound that each further one waits longer: a call and its word take 10 ms."""
+"""Share of the bound that each further one waits longer: time for a call and for its word, which
+spares the next one's call."""
 LAST_STEP = 5
 """From this place in the order on all wait alike, but for chance."""
 CHANCE = 0.05
@@ -25,8 +26,8 @@
 MIN_WAIT_S = 0.01
 """Seconds that a reading waits at least, where an answer is wanted at once."""
 FIRST_WORD_S = 0.1
-"""Seconds that a node which knows peers but holds nothing waits for their word: it takes 10 ms, and
-after a loss of all nodes there is nobody to give it."""
+"""Seconds that a node which knows peers but holds nothing waits for their word: many times what one
+takes, and short, since after a loss of all nodes there is nobody to give it."""
 
 
 class Standing(NamedTuple):
--- a/roadpass/retry.py
+++ b/roadpass/retry.py
@@ -55,8 +55,7 @@
 
     It counts what came in the window that ends now, as the bound on the whole service does: so a
     moment of losses after a quiet while has the repeats of that while at once. A bucket that first
-    arrivals fill lost what it could not hold: where 85 of 100 allowed repeats were to be used, in
-    ten seconds of which eight were crowded (`shed_by_all` of the tests), it gave 62 and this 82.
+    arrivals fill would lose what it cannot hold.
 
     Args:
         ratio: Repeats for each first arrival of a window.
--- a/roadpass/shedding.py
+++ b/roadpass/shedding.py
@@ -13,20 +13,17 @@
 """Weight of one answer in the share: four sheddings in a row make it 0.76."""
 FORGET_S = 3.0
 """Seconds after which a share that nothing was added to has fallen to 0.37 of it: some times what a
-request takes. At 1 s full targets were tried again too soon (see `SHED_LOSS`)."""
+request takes, so that full targets are not tried again too soon."""
 SHED_LOSS = 0.8
-"""What a shedding costs, as a share of a lost request: a repeat, which another request may lack.
-With five of 16 targets shedding 95 of 100, of 100 requests 90 are served at 0, 97.7 at 0.3, 98.4 at
-0.8, and 98.9 at 0.8 with the longer memory; with all shedding 55 of 100 it is 57 each time."""
+"""What a shedding costs, as a share of a lost request: a repeat, which another request may lack. It
+draws requests away from targets that shed to those that do not."""
 
 
 class Shedding:
     """Follows what one target sheds.
 
-    It took the place of a hold, in which the target's sidecar refused new work for 0.2 to 0.8 s in
-    its stead. Where all targets of a service shed 55 of 100 requests, whatever they have to do,
-    with the hold 51 of 100 were served (ten seeds, `tests/loads.py`) and 11 refused after more than
-    0.1 s, as no target would be asked; now it is 57 and 4.
+    There is no time in which the target's sidecar refuses new work in its stead: where all targets
+    of a service shed, no target would be asked, and what they would have served be refused.
     """
 
     def __init__(self) -> None:
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -58,7 +58,7 @@
 away."""
 ANSWER_S = 0.25
 """Seconds from a word that there is more until peers are asked although a call is under way: it
-tells the same within 4 ms, with a slow source within 0.24 s, unless it hangs."""
+tells the same before that, also with a slow source, unless it hangs."""
 DEFAULT_BOUND_S = 2.0
 
 _log = logging.getLogger("roadpass.reader")
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -48,8 +48,8 @@
 ANSWER_MARGIN_S = 0.05
 ANSWER_MARGIN_SHARE = 0.05
 """How long before the end of an attempt the target is told to stop, seconds and a share of it at
-the most: its own word that the time was over then comes in time, and is passed on. Where both ended
-at once, 164 of 559 such attempts were broken off instead; a node that stops must never do that."""
+the most: its own word that the time was over then comes in time, and is passed on. If both ended at
+once, some attempts would be broken off instead; a node that stops must never do that."""
 KEEP_ALIVE_MARGIN_S = 1.0
 """Seconds before the end that a target announced, so that its close does not cross a request."""
 FRESH_IDLE_S = 0.2
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -30,9 +30,11 @@
 RECALL_S = 0.25
 """Seconds to a word on attempts that are asked back: busy nodes take some ten times 3 ms."""
 CONNECT_S = 0.12
-"""Seconds to connect: within a region it takes 3 ms, and a second if the first packet is lost."""
+"""Seconds to connect: many times what it takes within a region, and far less than the second that
+a lost first packet costs, in which another target can be asked."""
 CHECK_S = 0.09
-"""Seconds to a word: there and back takes 3 ms within a region, so it tells a cut or a loss."""
+"""Seconds to a word: many times the way there and back within a region, so silence for longer tells
+of a cut or a loss."""
 PRESSING_S = 0.6
 """Seconds to a connection or a word where no other target is left: two losses are mended then."""
 
--- a/roadpass/trip.py
+++ b/roadpass/trip.py
@@ -16,8 +16,8 @@
 ASKS = 6
 FAR_ASKS = 2
 """Targets of the own data hall, and of others, asked before a request takes one that is not as
-wanted: a way there and back takes 0.4 to 3 ms, one request ahead in a queue 100 ms. In a crowded
-moment questions to other data halls cost more bytes than they save losses."""
+wanted: a way there and back takes far less than one request ahead in a queue. Questions to other
+data halls also cost bytes, and find little in a crowded moment."""
 WANTED_BAD = 0.04
 """How probably bad a target may be that is taken at once by a request that is lost if it fails;
 just after an answer a target is about so sure."""
@@ -32,18 +32,16 @@
 WAIT_LEAST_MS = 30.0
 """Milliseconds that a request waits for a slot, however little is left of its objective."""
 USUAL_UNKNOWN_SHARE = 0.3
-"""Share of the objective that a request is taken to last while nobody knows: of seventeen kinds on
-three deployments it was 0.24 to 0.38. So the silence of a target counts from the first request of a
-fleet on; while it did not, a target that hung was given what came in the first seconds, and half of
-the slots were held by what hung."""
+"""Share of the objective that a request is taken to last while nobody knows. So the silence of a
+target counts from the first request of a fleet on, and one that hangs is not given what comes in
+the first seconds."""
 GIVE_UP_SHARE = 0.45
-"""Share of its time after which a request that no target was free for is given up: of 170 that got
-that far on a crowded day 28 were answered in the end, the others only waited for nothing."""
+"""Share of its time after which a request that no target was free for is given up: few that get so
+far are answered in time, and the others would only wait for nothing."""
 LONG_SPREADS = 0.7
 """Spreads above the typical time within which three of four requests of a kind are done: a request
-waits no longer than leaves it so much of its objective. Where it left time for nearly all, 93 of
-100, long kinds were refused after a wait of 30 ms, while a sixth of the slots that were believed
-sound stood free: of 100 requests on four crowded days 17 were refused, and 13 with this."""
+waits no longer than leaves it so much of its objective. Time for nearly all of a kind would leave
+long kinds hardly any wait, and slots free that they could have had."""
 TAIL_SPREADS = 1.65
 """Spreads above the typical time within which 95 of 100 requests of a kind are done."""
 MIN_ATTEMPT_S = 0.005
--- a/roadpass/usual.py
+++ b/roadpass/usual.py
@@ -8,12 +8,13 @@
 MEMORY = 40
 """Answers over which is averaged: some ten seconds of one target, so that it follows its speed."""
 SPREAD = 0.5
-"""Spread of the logarithm expected before there are answers, and the weight of that, in answers;
-work seen on three deployments spreads by 0.3 to 0.8."""
+"""Spread of the logarithm expected before there are answers, the weight of that, in answers, and
+the least that is believed: a few answers alike do not make the next one late."""
 SPREAD_WEIGHT = 4.0
 SPREAD_MIN = 0.3
 TAIL = 0.02
-"""Share of sound requests of which nothing is expected: one in a hundred took 5 times as long."""
+"""Share of sound requests of which nothing is expected: some take many times as long as usual, so
+that silence, however long, is no proof."""
 
 
 class UsualTime:
