Find the place of a stop's pause again in the list of mechanisms

Cause: since a stop notes the time of its pauses apart from its limit, the text by which "a pause is no quiet time" is switched off was no longer in roadpass/drain.py, so the tool ended with an error there and checked nothing after it. Excluded: a change of what the tests see; the test still exists.

The entry holds today's text and switches off the same statement. Before: 67 of 68 entries were found once in their files; after: 68.

--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -160,8 +160,8 @@
     Mechanism(
         "a pause is no quiet time",
         "roadpass/drain.py",
-        "            self._limit_s += since_look_s\n            self._quiet_since = now\n",
-        "            self._limit_s += since_look_s\n",
+        "            self._paused_s += since_look_s\n            self._quiet_since = now\n",
+        "            self._paused_s += since_look_s\n",
         "tests/test_drain.py",
     ),
     Mechanism(
