--- a/tools/mechanism_off.py
+++ b/tools/mechanism_off.py
@@ -12,7 +12,9 @@
 import tempfile
 from pathlib import Path
 
-from tools.mechanisms import MECHANISMS, OF_CHOICE, Mechanism
+from tools.mechanism import Mechanism
+from tools.mechanisms import MECHANISMS
+from tools.mechanisms_of_service import OF_CHOICE
 
 ROOT = Path(__file__).parent.parent
 COPIED = ("roadpass", "stand_ins", "tests", "examples", "pyproject.toml")
