Have the soak play with more than a thousand open connections

With 40 processes callers died with "filedescriptor out of range in select()", and a target took its peer for gone: `select` takes descriptors up to 1,023. It polls now.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -4,7 +4,6 @@
 import http.client
 import itertools
 import random
-import select
 import socket
 import threading
 
@@ -12,7 +11,7 @@
 from soak.customer import CUSTOMERS, NEVER, kept_key, passing_key, passing_owner
 from soak.history import CLOSED, GARBLED, LATE, History, Life, Request
 from soak.node import SoakNode
-from soak.target import ENDING, answer_body
+from soak.target import ENDING, answer_body, is_readable
 
 HOST = "soak.example"
 ROUTES = {"a": "GET", "b": "POST", "c": "GET", "d": "POST"}
@@ -148,4 +147,4 @@
 
 
 def _is_closed(sock: socket.socket) -> bool:
-    return bool(select.select([sock], [], [], 0)[0]) and not sock.recv(1, socket.MSG_PEEK)
+    return is_readable(sock, 0.0) and not sock.recv(1, socket.MSG_PEEK)
--- a/soak/target.py
+++ b/soak/target.py
@@ -149,9 +149,8 @@
     def _is_left(self, arrival: Arrival, seconds: float) -> bool:
         """Be at work for so long, and tell whether the connection ended meanwhile."""
         try:
-            select.select([self.connection], [], [], seconds)
-            left = bool(select.select([self.connection], [], [], 0)[0])
-        except (OSError, ValueError):
+            left = is_readable(self.connection, seconds)
+        except (OSError, ValueError):  # closed by now
             left = True
         own = self.server.down or self.server.instance is not arrival.instance
         arrival.cut = left and not own
@@ -173,6 +172,13 @@
         self.wfile.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
 
+def is_readable(sock: socket.socket, seconds: float) -> bool:
+    """Wait so long for bytes or an end; also for descriptors that `select` does not take."""
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(seconds * 1000.0))
+
+
 def _reset(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
