--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,6 @@
 """The fault soak: its checks see made-up faults, and a short run is clean."""
 
 from collections.abc import Callable
-from pathlib import Path
 
 import pytest
 
@@ -15,6 +14,7 @@
     SENT_S,
     SETTLED_S,
     SLACK_S,
+    Finding,
     check,
 )
 from soak.history import (
@@ -33,6 +33,9 @@
 from soak.target import ENDING
 
 SHORT, NET = (1, 8.0, 4), 61
+ENDING_RUN = (501, 12.0, 6, True)
+REPLACED = "replaced"
+Findings = list[Finding]
 
 
 class Past(History):
@@ -109,8 +112,8 @@
     ("cut", lambda past: setattr(past.stopped(50.0, 0.0).arrivals[0], "done", 52.0)),
     ("cut", lambda past: past.pause(50.0, 50.0 + PAUSED_S - 0.1).stopped(50.0, -1.5)),
     ("cut", lambda past: setattr(past.kill(55.0).one, "lost", CLOSED)),
-    ("replaced", lambda past: past.stopped(50.0, -2.0, 504)),
-    ("replaced", lambda past: setattr(past.stopped(50.0, -2.0, 504).arrivals[0], "done", 60.0)),
+    (REPLACED, lambda past: past.stopped(50.0, -2.0, 504)),
+    (REPLACED, lambda past: setattr(past.stopped(50.0, -2.0, 504).arrivals[0], "done", 60.0)),
     ("leaving", lambda past: setattr(past.instances[0], "left", 10.0 - IN_FORCE_S - SLACK_S)),
     ("in force (2)", lambda past: past.move(10.0 - IN_FORCE_S - SLACK_S)),
     ("in force (2)", lambda past: past.move(20.0).add(20.2, target=2) and past.add(21.0)),
@@ -147,12 +150,22 @@
     assert drawn == {fault for lane in LANES for fault in lane.faults}
 
 
-@pytest.mark.parametrize("run", [SHORT, *REGRESSIONS], ids=lambda run: f"seed{run[0]}")
-def test_a_run_breaks_no_promise(run: tuple[int, float, int], tmp_path: Path) -> None:
-    """A short one, and those that once did."""
-    assert play(*run, net=NET, logs=tmp_path) == []
+RUNS = [*((*run, False) for run in (SHORT, *REGRESSIONS)), ENDING_RUN]
 
 
-def test_a_run_with_a_request_that_ends_its_targets_breaks_no_promise(tmp_path: Path) -> None:
-    """Real processes spread what each of them saw, beside all other faults."""
-    assert play(501, 12.0, 6, net=NET, logs=tmp_path, ending=True) == []
+@pytest.fixture(scope="module", params=RUNS, ids=lambda run: f"seed{run[0]}")
+def findings(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Findings:
+    """Play a short run, those that broke a promise, and one with a request that ends targets."""
+    seed, seconds, processes, ending = request.param
+    logs = tmp_path_factory.mktemp(f"seed{seed}")
+    return play(seed, seconds, processes, net=NET, logs=logs, ending=ending)
+
+
+def test_a_run_breaks_no_promise(findings: Findings) -> None:
+    """Real processes keep all of them but the one below."""
+    assert [finding for finding in findings if finding.promise != REPLACED] == []
+
+
+def test_a_run_replaces_no_answer(findings: Findings) -> None:
+    """No node that stops tells of a failure while a target is at work on the answer."""
+    assert [finding for finding in findings if finding.promise == REPLACED] == []
