--- a/tests/test_stop_order.py
+++ b/tests/test_stop_order.py
@@ -13,7 +13,7 @@
 from roadpass import clock
 from roadpass.ending import ANSWER_MIN_S
 from roadpass.fleet import Target
-from roadpass.message import Attempt, Message, Reply
+from roadpass.message import Attempt, LoadReport, Message, Reply
 from roadpass.outcome import Answered, NotRun, Outcome, Reason
 from roadpass.pause import PauseWatch
 from roadpass.peer import PeerPool
@@ -57,7 +57,8 @@
             case "attempt":
                 self.attempts.append(message["id"])
                 self.arrives.wait(10.0)
-                return Reply(Answered(200, [], b"ok")).to_message()
+                load = LoadReport(0, 0, 1, 0.0, 0.0, 1.0, 1)
+                return Reply(Answered(200, [], b"ok"), load).to_message()
             case _:
                 return super().answer(message, age_s)
 
@@ -122,6 +123,21 @@
     assert way.outcomes == [NotRun(Reason.LEAVING, 500)]
 
 
+def test_the_promise_of_another_process_is_no_proof(way: Way) -> None:
+    """A peer that has started anew never had the attempt, and the one before may have run it."""
+    way.peer.agrees.set()
+    thread = way.send(1)
+    wait_for(lambda: way.peer.attempts)
+    way.peer._incarnation += 1
+    way.view.ending.at = clock.now() + 9.0
+    way.transport.recall("vm-1", ["vm-2/1/1"])
+    thread.join(0.5)
+    assert way.outcomes == []
+    way.peer.arrives.set()
+    thread.join(5.0)
+    assert isinstance(way.outcomes[0], Answered)
+
+
 def test_a_recall_before_the_frame_is_there(bench: Bench) -> None:
     """It never starts; its own reply says so, and it takes no slot."""
     assert bench.sidecar.recall(["vm-2/1/1"]) == ["vm-2/1/1"]
