--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -153,7 +153,7 @@
 RUNS = [*((*run, False) for run in (SHORT, *REGRESSIONS)), ENDING_RUN]
 
 
-@pytest.fixture(scope="module", params=RUNS, ids=lambda run: f"seed{run[0]}")
+@pytest.fixture(scope="module", params=RUNS, ids=lambda run: f"seed{run[0]}-{run[2]}")
 def findings(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Findings:
     """Play a short run, those that broke a promise, and one with a request that ends targets."""
     seed, seconds, processes, ending = request.param
