Keep a stop in hand when a look fails, a thread is missing, a word or a slot comes late

Found by a reading of the mend, each with a test that failed: a connection that closes during a look, or a recall for which the machine has no thread, ended the stop, and the process under all that was in flight; a peer's slow "accepted", or a slot that a starved node comes to use late, started requests past their last start; who queued at the very moment of a target's drain was woken by nobody; a stop limit shorter than the time of serving was ignored; a recall of many was cut off in the log. Attempts of which the peer has said that they started are not asked about again, and a stream is ended under a wait only while that wait has it.

--- a/roadpass/drain.py
+++ b/roadpass/drain.py
@@ -61,8 +61,8 @@
             self._quiet_since = now
         if in_flight:
             self._quiet_since = now
-        if now - self._began < self._leave_s:
+        late = now - self._began >= self._limit_s + self._paused_s
+        if now - self._began < self._leave_s and not late:
             return Stage(refusing=False, over=False)
         clean = now - self._quiet_since >= QUIET_S
-        late = now - self._began >= self._limit_s + self._paused_s
         return Stage(refusing=True, over=clean or late, clean=clean)
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -93,9 +93,10 @@
         """
         poller = select.poll()
         for sock in (*self._open.copy(), self._listener):
-            if sock is not None and sock.fileno() >= 0:
-                poller.register(sock, select.POLLIN)
-        return len(poller.poll(0))
+            number = sock.fileno() if sock is not None else -1
+            if number >= 0:  # its thread may close it at any moment
+                poller.register(number, select.POLLIN)
+        return sum(not events & select.POLLNVAL for _, events in poller.poll(0))
 
     @property
     def address(self) -> tuple[str, int]:
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -69,6 +69,7 @@
     ) -> None:
         self.target = target
         self._service = service
+        self._ending = ending
         self._fences = fences
         self._pause = pause
         self._belief = Belief(clock.now())
@@ -286,6 +287,8 @@
             return NotRun(Reason.CANCELLED, RETRY_SOON_MS)
         if (deadline - now) * 1000.0 < MIN_START_MS:
             return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
+        if now >= self._ending.last_start(attempt.usual_ms):  # a node short of time came here late
+            return NotRun(Reason.LEAVING, RETRY_SOON_MS)
         refusal = self._new_work_refusal(Question.of(attempt)) or self._guard.refusal(attempt)
         if refusal is not None:
             return refusal
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -166,7 +166,7 @@
             return self._ending.last_start(attempt.usual_ms)
 
         def until() -> float:
-            return min(deadline, patient_until, last_start())
+            return -math.inf if self._leaving else min(deadline, patient_until, last_start())
 
         while not signal.wait(max(0.0, min(clock.STEP_S, until() - clock.now()))):
             if clock.now() >= until():
--- a/roadpass/stop.py
+++ b/roadpass/stop.py
@@ -85,8 +85,7 @@
         """
         self._tell("leaving")
         while True:
-            in_flight = self._in_flight() + self._callers.unread()
-            stage = self._drain.look(clock.now(), in_flight)
+            stage = self._drain.look(clock.now(), self._look())
             if stage.refusing and not self._view.refusing:
                 self._tell("refusing")
             if stage.refusing:
@@ -98,11 +97,23 @@
             self._tell_overtime()
             time.sleep(POLL_S)
 
+    def _look(self) -> int:
+        """Return how many are in flight; where that fails one, as nobody has seen none."""
+        try:
+            return self._in_flight() + self._callers.unread()
+        except Exception:
+            _log.exception("a look at what is in flight failed")
+            return 1
+
     def _recall(self) -> None:
         """Have what waits elsewhere sent back in time to tell its callers."""
-        if clock.now() - self._recalled_at >= RECALL_S:
-            self._recalled_at = clock.now()
+        if clock.now() - self._recalled_at < RECALL_S:
+            return
+        self._recalled_at = clock.now()
+        try:
             self._dispatcher.recall()
+        except Exception:  # it is asked again; the stop goes on for all else
+            _log.exception("a recall failed")
 
     def _in_flight(self) -> int:
         return self._callers.active() + self._dispatcher.in_flight + self._sidecar.in_flight
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -11,7 +11,7 @@
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
 from roadpass.fleet import Target
-from roadpass.message import Attempt, Question, Reply
+from roadpass.message import Attempt, Message, Question, Reply
 from roadpass.metric import Metrics
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
 from roadpass.peer import Address, PeerPool
@@ -63,11 +63,13 @@
         stream: On which.
         is_spoken_for: Whether its sidecar has said a word when it was asked back.
         never_starts: Whether that was the promise that it never starts.
+        is_given_up: Whether the stream was ended under the wait.
     """
 
     stream: Stream
     is_spoken_for: bool = False
     never_starts: bool = False
+    is_given_up: bool = False
 
 
 class Transport:
@@ -88,6 +90,7 @@
         self._sidecar = sidecar
         self._peers = peers
         self._waiting: dict[str, _Waiting] = {}
+        self._lock = threading.Lock()
 
     def send(self, target: Target, attempt: Attempt, watch: CallerWatch | None) -> Reply:
         """See one attempt to its end; whatever fails, the reply says what is known.
@@ -108,6 +111,9 @@
         self._count("question", opened.carried, far=far)
         if isinstance(opened, _Refusal):
             return opened.reply
+        if clock.now() >= self._view.ending.last_start(attempt.usual_ms):  # the word took long
+            self._peers.release(address, opened)
+            return Reply(NotRun(Reason.LEAVING, RETRY_SOON_MS))
         asked = opened.carried
         spent_ms = (clock.now() - started) * 1000.0
         attempt = attempt._replace(remaining_ms=attempt.remaining_ms - spent_ms)
@@ -128,16 +134,31 @@
         that has started the reply is awaited to the end; where nothing was heard in time, its
         caller is told that it may have run.
         """
+        unheard = [name for name in attempt_ids if self._is_unheard(name)]
         if clock.now() >= self._view.ending.asks_until:
+            self._give_up(unheard)
+        address = self._address(vm)
+        if address is None or not unheard:
+            return
+        message: Recall = {"t": "recall", "ids": unheard}
+        thread = threading.Thread(target=self._recall, args=(address, message), daemon=True)
+        try:
+            thread.start()
+        except RuntimeError as error:  # the machine has no thread left; it is asked again
+            _log.warning("nobody at %s is asked to take attempts back: %s", address, error)
+
+    def _is_unheard(self, attempt_id: str) -> bool:
+        waiting = self._waiting.get(attempt_id)
+        return waiting is None or not waiting.is_spoken_for
+
+    def _give_up(self, attempt_ids: list[str]) -> None:
+        """End the wait for the replies to attempts."""
+        with self._lock:
             for attempt_id in attempt_ids:
                 waiting = self._waiting.get(attempt_id)
-                if waiting is not None and not waiting.is_spoken_for:
+                if waiting is not None:
+                    waiting.is_given_up = True
                     waiting.stream.shutdown()
-        address = self._address(vm)
-        if address is None:
-            return
-        message: Recall = {"t": "recall", "ids": attempt_ids}
-        threading.Thread(target=self._recall, args=(address, message), daemon=True).start()
 
     def _recall(self, address: Address, message: Recall) -> None:
         asked = message["ids"]
@@ -146,16 +167,19 @@
         except StreamError as error:
             _log.info("nobody at %s takes %d attempts back: %s", address, len(asked), error)
             return
-        never_start = word.get("ids", ())
-        decided("transport", "recalled", asked=asked, never_start=never_start)
+        never_start = [name for name in word.get("ids", ()) if self._vouches(word, name)]
+        decided("transport", "recalled", asked=len(asked), never_start=len(never_start))
         for attempt_id in asked:
             waiting = self._waiting.get(attempt_id)
-            if waiting is None or waiting.stream.peer_incarnation != word.get("incarnation"):
-                continue
-            waiting.is_spoken_for = True
-            if attempt_id in never_start:
-                waiting.never_starts = True
-                waiting.stream.shutdown()
+            if waiting is not None and self._vouches(word, attempt_id):
+                waiting.never_starts = attempt_id in never_start
+                waiting.is_spoken_for = True
+        self._give_up(never_start)
+
+    def _vouches(self, word: Message, attempt_id: str) -> bool:
+        """Tell whether a word is that of the process that was given an attempt."""
+        waiting = self._waiting.get(attempt_id)
+        return waiting is None or waiting.stream.peer_incarnation == word.get("incarnation")
 
     def fence_key(self, vm: str, key: str, token: str, timeout_s: float) -> Verdict:
         """Have a VM's sidecar promise that only the attempt `token` may start with a key."""
@@ -227,8 +251,12 @@
                 return Reply(NotRun(Reason.LEAVING, RETRY_SOON_MS))
             return Reply(self._after_loss(address, attempt, stream.peer_incarnation, error))
         finally:
-            del self._waiting[attempt.id]
-        self._peers.release(address, stream)
+            with self._lock:  # from here on nobody ends the stream, which may be lent again
+                del self._waiting[attempt.id]
+        if waiting.is_given_up:
+            stream.close()
+        else:
+            self._peers.release(address, stream)
         return reply
 
     def _after_loss(
--- /dev/null
+++ b/tests/test_stop_hazards.py
@@ -0,0 +1,197 @@
+"""What may still end a request under its caller, or a stop under its requests."""
+
+import contextlib
+import json
+import logging
+import socket
+import threading
+from typing import Any
+
+import pytest
+
+from roadpass import clock
+from roadpass.ending import ANSWER_MIN_S, Ending
+from roadpass.ingress import Ingress
+from roadpass.log import JsonFormatter, _encoded
+from roadpass.metric import Metrics
+from roadpass.outcome import NotRun, Reason
+from roadpass.pause import PauseWatch
+from roadpass.request import Pending
+from roadpass.settings import Ports, Settings
+from roadpass.sidecar import Sidecar
+from roadpass.stop import PlannedStop
+from roadpass.target import TargetClient
+from roadpass.view import PeerNode
+from tests.fake_sidecar import FakeSidecar, dispatcher
+from tests.test_ending import Waiting, full_slots
+from tests.test_sidecar import Bench, attempt, bench
+from tests.test_stop_order import ADDRESS, Way, wait_for, way
+
+__all__ = ["bench", "way"]
+
+FULL = (ADDRESS, 7899)
+"""Where a target listens that accepts nobody."""
+USUAL_MS = 300.0
+
+
+def test_what_a_peer_agreed_to_too_late_is_not_sent(way: Way) -> None:
+    """A slow word takes the time in which the request could have been answered."""
+    way.view.ending.at = clock.now() + ANSWER_MIN_S + 0.3
+    thread = way.send(1, usual_ms=USUAL_MS, pressing=True)
+    assert way.peer.asked.wait(5.0)
+    wait_for(lambda: clock.now() >= way.view.ending.last_start(USUAL_MS))
+    way.peer.agrees.set()
+    thread.join(0.3)
+    assert not way.peer.attempts
+    assert [type(outcome) for outcome in way.outcomes] == [NotRun]
+
+
+def test_a_slot_that_is_granted_too_late_starts_nothing(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A node that gets little processor time may reach the start long after the grant."""
+    sidecar, ending = bench.sidecar, bench.sidecar._ending
+
+    def starved() -> float:
+        ending.at = clock.now() + 0.1
+        return 0.0
+
+    monkeypatch.setattr(sidecar._pause, "settle", starved)
+    outcome = sidecar.run(attempt(1, usual_ms=USUAL_MS)).outcome
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason is Reason.LEAVING
+    assert bench.runs == 0
+
+
+def test_a_target_that_takes_no_connection_holds_nobody_until_its_node_ends(bench: Bench) -> None:
+    """Nothing of the request was sent: it did not run, and its caller can be told."""
+    bench.server.stop()
+    with socket.create_server(FULL, backlog=0) as listener, contextlib.ExitStack() as others:
+        for _ in range(3):  # more than it holds, none of which it accepts
+            others.enter_context(waiting := socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(FULL)
+        assert listener.fileno() >= 0
+        target = bench.sidecar.targets["t"]
+        target._exchange._client = TargetClient(f"{FULL[0]}:{FULL[1]}")
+        ending = bench.sidecar._ending
+        ending.at = clock.now() + ANSWER_MIN_S + 0.2
+        outcome = bench.sidecar.run(attempt(1)).outcome
+        assert isinstance(outcome, NotRun)
+        assert clock.now() < ending.at - 0.2
+
+
+def test_who_queues_at_the_moment_of_a_drain_is_sent_back() -> None:
+    """Whoever has seen the target in service and was not yet in the queue is woken by nobody."""
+    slots = full_slots(Ending())
+    slots._queued = Late(slots)
+    waiting = Waiting(slots, attempt(1))
+    waiting.join(2.0)
+    assert waiting.refusal is not None
+    assert waiting.refusal.reason is Reason.LEAVING
+
+
+class Late(dict[str, Any]):
+    """Has the target drained just before somebody is written into the queue."""
+
+    def __init__(self, slots: Any) -> None:
+        super().__init__()
+        self._slots = slots
+
+    def __setitem__(self, key: str, value: Any) -> None:
+        self._slots.leaving = True
+        super().__setitem__(key, value)
+
+
+def test_a_recall_that_finds_no_thread_does_not_end_the_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """On a machine whose threads are used up it is asked again; all else in flight goes on."""
+    one = dispatcher(FakeSidecar([]))
+    one._view.nodes["vm-9"] = PeerNode("vm-9", ADDRESS, 1, "hall", "region")
+    one.pending["a"] = Pending("s", "t", clock.now(), "vm-9")
+    one._view.ending.at = clock.now()
+
+    def start(_: threading.Thread) -> None:
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(threading.Thread, "start", start)
+    one.recall()
+
+
+class Closing(socket.socket):
+    """Closes once it was asked whether it is open."""
+
+    def fileno(self) -> int:
+        number = super().fileno()
+        self.close()
+        return number
+
+
+def test_a_connection_that_closes_during_a_look_does_not_end_the_stop() -> None:
+    """Its thread closes it whenever it is done."""
+    settings = Settings("vm-1", "hall", "region", ADDRESS, ADDRESS, Ports(0, 0, 0, 0), "")
+    one = dispatcher(FakeSidecar([]))
+    ingress = Ingress(settings, one, one._view, Metrics())
+    ingress._open.add(Closing())
+    assert ingress.unread == 0
+
+
+class Idle:
+    """Callers of whom none asks."""
+
+    def active(self) -> int:
+        return 0
+
+    def unread(self) -> int:
+        return 0
+
+
+class Busy(Idle):
+    """Callers of whom one waits."""
+
+    def active(self) -> int:
+        return 1
+
+
+class Failing(Idle):
+    """Callers who cannot be counted once."""
+
+    looks = 0
+
+    def unread(self) -> int:
+        self.looks += 1
+        if self.looks == 2:
+            raise ValueError("file descriptor cannot be a negative integer (-1)")
+        return 0
+
+
+def test_a_look_that_fails_does_not_end_the_process() -> None:
+    """Seen: with that, the process ended at once under all that targets worked on."""
+    sidecar = Sidecar("vm-1", 7, PauseWatch(), pull=dict, behind=lambda *_: None)
+    one = dispatcher(sidecar)
+    callers = Failing()
+    assert PlannedStop(one._view, callers, one, sidecar, limit_s=2.0, serve_s=0.1).run(lambda: None)
+    assert callers.looks > 2
+
+
+@pytest.mark.parametrize("callers", [Idle(), Busy()])
+def test_a_limit_shorter_than_the_time_of_serving_is_kept(callers: Idle) -> None:
+    """Who wants the node gone by then ends it, and nobody would learn what that cut."""
+    sidecar = Sidecar("vm-1", 7, PauseWatch(), pull=dict, behind=lambda *_: None)
+    one = dispatcher(sidecar)
+    began = clock.now()
+    stop = PlannedStop(one._view, callers, one, sidecar, limit_s=1.0, serve_s=2.6)
+    stop.run(lambda: None)
+    assert clock.now() - began <= 1.0
+
+
+def test_a_recall_of_many_is_logged_in_a_whole_line(
+    way: Way, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Whoever traces a stop reads these lines by program."""
+    caplog.set_level(logging.INFO, "roadpass")
+    way.transport.recall("vm-1", [f"10.3.0.58/1796274215987/{number}" for number in range(60)])
+    wait_for(lambda: any(record.getMessage() == "recalled" for record in caplog.records))
+    for record in caplog.records:
+        json.loads(_encoded(JsonFormatter().format(record)))
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -143,8 +143,8 @@
     Mechanism(
         "what waits for a slot is sent back before the node ends",
         "roadpass/slots.py",
-        "return min(deadline, patient_until, last_start())",
-        "return min(deadline, patient_until)",
+        "else min(deadline, patient_until, last_start())",
+        "else min(deadline, patient_until)",
         "tests/test_ending.py",
     ),
     Mechanism(
@@ -164,15 +164,15 @@
     Mechanism(
         "a promise never to start is the word of the process that has the attempt",
         "roadpass/transport.py",
-        'or waiting.stream.peer_incarnation != word.get("incarnation"):',
-        "or False:",
+        'or waiting.stream.peer_incarnation == word.get("incarnation")',
+        "or True",
         "tests/test_stop_order.py",
     ),
     Mechanism(
         "a silent peer is given up in time to tell the caller",
         "roadpass/transport.py",
-        "if waiting is not None and not waiting.is_spoken_for:",
-        "if False:",
+        "self._give_up(unheard)",
+        "pass",
         "tests/test_stop_more.py",
     ),
     Mechanism(
@@ -185,8 +185,8 @@
     Mechanism(
         "what waits at a drained target is sent back at once",
         "roadpass/slots.py",
-        "_wake_all(list(self._queued.values()))",
-        "pass",
+        "return -math.inf if self._leaving else min",
+        "return min",
         "tests/test_ending.py",
     ),
     Mechanism(
