Give attempts all their time once their node is told to stop

Callers were told 504 by a node in the midst of its stop, while a target worked on the answer. Cause: an attempt that may be repeated is given its route's objective only; that is settled when it is sent. A node that leaves repeats nothing any more, and broke it off all the same. Now it asks the sidecars that have such attempts to keep them until their requests' own deadlines, again until there is a word, and waits itself as long. Targets that heed the time that they were told still end by their own word.

test_ending_elsewhere: 504 at 4 s before, the answer at 4.6 s now, here and beside another VM.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -334,6 +334,51 @@
 
 
 
+class Keep(TypedDict, total=False):
+    r"""
+    keep.
+
+    Asks that attempts which run be given so much time from now, each its own.
+    """
+
+    t: Required[Literal['keep']]
+    r""" Required property """
+
+    ids: Required["_AttemptIds"]
+    r"""
+    maxItems: 1000
+
+    Required property
+    """
+
+    left_ms: Required[list[int | float]]
+    r"""
+    maxItems: 1000
+
+    Required property
+    """
+
+
+
+class Kept(TypedDict, total=False):
+    r"""
+    kept.
+
+    Names those of them that run.
+    """
+
+    t: Required[Literal['kept']]
+    r""" Required property """
+
+    ids: Required["_AttemptIds"]
+    r"""
+    maxItems: 1000
+
+    Required property
+    """
+
+
+
 class Load(TypedDict, total=False):
     r""" load. """
 
@@ -362,7 +407,7 @@
     wait_ms: int | float
 
 
-Message = Union["Hello", "Attempt", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Recall", "Recalled", "Pull", "Revision", "CatchUp", "News", "Datagram"]
+Message = Union["Hello", "Attempt", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Keep", "Kept", "Recall", "Recalled", "Pull", "Revision", "CatchUp", "News", "Datagram"]
 r"""
 message.
 
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -32,6 +32,7 @@
 from roadpass.retry import RetryBudget
 from roadpass.route import Route
 from roadpass.sidecar import Sidecar
+from roadpass.stop_notices import StopNotices
 from roadpass.transport import CONNECT_S, Transport
 from roadpass.trip import MIN_ATTEMPT_S, Trip
 from roadpass.trip_log import log_attempt, log_end, log_refused
@@ -97,6 +98,7 @@
         self._lock = threading.Lock()
         self.observations = self._learning.observations
         self.pending: dict[str, Pending] = {}
+        self.notices = StopNotices(view, self.pending, self._transport)
         self._trips: dict[int, Trip] = {}
 
     @property
@@ -120,20 +122,6 @@
         sent = (trip.attempt_id, pending.since, pending.target, pending.vm)
         return Way(trip.request.id, trip.started, trip.arrivals, *sent)
 
-    def recall(self) -> None:
-        """Take back what waits beside other VMs and could not be answered before this node ends.
-
-        Nobody but this node knows there that it ends. Each question is asked again until the
-        attempt is over: its frame may have been on the way.
-        """
-        now, last_start = clock.now(), self._view.ending.last_start
-        waiting: dict[str, list[str]] = {}
-        for attempt_id, pending in list(self.pending.items()):
-            if pending.vm != self._view.vm and now >= last_start(pending.usual_ms):
-                waiting.setdefault(pending.vm, []).append(attempt_id)
-        for vm, attempt_ids in waiting.items():
-            self._transport.recall(vm, attempt_ids)
-
     def dispatch(self, request: Request) -> Served:
         """See one request to its outcome."""
         started = clock.now()
@@ -254,7 +242,7 @@
                 return refusal
         started = clock.now()
         attempt = self._next_attempt(trip, attempt_id, target, started)
-        pending = Pending(trip.service.name, target.name, started, target.vm, attempt.usual_ms)
+        pending = Pending.of(attempt, trip.service.name, target.vm, started, trip.deadline)
         reply = self._send(trip, target, attempt, pending)
         last = trip.is_last(self._has_repeat(trip))
         self._learning.note(clock.now(), trip, target, reply, pending, started, last=last)
--- a/roadpass/exchange.py
+++ b/roadpass/exchange.py
@@ -73,6 +73,10 @@
         """Pass a cancellation on to an attempt that runs."""
         self._client.cancel(attempt_id)
 
+    def keep(self, attempt_id: str, until: float) -> bool:
+        """Give an attempt that runs time until a moment; return whether it runs."""
+        return self._client.keep(attempt_id, until)
+
     def run(
         self,
         attempt: Attempt,
--- a/roadpass/local.py
+++ b/roadpass/local.py
@@ -253,6 +253,10 @@
         if not self.send_back(attempt_id):
             self._exchange.cancel(attempt_id)
 
+    def keep(self, attempt_id: str, until: float) -> bool:
+        """Give an attempt that runs time until a moment; return whether it runs."""
+        return self._exchange.keep(attempt_id, until)
+
     def send_back(self, attempt_id: str) -> bool:
         """End the wait of an attempt; return whether it waited."""
         return self._slots.cancel(attempt_id)
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -6,6 +6,7 @@
 from roadpass.access import Access
 from roadpass.customer import Customer
 from roadpass.detect import Sample, Scores
+from roadpass.message import Attempt
 from roadpass.outcome import Headers, Outcome
 
 
@@ -88,6 +89,8 @@
         since: Clock seconds at which it was.
         vm: Of the target.
         usual_ms: Milliseconds that one of its kind usually takes, 0 if unknown.
+        until: Clock seconds until which it may take,
+        deadline: and until which its request may.
         looks: How often it was found to be pending for too long.
     """
 
@@ -96,8 +99,16 @@
     since: float
     vm: str = ""
     usual_ms: float = 0.0
+    until: float = 0.0
+    deadline: float = 0.0
     looks: int = 0
 
+    @classmethod
+    def of(cls, attempt: Attempt, service: str, vm: str, now: float, deadline: float) -> "Pending":
+        """Return an attempt that is sent now, of a request with a deadline."""
+        until = now + attempt.remaining_ms / 1000.0
+        return cls(service, attempt.target, now, vm, attempt.usual_ms, until, deadline)
+
 
 class Way(NamedTuple):
     """Where a request is that is under way.
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from roadpass import clock
@@ -171,6 +171,17 @@
             local.cancel(attempt_id)
         return verdict
 
+    def keep(self, deadlines: Mapping[str, float]) -> list[str]:
+        """Give attempts that run time until a moment each, in clock seconds.
+
+        Returns:
+            Those that run.
+        """
+        known = self._known()
+        return [
+            name for name, until in deadlines.items() if any(one.keep(name, until) for one in known)
+        ]
+
     def recall(self, attempt_ids: list[str]) -> list[str]:
         """Promise that attempts never start here, but leave those alone that have.
 
@@ -202,6 +213,12 @@
                 return self.check(Question.from_message(message))
             case "fence":
                 return self._fenced(self.fence(message["id"]))
+            case "keep":
+                until = (clock.now() + left_ms / 1000.0 for left_ms in message["left_ms"])
+                return {
+                    "t": "kept",
+                    "ids": self.keep(dict(zip(message["ids"], until, strict=False))),
+                }
             case "recall":
                 return self._recalled(self.recall(message["ids"]))
             case "fence_key":
--- a/roadpass/stop.py
+++ b/roadpass/stop.py
@@ -23,8 +23,8 @@
 rest belongs to what targets still work on, whose answers are delivered up to the end."""
 POLL_S = 0.05
 """Seconds between looks at what is in flight."""
-RECALL_S = 0.15
-"""Seconds between two questions for one attempt; a word from another data hall takes 3 ms."""
+NOTICE_S = 0.15
+"""Seconds between two notices on one attempt; a word from another data hall takes a few ms."""
 LISTED = 200
 """Requests listed one by one when the limit passes; the counts tell of the others."""
 
@@ -70,7 +70,7 @@
         self._began = clock.now()
         self._limit_s = limit_s - STOP_MARGIN_S
         view.ending.at = self._began + self._limit_s
-        self._recalled_at = -math.inf
+        self._notified_at = -math.inf
         self._overtime = False
         self._drain = Drain(self._began, leave_s=serve_s, limit_s=self._limit_s)
 
@@ -90,7 +90,7 @@
                 self._tell("refusing")
             if stage.refusing:
                 refuse()
-            self._recall()
+            self._notify()
             if stage.over:
                 self._tell_end(stage)
                 return stage.clean
@@ -105,15 +105,15 @@
             _log.exception("a look at what is in flight failed")
             return 1
 
-    def _recall(self) -> None:
-        """Have what waits elsewhere sent back in time to tell its callers."""
-        if clock.now() - self._recalled_at < RECALL_S:
+    def _notify(self) -> None:
+        """Have other nodes keep what runs there, and send back in time what waits."""
+        if clock.now() - self._notified_at < NOTICE_S:
             return
-        self._recalled_at = clock.now()
+        self._notified_at = clock.now()
         try:
-            self._dispatcher.recall()
-        except Exception:  # it is asked again; the stop goes on for all else
-            _log.exception("a recall failed")
+            self._dispatcher.notices.send()
+        except Exception:  # they are sent again; the stop goes on for all else
+            _log.exception("notices of the stop failed")
 
     def _in_flight(self) -> int:
         return self._callers.active() + self._dispatcher.in_flight + self._sidecar.in_flight
--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -55,6 +55,7 @@
         client: Whether this side opened the connection.
 
     Attributes:
+        kept_until: Clock seconds until which the first byte of a frame is awaited in any case.
         carried: Bytes of frames sent and received since it was last set to zero.
     """
 
@@ -69,6 +70,7 @@
         self._buffer = bytearray()
         self.peer_incarnation = 0
         self.idle_since = 0.0
+        self.kept_until = 0.0
         self.carried = 0
 
     @classmethod
@@ -228,7 +230,7 @@
     def _await_data(self, timeout_s: float, caller: CallerWatch | None) -> None:
         deadline = clock.now() + timeout_s
         while True:
-            left = min(clock.STEP_S, deadline - clock.now())
+            left = min(clock.STEP_S, max(deadline, self.kept_until) - clock.now())
             poller = select.poll()
             poller.register(self._sock, select.POLLIN)
             if caller is not None and caller.watchable:
@@ -239,7 +241,7 @@
             if caller is not None and ready:
                 if caller.gone():
                     raise CallerGoneError("The caller closed its connection.")
-            elif not ready and clock.now() >= deadline:
+            elif not ready and clock.now() >= max(deadline, self.kept_until):
                 raise ReplyTimeoutError("The peer did not reply in time.")
 
     def _read(self, size: int, deadline: float) -> bytes:
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -205,6 +205,22 @@
             connection.cancel()
         return True
 
+    def keep(self, attempt_id: str, until: float) -> bool:
+        """Wait longer for the answer to a running request.
+
+        Args:
+            attempt_id: Its id.
+            until: Clock seconds, if that is later than its deadline.
+
+        Returns:
+            Whether the request was running.
+        """
+        with self._lock:
+            connection = self._active.get(attempt_id)
+            if connection is not None:
+                connection.kept_until = until
+        return connection is not None
+
     def gone(self) -> bool:
         """Tell whether the target's process has ended: it refuses a connection at once.
 
@@ -295,6 +311,7 @@
         """Keep a connection for so many seconds, and close those that are past their time."""
         now = clock.now()
         connection.idle_since = now
+        connection.kept_until = 0.0
         connection.idle_until = now + keep_s
         with self._lock:
             old = [kept for kept in self._idle if kept.idle_until <= now]
--- a/roadpass/target_connection.py
+++ b/roadpass/target_connection.py
@@ -192,6 +192,7 @@
         self._unsent: list[memoryview] = []
         self._broken = False
         self.cancelled = False
+        self.kept_until = 0.0
         self.reused = False
         self.taken_at = 0.0
         self.idle_since = 0.0
@@ -253,7 +254,7 @@
 
     def _wait(self, deadline: float, watch: CallerWatch | None) -> int:
         """Wait for the target or its caller; return what the target's socket is ready for."""
-        left = deadline - clock.now()
+        left = max(deadline, self.kept_until) - clock.now()
         if left <= 0.0:
             raise TargetTimeoutError("The target did not answer in time.")
         poller = select.poll()
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -2,11 +2,12 @@
 
 import logging
 import threading
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from roadpass import clock
-from roadpass._generated.message_types import Fence, FenceKey, Recall
+from roadpass._generated.message_types import Fence, FenceKey, Keep, Recall
 from roadpass.decision import decided
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
@@ -64,12 +65,14 @@
         is_spoken_for: Whether its sidecar has said a word when it was asked back.
         never_starts: Whether that was the promise that it never starts.
         is_given_up: Whether the stream was ended under the wait.
+        is_kept: Whether its sidecar has said that it runs, and has all its time.
     """
 
     stream: Stream
     is_spoken_for: bool = False
     never_starts: bool = False
     is_given_up: bool = False
+    is_kept: bool = False
 
 
 class Transport:
@@ -127,6 +130,45 @@
             self._metrics.count(f"far_{kind}s")
             self._metrics.count(f"far_{kind}_bytes", carried)
 
+    def keep(self, vm: str, deadlines: Mapping[str, float]) -> None:
+        """Have attempts that run at a VM take until a moment each, in clock seconds."""
+        if vm == self._view.vm:
+            self._sidecar.keep(deadlines)
+            return
+        asked: dict[str, float] = {}
+        with self._lock:
+            for attempt_id, until in deadlines.items():
+                waiting = self._waiting.get(attempt_id)
+                if waiting is not None and not waiting.is_kept:
+                    waiting.stream.kept_until = until + REPLY_GRACE_S
+                    asked[attempt_id] = until
+        address = self._address(vm)
+        if address is not None and asked:
+            self._in_thread(self._keep, address, asked)
+
+    def _keep(self, address: Address, asked: Mapping[str, float]) -> None:
+        now = clock.now()
+        left_ms = [(until - now) * 1000.0 for until in asked.values()]
+        message: Keep = {"t": "keep", "ids": list(asked), "left_ms": left_ms}
+        try:
+            word = self._peers.exchange(address, message, timeout_s=RECALL_S)
+        except StreamError as error:
+            _log.info("nobody at %s keeps %d attempts: %s", address, len(asked), error)
+            return
+        for attempt_id in word.get("ids", ()):
+            waiting = self._waiting.get(attempt_id)
+            if waiting is not None:
+                waiting.is_kept = True
+
+    @staticmethod
+    def _in_thread(action: Callable[..., None], address: Address, asked: object) -> None:
+        """Ask a peer something in a thread of its own."""
+        thread = threading.Thread(target=action, args=(address, asked), daemon=True)
+        try:
+            thread.start()
+        except RuntimeError as error:  # the machine has no thread left; it is asked again
+            _log.warning("%s is not asked about attempts: %s", address, error)
+
     def recall(self, vm: str, attempt_ids: list[str]) -> None:
         """Ask a VM's sidecar not to start attempts; what is waited for in vain is given up.
 
@@ -140,12 +182,7 @@
         address = self._address(vm)
         if address is None or not unheard:
             return
-        message: Recall = {"t": "recall", "ids": unheard}
-        thread = threading.Thread(target=self._recall, args=(address, message), daemon=True)
-        try:
-            thread.start()
-        except RuntimeError as error:  # the machine has no thread left; it is asked again
-            _log.warning("nobody at %s is asked to take attempts back: %s", address, error)
+        self._in_thread(self._recall, address, unheard)
 
     def _is_unheard(self, attempt_id: str) -> bool:
         waiting = self._waiting.get(attempt_id)
@@ -160,8 +197,8 @@
                     waiting.is_given_up = True
                     waiting.stream.shutdown()
 
-    def _recall(self, address: Address, message: Recall) -> None:
-        asked = message["ids"]
+    def _recall(self, address: Address, asked: list[str]) -> None:
+        message: Recall = {"t": "recall", "ids": asked}
         try:
             word = self._peers.exchange(address, message, timeout_s=RECALL_S)
         except StreamError as error:
@@ -253,6 +290,7 @@
         finally:
             with self._lock:  # from here on nobody ends the stream, which may be lent again
                 del self._waiting[attempt.id]
+                stream.kept_until = 0.0
         if waiting.is_given_up:
             stream.close()
         else:
--- a/tests/test_ending_elsewhere.py
+++ b/tests/test_ending_elsewhere.py
@@ -7,6 +7,9 @@
 follow. The objective passed during the stop; no repeat could be answered before the end any more.
 
 Cause: how long an attempt may take is settled when it is sent, by what its node had to offer then.
+So a node that is told to stop asks those who have such attempts to keep them, all their time.
+
+Proof: with that the answer comes, here and beside another VM, without it 504 at the objective.
 """
 
 from collections.abc import Iterator
--- a/tests/test_stop_hazards.py
+++ b/tests/test_stop_hazards.py
@@ -116,7 +116,7 @@
         raise RuntimeError("can't start new thread")
 
     monkeypatch.setattr(threading.Thread, "start", start)
-    one.recall()
+    one.notices.send()
 
 
 class Closing(socket.socket):
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -25,6 +25,8 @@
     "fence",
     "fenced",
     "fence_key",
+    "keep",
+    "kept",
     "recall",
     "recalled",
     "pull",
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -150,10 +150,17 @@
     Mechanism(
         "what waits beside another VM is recalled before the node ends",
         "roadpass/stop.py",
-        "self._dispatcher.recall()",
+        "self._dispatcher.notices.send()",
         "pass",
         "tests/test_stop.py",
     ),
+    Mechanism(
+        "what a target works on has all its time once its node stops",
+        "roadpass/stop_notices.py",
+        "        self._keep()\n        self._recall()",
+        "        self._recall()",
+        "tests/test_ending_elsewhere.py",
+    ),
     Mechanism(
         "a recall leaves alone what runs",
         "roadpass/sidecar.py",
