Take back the keeping of idle connections of a leaving node

So what crosses the close of an idle connection is not what callers lose there, and the change only keeps connections longer.

--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -52,8 +52,7 @@
     Args:
         dispatch: Sees a request to its outcome.
         limits: Returns the limits in force.
-        leaving: Returns whether connections should end with their next answer,
-        refusing: and whether idle ones should end.
+        leaving: Returns whether connections should end.
         metrics: Counts outcomes.
         active: Counts requests that are being answered.
         ending: When this process ends.
@@ -66,7 +65,6 @@
     dispatch: Callable[[Request], Served]
     limits: Callable[[], CallerLimits]
     leaving: Callable[[], bool]
-    refusing: Callable[[], bool]
     metrics: Metrics
     active: ActiveCount
     ending: Ending
@@ -159,18 +157,14 @@
         self._desk.metrics.record(key, clock.now() - since)
 
     def _wait_for_byte(self) -> bytes:
-        """Wait for a request to begin; an idle connection ends in silence.
-
-        That of a leaving node only once it refuses: its callers use it until they have been sent
-        elsewhere, and a request that crosses the close is lost to them.
-        """
+        """Wait for a request to begin; an idle connection ends in silence."""
         since = clock.now()
         while True:
             left_s = since + self._desk.limits().idle_timeout_s - clock.now()
             data = self._receive(min(IDLE_STEP_S, left_s))
             if data is not None:
                 return data
-            if left_s <= IDLE_STEP_S or self._desk.refusing():
+            if left_s <= IDLE_STEP_S or self._desk.leaving():
                 raise _GoneError
 
     def _read_head(self, since: float) -> Head:
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -71,7 +71,6 @@
             dispatch=dispatcher.dispatch,
             limits=lambda: view.limits,
             leaving=lambda: view.leaving or self._stopped.is_set(),
-            refusing=lambda: view.refusing or self._stopped.is_set(),
             metrics=metrics,
             active=self._active,
             ending=view.ending,
