Serve what came behind a request before a leaving node's connection ends

Callers that send their next requests ahead lost these when their node was told to stop: the first answer ended the connection, and what had come behind it was dropped unread. Now an answer ends the connection only where nothing has come behind it; the last one says so.

test_ingress: the second of three requests was lost before, all three are answered now, the last with Connection: close. Excluded: idle connections (taken back before), and new ones: none came later than 2.2 s after the word.

--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -136,7 +136,7 @@
         """Return the answer, and whether the connection is kept after it."""
         try:
             served = self._desk.dispatch(request)
-            kept = head.keeps and not self._desk.leaving()
+            kept = head.keeps and (not self._desk.leaving() or self._has_next())
             connection = _connection(kept=kept, old=head.is_old)
             answer = outcome_bytes(served.outcome, head.method, self._desk.dialect, connection)
         except Exception:
@@ -147,6 +147,15 @@
         self._count(_key(served), head.read_at)
         return answer, kept
 
+    def _has_next(self) -> bool:
+        """Tell whether a next request has come already: it would be lost with the connection."""
+        if self._codec.trailing_data[0]:
+            return True
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:  # nothing has come, or the caller is gone, which its answer will show
+            return False
+
     def _refuse(self, refused: RefusedError, method: str, since: float) -> None:
         outcome = NotRun(refused.reason)
         self._count(_key(Served(outcome)), since)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -184,6 +184,28 @@
     assert not bench.requests
 
 
+def test_what_came_behind_a_request_is_served_when_leaving(bench: Bench) -> None:
+    """A caller that sends ahead has not been told yet that the connection ends; its last is."""
+    go_on = threading.Event()
+
+    def serve(request: Request) -> Served:
+        assert go_on.wait(WAIT_S)
+        return Served(Answered(200, [], b"ok"))
+
+    bench.serve = serve
+    caller = bench.caller()
+    caller.send(GET)
+    until(lambda: bench.active == 1)
+    bench.view.leaving = True
+    caller.send(GET + GET)
+    time.sleep(0.05)
+    go_on.set()
+    replies = [caller.reply() for _ in range(3)]
+    assert [reply.status for reply in replies] == [200, 200, 200]
+    assert [reply.header("Connection") for reply in replies] == [None, None, "close"]
+    assert caller.rest() == b""
+
+
 class _Starved(caller_connection.CallerConnection):
     """A connection whose thread does not come to read."""
 
