Find the place of a stream that was given up again in the list of mechanisms

The wait for a reply also ends by a promise now, so the two lines that were named no longer follow each other. All 79 places are found exactly once; only this one was not. The mechanisms themselves were not run here.

--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -107,9 +107,8 @@
     Mechanism(
         "a stream that was given up is closed",
         "roadpass/transport.py",
-        "            stream.close()\n            return Reply(self._after_loss",
-        "            self._peers.release(address, stream)\n"
-        "            return Reply(self._after_loss",
+        "            stream.close()\n            if waiting.never_starts:",
+        "            self._peers.release(address, stream)\n            if waiting.never_starts:",
         "tests/test_dispatch.py",
     ),
     Mechanism(
