Log the store's era, and peers that hold less than the node they confirm

StoreClient logs each change of Store-Era; the reader logs a peer that is behind once for each pair of revisions. No decision changes. The stand-in of the store can be restored from a backup: it rises its era, cuts waiting watches and gives revisions out again; a watch from a revision that it does not have gets 410.

--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from roadpass import clock
+from roadpass.decision import decided
 from roadpass.errors import PlatformError
 from roadpass.metric import Metrics
 from roadpass.platform import decode
@@ -20,6 +21,8 @@
 PAGES = 200
 """Most pages of one reading, about 500 items each."""
 HISTORY_LOST = 410
+ERA = "Store-Era"
+"""Header of all answers; it rises by one whenever the store is restored from a backup."""
 PIECE_BYTES = 65536
 """Most bytes to read at a time."""
 
@@ -36,6 +39,7 @@
         self._url = f"http://{address}"
         self._metrics = metrics
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        self._era = ""
 
     def glance(self) -> Changes:
         """Return what the store held some seconds ago, for a tenth of the price; see `Source`."""
@@ -86,6 +90,7 @@
         except urllib3.exceptions.HTTPError as error:
             self._pool.clear()
             raise PlatformError(f"The store did not answer: {error}.") from error
+        self._note_era(response.headers.get(ERA, ""))
         if response.status == HISTORY_LOST:
             raise HistoryLostError("The store has forgotten its history.")
         if response.status != 200:
@@ -95,6 +100,11 @@
         except ValueError as error:
             raise PlatformError(f"The store's answer cannot be read: {error}.") from error
 
+    def _note_era(self, era: str) -> None:
+        if era != self._era:
+            decided("reader", "store-era", era=era, era_before=self._era)
+            self._era = era
+
 
 def _body(response: urllib3.BaseHTTPResponse, until: float) -> bytes:
     """Read a body until a moment: the library's limit is one for each piece of it.
--- a/roadpass/reading_log.py
+++ b/roadpass/reading_log.py
@@ -98,6 +98,18 @@
     )
 
 
+def tell_peer_behind(word: Word, *, held: int | None) -> None:
+    """Log that a peer holds less than this node and takes that for the newest."""
+    decided(
+        PART,
+        "peer-behind",
+        vm=word.vm,
+        revision=word.revision,
+        held=held,
+        word_age_s=_age_s(word.at),
+    )
+
+
 def _age_s(at: float) -> float | None:
     """Return how long ago a moment was, `None` if it never came."""
     return None if math.isinf(at) else round(clock.now() - at, 3)
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -33,6 +33,7 @@
 from roadpass.peer_asker import Ask, Asked, PeerAsker
 from roadpass.reading_log import (
     tell_overtaken,
+    tell_peer_behind,
     tell_reading,
     tell_source_failed,
     tell_unanswered,
@@ -128,6 +129,7 @@
         self._calling: Call | None = None
         self._asking: Ask | None = None
         self._behind_since = math.inf
+        self._told_behind: tuple[int, int | None] = (0, None)
         self._unusable: dict[str, str] = {}
         self._tick_waits = False
         self._ticker = Ticker("reader-tick", TICK_S, self._tick_soon)
@@ -207,8 +209,17 @@
             self._heard.note(word)
             self._catch_up(now)
         elif self._revision is not None and word.at > self._confirmed_at:
+            if word.revision < self._revision:
+                self._tell_behind(word)
             self._confirm(word.at, own=False)
 
+    def _tell_behind(self, word: Word) -> None:
+        """Log that a peer is behind this node, once for each pair of revisions."""
+        pair = (word.revision, self._revision)
+        if pair != self._told_behind:
+            self._told_behind = pair
+            tell_peer_behind(word, held=self._revision)
+
     @property
     def _beyond(self) -> int:
         """The revision that news must go beyond.
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 import threading
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 from roadpass import clock
@@ -14,11 +14,20 @@
 """Items of one page: few, so that every test sees more than one page."""
 
 
+class StoreBackup(NamedTuple):
+    """A copy of the store's content."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    events: list[dict[str, Any]]
+
+
 class StoreState:
     """What the store holds; safe for any thread.
 
     `status` other than 200 answers every call, `history_from` is the oldest revision a watch may
     start from, `calls` counts all calls, `page_items` is how many items a page holds at most.
+    `era` counts the restorations from a backup; a store that does not report it has `None`.
     """
 
     def __init__(self) -> None:
@@ -30,6 +39,7 @@
         self.status = 200
         self.calls = 0
         self.page_items = PAGE_ITEMS
+        self.era: int | None = 0
 
     def put(self, key: str, value: Any) -> None:
         """Write an item; `bytes` as they are, all else as JSON."""
@@ -61,6 +71,19 @@
             self.history_from = self.revision
             self.events.clear()
 
+    def backup(self) -> StoreBackup:
+        """Return a copy of the content."""
+        with self.changed:
+            return StoreBackup(self.revision, dict(self.items), list(self.events))
+
+    def restore(self, backup: StoreBackup) -> None:
+        """Go back to a backup: revisions are given out again, and waiting watches are cut."""
+        with self.changed:
+            self.revision = backup.revision
+            self.items, self.events = dict(backup.items), list(backup.events)
+            self.era = (self.era or 0) + 1
+            self.changed.notify_all()
+
     def range(self, prefix: str, after: str) -> dict[str, Any]:
         """Return a page of items."""
         with self.changed:
@@ -70,11 +93,12 @@
             return {"items": page, "HasMore": more, "AtRev": self.revision}
 
     def watch(self, prefix: str, after: int, wait_s: float) -> dict[str, Any] | None:
-        """Wait for events after a revision; `None` if that history is gone."""
+        """Wait for events after a revision; `None` if that history is gone or never was."""
         deadline = clock.now() + wait_s
         with self.changed:
+            era = self.era
             while True:
-                if after < self.history_from:
+                if after < self.history_from or after > self.revision or era != self.era:
                     return None
                 found = [
                     event
@@ -94,7 +118,7 @@
         state: StoreState = self.req.server.owner
         state.calls += 1
         if state.status != 200:
-            self.reply(state.status, [], b"")
+            self._reply(state, state.status, b"")
             return
         parts = urlsplit(self.uri)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
@@ -104,10 +128,18 @@
         else:
             wait_s = int(query["WaitMs"]) / 1000.0
             found = state.watch(prefix, int(query["after"]), wait_s)
-        if found is None:
-            self.reply(410, [], b"")
-            return
-        self.reply(200, [("Content-Type", "application/json")], json.dumps(found).encode())
+        if state.status != 200:  # it went away while a watch waited
+            self._reply(state, state.status, b"")
+        elif found is None:
+            self._reply(state, 410, b"")
+        else:
+            self._reply(state, 200, json.dumps(found).encode())
+
+    def _reply(self, state: StoreState, status: int, body: bytes) -> None:
+        headers = [("Content-Type", "application/json")] if body else []
+        if state.era is not None:
+            headers.append(("Store-Era", str(state.era)))
+        self.reply(status, headers, body)
 
 
 def store_server(address: tuple[str, int], state: StoreState) -> WebServer:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """The platform's forms and calls, against a stand-in of its store."""
 
+import logging
 import random
 import socket
 import threading
@@ -170,6 +171,27 @@
     assert not isinstance(raised.value, HistoryLostError)
 
 
+def test_each_era_of_the_store_has_one_line(bench: Bench, caplog: pytest.LogCaptureFixture) -> None:
+    """Also if only an error tells of it; a store that reports none has none."""
+    caplog.set_level(logging.INFO, "roadpass.reader")
+
+    def told() -> list[tuple[str, str]]:
+        lines = [r.__dict__["decision"] for r in caplog.records if r.getMessage() == "store-era"]
+        return [(line["era_before"], line["era"]) for line in lines]
+
+    bench.state.era = None
+    bench.client.snapshot()
+    assert told() == []
+    bench.state.era = 4
+    bench.client.snapshot()
+    bench.client.watch(2, 0.01)
+    bench.state.restore(bench.state.backup())
+    bench.state.forget()
+    with pytest.raises(HistoryLostError):
+        bench.client.watch(9, 0.01)
+    assert told() == [("", "4"), ("4", "5")]
+
+
 def test_an_answer_that_comes_byte_by_byte_is_given_up_in_time() -> None:
     """The limit of a call is for its whole body: whoever reads stands still meanwhile."""
     listener = socket.create_server(("127.0.0.1", 0))
