Add failing tests of readers of a store that was restored from a backup

Three readers of a data hall that tell each other what they confirm, over the store's stand-in. On the code as it is, all three cases fail: two followers out of three do not know version 28 and the leaving target within 2 s, as the revision of their reader is lower than theirs; and a reader whose store is at its revision, or past it, before its next watch never hears of either.

--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,181 @@
+"""Readers of a store that is restored from a backup, so that revisions are given out again."""
+
+import random
+import time
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any
+
+import pytest
+from pykka import ActorRef
+
+from roadpass import clock
+from roadpass.audit import AuditTrail
+from roadpass.catalogue import Catalogue, Policy
+from roadpass.errors import StreamError
+from roadpass.fleet import Fleet
+from roadpass.journal import Journal
+from roadpass.metric import Metrics
+from roadpass.news import News, Word
+from roadpass.peer import Address
+from roadpass.platform.store import StoreClient
+from roadpass.reading_turn import Standing
+from roadpass.source import PublishedConfig, TargetEntry
+from roadpass.store_reader import StoreEvents, StoreReader
+from stand_ins.store import StoreState, config, entry, store_server
+
+LIMIT_S = 5.0
+BOUND_S = 2.0
+"""Seconds within which what the store acknowledged must be in force."""
+NODES = 3
+ROW: list[Any] = ["r", "one.example", "/a/", "idempotent", "s", None]
+
+
+class HallNode:
+    """A reader at a place in its data hall, with what is in force there.
+
+    Args:
+        store: Address of the store.
+        hall: All nodes of the data hall, which tell each other what they confirmed.
+    """
+
+    def __init__(self, store: str, hall: Sequence["HallNode"]) -> None:
+        self._place = len(hall)
+        self._hall = hall
+        self._journal = Journal()
+        self.fleet = Fleet.empty()
+        self.versions: list[int] = []
+        events = StoreEvents(
+            on_fleet=self._on_fleet,
+            on_peers=self._on_peers,
+            on_confirmed=self._on_confirmed,
+            ask=self._ask,
+            standing=lambda: Standing(self._place, NODES - 1),
+        )
+        self.reader: ActorRef[StoreReader] = StoreReader.start(
+            StoreClient(store, Metrics()),
+            Catalogue(Policy()),
+            self._journal,
+            events,
+            AuditTrail(),
+            random.Random(self._place),
+            bound_s=BOUND_S,
+        )
+
+    def leaving(self, target: str) -> bool:
+        """Tell whether a target takes no new work here, be it known or gone."""
+        known = self.fleet.targets.get(target)
+        return known is None or known.leaving
+
+    def _on_fleet(self, fleet: Fleet, _: PublishedConfig) -> None:
+        self.fleet = fleet
+        self.versions.append(fleet.revision)
+
+    def _on_peers(self, entries: Sequence[TargetEntry]) -> None:
+        """Know no others than those of the data hall."""
+
+    def _on_confirmed(self, position: Any, at: float, own: bool) -> None:
+        if not own:
+            return
+        name = str(self._place)
+        for node in self._hall:
+            if node is not self:
+                node.reader.tell(Word(position, at, name, (name, self._place)))
+
+    def _ask(self, address: Address, after: Any) -> News:
+        news = self._hall[address[1]]._journal.since(after)
+        if news is None:
+            raise StreamError("The peer holds nothing yet.")
+        return news
+
+
+class Hall:
+    """Nodes of one data hall, and the store that they read."""
+
+    def __init__(self, state: StoreState, address: str) -> None:
+        self.state = state
+        self._address = address
+        self.nodes: list[HallNode] = []
+
+    def start(self, nodes: int) -> None:
+        """Start nodes, one after the other."""
+        for _ in range(nodes):
+            self.nodes.append(HallNode(self._address, self.nodes))
+
+    def publish(self, version: int) -> None:
+        """Have the operator write a configuration."""
+        self.state.put("op/config", config(version, [ROW]))
+
+    def wait_until(self, holds: Callable[[HallNode], bool], limit_s: float = LIMIT_S) -> None:
+        """Wait until something holds on all nodes."""
+        deadline = clock.now() + limit_s
+        while behind := [n for n, node in enumerate(self.nodes) if not holds(node)]:
+            assert clock.now() < deadline, f"not on nodes {behind} after {limit_s} s"
+            time.sleep(0.005)
+
+    def wait_for(self, version: int, limit_s: float = LIMIT_S) -> None:
+        """Wait until a version is in force on all nodes."""
+        self.wait_until(lambda node: node.fleet.revision == version, limit_s)
+
+    def stop(self) -> None:
+        """Stop all nodes."""
+        for node in self.nodes:
+            node.reader.stop(block=False)
+
+
+@pytest.fixture
+def hall() -> Iterator[Hall]:
+    """Return a data hall without nodes, and a store with version 20 and two targets."""
+    state = StoreState()
+    server = store_server(("127.0.0.1", 0), state)
+    server.start_thread()
+    hall = Hall(state, f"127.0.0.1:{server.bind_addr[1]}")
+    hall.publish(20)
+    for number in (1, 2):
+        state.put(f"servers/i-{number}", entry(f"10.0.0.{number}:80"))
+    yield hall
+    hall.stop()
+    server.stop()
+
+
+def put_and_delete(hall: Hall, count: int) -> None:
+    """Raise the revision by entries that come and go."""
+    for number in range(count):
+        hall.state.put(f"servers/x-{number}", entry(f"10.0.1.{number}:80"))
+        hall.state.delete(f"servers/x-{number}")
+
+
+# Guards against followers that take a lower revision of a restored store for an older one.
+def test_followers_hear_what_a_restored_store_took_below_their_revision(hall: Hall) -> None:
+    """Their reader is the only one to read it, and its revision is lower than theirs."""
+    hall.start(NODES)
+    hall.wait_for(20)
+    backup = hall.state.backup()
+    put_and_delete(hall, 4)
+    hall.publish(24)
+    hall.wait_for(24)
+    hall.state.restore(backup)
+    hall.publish(24)
+    hall.publish(28)
+    hall.state.put("servers/i-1", entry("10.0.0.1:80", state="draining"))
+    hall.wait_until(lambda n: n.fleet.revision == 28 and n.leaving("i-1"), BOUND_S)
+
+
+# Guards against a reader that goes on from a revision which a restored store gave out again.
+@pytest.mark.parametrize("later", [0, 4])
+def test_a_reader_misses_nothing_that_a_restored_store_took_before_its_next_watch(
+    hall: Hall, later: int
+) -> None:
+    """The store is away meanwhile, and at the reader's revision or past it when it is back."""
+    hall.start(1)
+    hall.wait_for(20)
+    backup = hall.state.backup()
+    hall.publish(22)
+    hall.publish(24)
+    hall.wait_for(24)
+    hall.state.status = 503
+    hall.state.restore(backup)
+    hall.publish(28)
+    hall.state.put("servers/i-1", entry("10.0.0.1:80", state="draining"))
+    put_and_delete(hall, later)
+    hall.state.status = 200
+    hall.wait_until(lambda n: n.fleet.revision == 28 and n.leaving("i-1"), BOUND_S)
