--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -153,7 +153,7 @@
     r"""
     catch_up.
 
-    Asks for what the source told after a revision of it, 0 for all.
+    Asks for what the source told after a revision of an era, 0 for all.
     """
 
     t: Required[Literal['catch_up']]
@@ -166,6 +166,13 @@
     Required property
     """
 
+    era: "_Era"
+    r"""
+    Era of the source that a revision is of, 0 if left out.
+
+    minimum: 0
+    """
+
 
 
 class Check(TypedDict, total=False):
@@ -234,6 +241,13 @@
     revision: Required[int]
     r""" Required property """
 
+    era: "_Era"
+    r"""
+    Era of the source that a revision is of, 0 if left out.
+
+    minimum: 0
+    """
+
     digest: Required[str]
     r""" Required property """
 
@@ -435,6 +449,13 @@
     Required property
     """
 
+    era: "_Era"
+    r"""
+    Era of the source that a revision is of, 0 if left out.
+
+    minimum: 0
+    """
+
     age_s: Required[int | float]
     r"""
     Seconds since the source is known to have had nothing newer.
@@ -692,6 +713,15 @@
 
 
 
+_Era = int
+r"""
+Era of the source that a revision is of, 0 if left out.
+
+minimum: 0
+"""
+
+
+
 _FencedVerdict = Literal['never_starts'] | Literal['started'] | Literal['cannot_vouch']
 _FENCEDVERDICT_NEVER_STARTS: Literal['never_starts'] = "never_starts"
 r"""The values for the '_FencedVerdict' enum"""
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -35,6 +35,7 @@
 from roadpass.membership import Members
 from roadpass.metric import Metrics
 from roadpass.news import Word
+from roadpass.position import START, Position
 from roadpass.quarantine import Quarantine
 from roadpass.quota import Allowance, Report
 from roadpass.quota_keeper import QuotaTalk
@@ -90,6 +91,7 @@
         self._metrics = metrics
         self._hints = HintTable()
         self._version = NO_VERSION
+        self._position = START
         self._agreeing: set[str] = set()
         self._announcements = 0
         self._tells_on = False
@@ -228,10 +230,12 @@
         if member is not None and message["revision"]:
             address = (member.address, member.stream_port)
             near = member.hall == self._settings.hall
-            self._events.on_word(Word(message["revision"], seen_at, member.vm, address, near))
+            self._events.on_word(
+                Word(Position.from_message(message), seen_at, member.vm, address, near)
+            )
 
     def _on_confirmed(self, confirmed: Confirmed) -> None:
-        self._version = Version(confirmed.revision, "")
+        self._position = confirmed.position
         self._platform_seen_at = confirmed.at
         if confirmed.tell:
             for member in self._members.in_hall(self._settings.hall):
@@ -318,7 +322,7 @@
             "t": send.type,
             "sender": self._settings.vm,
             "n": send.number,
-            "revision": self._version.revision,
+            **self._held(),
             "digest": self._version.digest,
             "platform_age_s": round(self.platform_age_s, 3),
         }
@@ -332,6 +336,12 @@
             message["crashes"] = crashes
         return message
 
+    def _held(self) -> dict[str, int]:
+        """Return the fields that tell what this node holds of the platform."""
+        if self._events.on_word is None:
+            return {"revision": self._version.revision}
+        return self._position.to_message()
+
     def _read(self) -> None:
         while True:
             try:
--- a/roadpass/gossip_messages.py
+++ b/roadpass/gossip_messages.py
@@ -6,6 +6,7 @@
 from roadpass.detect import Scores
 from roadpass.member import Member
 from roadpass.news import Word
+from roadpass.position import Position
 from roadpass.quota_keeper import QuotaTalk
 from roadpass.revision import Version
 from roadpass.view import PeerNode
@@ -51,15 +52,15 @@
 
 
 class Confirmed(NamedTuple):
-    """The source had nothing newer than a revision.
+    """The source had nothing newer than a position.
 
     Args:
-        revision: Of the source; this node holds all up to it.
+        position: In the history of the source; this node holds all up to it.
         at: Clock seconds of that moment.
         tell: Whether the data hall is to hear of it now, since this node read it itself.
     """
 
-    revision: int
+    position: Position
     at: float
     tell: bool
 
--- a/roadpass/heard.py
+++ b/roadpass/heard.py
@@ -1,6 +1,7 @@
 """What peers said that they hold of a source, and which of them to ask for it next."""
 
 from roadpass.news import Word
+from roadpass.position import Position
 from roadpass.unanswered import Unanswered
 
 
@@ -15,7 +16,7 @@
         """Note a word; a later one of the same peer takes its place."""
         self._words[word.vm] = word
 
-    def best(self, now: float, beyond: int) -> Word | None:
+    def best(self, now: float, beyond: Position) -> Word | None:
         """Return the word to follow up.
 
         First come peers that answered when they were asked last, then those of the own data hall:
@@ -23,12 +24,12 @@
 
         Args:
             now: Clock seconds.
-            beyond: The revision that this node holds; words that do not go beyond it are dropped.
+            beyond: The position that this node holds; words that do not go beyond it are dropped.
 
         Returns:
             `None` if no peer holds more, or none of those has answered lately.
         """
-        self._words = {vm: word for vm, word in self._words.items() if word.revision > beyond}
+        self._words = {vm: word for vm, word in self._words.items() if word.position > beyond}
         can_be_asked = [w for vm, w in self._words.items() if not self._unanswered.holds(vm, now)]
         return max(can_be_asked, key=self._rank, default=None)
 
@@ -41,5 +42,5 @@
         """Note that a peer could not be asked at a moment."""
         self._unanswered.note(vm, now)
 
-    def _rank(self, word: Word) -> tuple[int, bool, int, float]:
-        return (-self._unanswered.times(word.vm), word.near, word.revision, word.at)
+    def _rank(self, word: Word) -> tuple[int, bool, Position, float]:
+        return (-self._unanswered.times(word.vm), word.near, word.position, word.at)
--- a/roadpass/journal.py
+++ b/roadpass/journal.py
@@ -1,10 +1,11 @@
-"""What a node can tell its peers of a source: all it holds, or what came after a revision."""
+"""What a node can tell its peers of a source: all it holds, or what came after a position."""
 
 import threading
 from collections import deque
 from typing import NamedTuple
 
 from roadpass.news import News
+from roadpass.position import START, Position
 from roadpass.source import (
     Change,
     Changes,
@@ -19,9 +20,9 @@
 
 
 class _Reading(NamedTuple):
-    """What one reading brought, and the revision it went on from."""
+    """What one reading brought, and the position it went on from."""
 
-    after: int
+    after: Position
     changes: Changes
 
 
@@ -30,7 +31,7 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._revision = 0
+        self._position = START
         self._at = float("-inf")
         self._away_at: float | None = None
         self._config: ConfigPublished | None = None
@@ -49,10 +50,10 @@
                 self._readings.clear()
                 self._targets.clear()
             else:
-                self._readings.append(_Reading(self._revision, changes))
+                self._readings.append(_Reading(self._position, changes))
             for change in changes.changes:
                 self._apply(change)
-            self._revision = changes.revision
+            self._position = changes.position
             self._at = max(self._at, at)
 
     def confirm(self, at: float) -> None:
@@ -65,20 +66,20 @@
         with self._lock:
             self._away_at = at if self._away_at is None else max(self._away_at, at)
 
-    def since(self, after: int) -> News | None:
-        """Return what came after a revision, or all if that is not known any more.
+    def since(self, after: Position) -> News | None:
+        """Return what came after a position, or all if that is not known any more.
 
         Returns:
             `None` while nothing was noted.
         """
         with self._lock:
-            if not self._revision:
+            if self._position == START:
                 return None
             known = self._readings and self._readings[0].after <= after
-            if after >= self._revision or known:
-                changes = Changes(self._revision, self._later(after))
+            if after >= self._position or known:
+                changes = Changes(self._position, self._later(after))
             else:
-                changes = Changes(self._revision, self._all(), whole=True)
+                changes = Changes(self._position, self._all(), whole=True)
             return News(changes, self._at, self._away_at)
 
     def _apply(self, change: Change) -> None:
@@ -94,11 +95,11 @@
         config = () if self._config is None else (self._config,)
         return (*config, *self._targets.values())
 
-    def _later(self, after: int) -> tuple[Change, ...]:
-        """Return the last change of each item in the readings that went past a revision."""
+    def _later(self, after: Position) -> tuple[Change, ...]:
+        """Return the last change of each item in the readings that went past a position."""
         last: dict[str, Change] = {}
         for reading in self._readings:
-            if reading.changes.revision > after:
+            if reading.changes.position > after:
                 last.update((_key(change), change) for change in reading.changes.changes)
         return tuple(last.values())
 
--- a/roadpass/news.py
+++ b/roadpass/news.py
@@ -9,6 +9,7 @@
 from roadpass.errors import CustomerError, FrameError, StreamError
 from roadpass.message import Message
 from roadpass.peer import Address, PeerPool
+from roadpass.position import Position
 from roadpass.route import Part, Route
 from roadpass.source import (
     Change,
@@ -31,14 +32,14 @@
     """A peer's word on the source.
 
     Args:
-        revision: Up to which the peer holds the source.
+        position: Up to which the peer holds the source.
         at: Clock seconds at which the source had nothing newer, by the peer's word.
         vm: The peer.
         address: Of its streams.
         near: Whether it is in the own data hall.
     """
 
-    revision: int
+    position: Position
     at: float
     vm: str
     address: Address
@@ -46,7 +47,7 @@
 
 
 class News(NamedTuple):
-    """What a node holds of a source, or what it gained since a revision.
+    """What a node holds of a source, or what it gained since a position.
 
     Args:
         changes: As the source told them.
@@ -77,7 +78,7 @@
         changes += [TargetWithdrawn(instance) for instance in message["withdrawn"]]
         away_age_s = message.get("away_age_s")
         return cls(
-            Changes(message["revision"], tuple(changes), whole=message["whole"]),
+            Changes(Position.from_message(message), tuple(changes), whole=message["whole"]),
             asked_at - message["age_s"],
             None if away_age_s is None else asked_at - away_age_s,
         )
@@ -86,7 +87,7 @@
         """Return the written form at a moment, in clock seconds."""
         message: dict[str, Any] = {
             "t": "news",
-            "revision": self.changes.revision,
+            **self.changes.position.to_message(),
             "age_s": max(0.0, now - self.at),
             "whole": self.changes.whole,
             "targets": [],
@@ -109,13 +110,15 @@
         return message
 
 
-def ask(peers: PeerPool, address: Address, after: int) -> News:
-    """Ask a peer for what the source told after a revision.
+def ask(peers: PeerPool, address: Address, after: Position) -> News:
+    """Ask a peer for what the source told after a position.
 
     Raises:
         StreamError: It did not answer, or not with usable news.
     """
-    message: CatchUp = {"t": "catch_up", "after": after}
+    message: CatchUp = {"t": "catch_up", "after": after.revision}
+    if after.era:
+        message["era"] = after.era
     asked_at = clock.now()
     reply = peers.exchange(address, message, timeout_s=ASK_S)
     if reply["t"] != "news":
--- a/roadpass/peer_asker.py
+++ b/roadpass/peer_asker.py
@@ -11,21 +11,22 @@
 from roadpass.errors import StreamError
 from roadpass.news import News, Word
 from roadpass.peer import Address
+from roadpass.position import Position
 
 _log = logging.getLogger("roadpass.reader")
 
 
 class Ask(NamedTuple):
-    """One question: what came after a revision.
+    """One question: what came after a position.
 
     Args:
         word: Of the peer that is asked.
-        after: The revision; 0 for all there is.
+        after: The position; `START` for all there is.
         asked_at: Clock seconds at which it was wanted.
     """
 
     word: Word
-    after: int
+    after: Position
     asked_at: float
 
 
@@ -47,11 +48,13 @@
     """Asks one question after the other, and tells what came of each.
 
     Args:
-        ask: Asks a peer for what came after a revision; may raise `StreamError`.
+        ask: Asks a peer for what came after a position; may raise `StreamError`.
         reader: Whom to tell.
     """
 
-    def __init__(self, ask: Callable[[Address, int], News], reader: "pykka.ActorRef[Any]") -> None:
+    def __init__(
+        self, ask: Callable[[Address, Position], News], reader: "pykka.ActorRef[Any]"
+    ) -> None:
         super().__init__()
         self._ask = ask
         self._reader = reader
--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -11,6 +11,7 @@
 from roadpass.errors import PlatformError
 from roadpass.metric import Metrics
 from roadpass.platform import decode
+from roadpass.position import Position
 from roadpass.source import Change, Changes, HistoryLostError
 
 CALL_LIMIT_S = 1.0
@@ -39,7 +40,7 @@
         self._url = f"http://{address}"
         self._metrics = metrics
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
-        self._era = ""
+        self._era = 0
 
     def glance(self) -> Changes:
         """Return what the store held some seconds ago, for a tenth of the price; see `Source`."""
@@ -51,34 +52,41 @@
 
     def _range(self, options: dict[str, str]) -> Changes:
         changes: list[Change] = []
-        revision: int | None = None
+        position: Position | None = None
         after = ""
         for _ in range(PAGES):
             fields = {"PathPrefix": "", **options}
             if after:
                 fields["after"] = after
-            page = self._get("/v1/kv-range", fields, CALL_LIMIT_S)
+            page, era = self._get("/v1/kv-range", fields, CALL_LIMIT_S)
             try:
-                items, at = page["items"], int(page["AtRev"])
+                items, at = page["items"], Position(era, int(page["AtRev"]))
                 after = str(items[-1]["TlsKey"]) if page.get("HasMore") else ""
                 changes += _changes(items)
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 raise PlatformError(f"The page makes no sense: {error!r}.") from error
-            revision = at if revision is None else min(revision, at)
+            if position is not None and position.era != era:
+                raise HistoryLostError("The store was restored between two pages.")
+            position = at if position is None else min(position, at)
             if not after:
-                return Changes(revision, tuple(changes), whole=True)
+                return Changes(position, tuple(changes), whole=True)
         raise PlatformError(f"The store has more than {PAGES} pages.")
 
-    def watch(self, after: int, wait_s: float) -> Changes:
-        """Wait for what happens after a revision; see `Source`."""
-        fields = {"PathPrefix": "", "after": str(after), "WaitMs": str(int(wait_s * 1000.0))}
-        answer = self._get("/v1/kv-watch", fields, wait_s + CALL_LIMIT_S)
+    def watch(self, after: Position, wait_s: float) -> Changes:
+        """Wait for what happens after a position; see `Source`."""
+        wait_ms = str(int(wait_s * 1000.0))
+        fields = {"PathPrefix": "", "after": str(after.revision), "WaitMs": wait_ms}
+        answer, era = self._get("/v1/kv-watch", fields, wait_s + CALL_LIMIT_S)
+        if era != after.era:
+            raise HistoryLostError("The store was restored from a backup.")
         try:
-            return Changes(int(answer["AtRev"]), tuple(_changes(answer.get("events") or ())))
+            position = Position(era, int(answer["AtRev"]))
+            return Changes(position, tuple(_changes(answer.get("events") or ())))
         except (KeyError, TypeError, ValueError) as error:
             raise PlatformError(f"The events make no sense: {error!r}.") from error
 
-    def _get(self, path: str, fields: dict[str, str], timeout_s: float) -> Any:
+    def _get(self, path: str, fields: dict[str, str], timeout_s: float) -> tuple[Any, int]:
+        """Return the body of an answer and the era that it is of."""
         self._metrics.count(CALLS)
         url = f"{self._url}{path}?{urlencode(fields)}"
         until = clock.now() + timeout_s
@@ -90,20 +98,34 @@
         except urllib3.exceptions.HTTPError as error:
             self._pool.clear()
             raise PlatformError(f"The store did not answer: {error}.") from error
-        self._note_era(response.headers.get(ERA, ""))
+        era = self._read_era(response.headers.get(ERA))
         if response.status == HISTORY_LOST:
             raise HistoryLostError("The store has forgotten its history.")
         if response.status != 200:
             raise PlatformError(f"The store answered {response.status}.")
         try:
-            return json.loads(body)
+            return json.loads(body), era
         except ValueError as error:
             raise PlatformError(f"The store's answer cannot be read: {error}.") from error
 
-    def _note_era(self, era: str) -> None:
-        if era != self._era:
+    def _read_era(self, header: str | None) -> int:
+        """Return the era of an answer; one without the header is of the latest that was seen.
+
+        Raises:
+            PlatformError: It is no number, or of an era that is over.
+        """
+        if header is None:
+            return self._era
+        try:
+            era = int(header)
+        except ValueError as error:
+            raise PlatformError(f"The store's era is no number: {header:.40}.") from error
+        if era < self._era:
+            raise PlatformError(f"The store answered from era {era}, after era {self._era}.")
+        if era > self._era:
             decided("reader", "store-era", era=era, era_before=self._era)
             self._era = era
+        return era
 
 
 def _body(response: urllib3.BaseHTTPResponse, until: float) -> bytes:
--- a/roadpass/reading_log.py
+++ b/roadpass/reading_log.py
@@ -1,11 +1,13 @@
 """The lines of a source's reader: what it asked for, whom, what came and how long it took."""
 
 import math
+from typing import Any
 
 from roadpass import clock
 from roadpass.decision import decided
 from roadpass.errors import PlatformError, StreamError
 from roadpass.news import Word
+from roadpass.position import Position
 from roadpass.source import Changes, ConfigPublished
 
 PART = "reader"
@@ -15,7 +17,7 @@
     changes: Changes,
     *,
     told_by: str,
-    after: int | None,
+    after: Position | None,
     config_held: int | None,
     news_at: float,
     confirmed_at: float,
@@ -26,7 +28,7 @@
     Args:
         changes: What came.
         told_by: The peer, empty for the source.
-        after: The revision held before.
+        after: The position held before.
         config_held: The version of the configuration held before.
         news_at: Clock seconds as of which the source had nothing newer,
         confirmed_at: the same for what was held before.
@@ -37,8 +39,8 @@
         PART,
         "reading",
         told_by=told_by or "store",
-        after=after,
-        store_revision=changes.revision,
+        **logged(after, "after"),
+        **logged(changes.position, "store_revision"),
         changes=len(changes.changes),
         whole=changes.whole,
         config=configs[-1].version if configs else None,
@@ -53,7 +55,7 @@
     error: PlatformError,
     *,
     failures: int,
-    after: int | None,
+    after: Position | None,
     confirmed_at: float,
     asked_at: float,
 ) -> None:
@@ -63,53 +65,67 @@
         "store-failed",
         error=str(error),
         failures=failures,
-        after=after,
+        **logged(after, "after"),
         confirmed_age_s=_age_s(confirmed_at),
         took_s=_age_s(asked_at),
     )
 
 
 def tell_overtaken(
-    result: Changes | PlatformError, *, asked_after: int | None, after: int | None, asked_at: float
+    result: Changes | PlatformError,
+    *,
+    asked_after: Position | None,
+    after: Position | None,
+    asked_at: float,
 ) -> None:
     """Log what a call brought too late: peers had told more than it could before it was over."""
     decided(
         PART,
         "reading-overtaken",
         error=str(result) if isinstance(result, PlatformError) else None,
-        store_revision=result.revision if isinstance(result, Changes) else None,
-        asked_after=asked_after,
-        after=after,
+        **logged(result.position if isinstance(result, Changes) else None, "store_revision"),
+        **logged(asked_after, "asked_after"),
+        **logged(after, "after"),
         took_s=_age_s(asked_at),
     )
 
 
-def tell_unanswered(word: Word, error: StreamError, *, after: int | None, asked_at: float) -> None:
+def tell_unanswered(
+    word: Word, error: StreamError, *, after: Position | None, asked_at: float
+) -> None:
     """Log a question to a peer that it did not answer; arguments as above."""
     decided(
         PART,
         "peer-failed",
         vm=word.vm,
-        revision=word.revision,
+        **logged(word.position, "revision"),
         error=str(error),
-        after=after,
+        **logged(after, "after"),
         word_age_s=_age_s(word.at),
         took_s=_age_s(asked_at),
     )
 
 
-def tell_peer_behind(word: Word, *, held: int | None) -> None:
+def tell_peer_behind(word: Word, *, held: Position | None) -> None:
     """Log that a peer holds less than this node and takes that for the newest."""
     decided(
         PART,
         "peer-behind",
         vm=word.vm,
-        revision=word.revision,
-        held=held,
+        **logged(word.position, "revision"),
+        **logged(held, "held"),
         word_age_s=_age_s(word.at),
     )
 
 
+def logged(position: Position | None, name: str) -> dict[str, Any]:
+    """Return a position's revision by a name, and its era where the source has one."""
+    if position is None:
+        return {name: None}
+    era = {f"{name}_era": position.era} if position.era else {}
+    return {name: position.revision, **era}
+
+
 def _age_s(at: float) -> float | None:
     """Return how long ago a moment was, `None` if it never came."""
     return None if math.isinf(at) else round(clock.now() - at, 3)
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -1,7 +1,8 @@
 """What a node reads of the fleet from outside: typed values, and the interface of a source.
 
 A source is read by `snapshot` once and then by `watch`, which brings what has changed since a
-revision. Where these values come from, and how they are written there, only the source knows.
+position in its history. Where these values come from, and how they are written there, only the
+source knows.
 """
 
 from collections.abc import Mapping
@@ -10,6 +11,7 @@
 from roadpass.caller_limits import CallerLimits
 from roadpass.customer import Customers
 from roadpass.errors import PlatformError
+from roadpass.position import Position
 from roadpass.route import Route
 
 
@@ -114,21 +116,21 @@
 
 
 class Changes(NamedTuple):
-    """What happened up to a revision of the source.
+    """What happened up to a position in the source's history.
 
     Args:
-        revision: Where to go on from.
+        position: Where to go on from.
         changes: In the order in which they happened.
         whole: Whether this is all there is, so that whatever it does not name is gone.
     """
 
-    revision: int
+    position: Position
     changes: tuple[Change, ...]
     whole: bool = False
 
 
 class HistoryLostError(PlatformError):
-    """The source no longer knows what happened since a revision."""
+    """The source cannot tell what happened since a position: it forgot, or was restored since."""
 
 
 class Source(Protocol):
@@ -148,11 +150,11 @@
             PlatformError: The source cannot be read.
         """
 
-    def watch(self, after: int, wait_s: float) -> Changes:
-        """Wait for what happens after a revision.
+    def watch(self, after: Position, wait_s: float) -> Changes:
+        """Wait for what happens after a position.
 
         Args:
-            after: The revision.
+            after: The position; what is returned is of the same era.
             wait_s: Seconds after which to return although nothing happened.
 
         Raises:
--- a/roadpass/source_caller.py
+++ b/roadpass/source_caller.py
@@ -8,6 +8,7 @@
 from roadpass import clock
 from roadpass._actor import Actor
 from roadpass.errors import PlatformError
+from roadpass.position import Position
 from roadpass.source import Changes, Source
 
 _log = logging.getLogger("roadpass.reader")
@@ -17,12 +18,12 @@
     """One reading.
 
     Args:
-        after: The revision to go on from, `None` for all there is.
+        after: The position to go on from, `None` for all there is.
         wait_s: Seconds to wait for changes.
         asked_at: Clock seconds at which it was wanted.
     """
 
-    after: int | None
+    after: Position | None
     wait_s: float
     asked_at: float
 
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -1,7 +1,7 @@
 """The reader of a source: an actor that reads it or hears of it, and hands over the fleet.
 
 It reads the source itself when it is this node's turn (`reading_turn`). Otherwise peers tell by
-datagram up to which revision they hold the source and how fresh that is; what this node lacks it
+datagram up to which position they hold the source and how fresh that is; what this node lacks it
 asks of them over a stream.
 
 A question to a peer that cannot be reached takes longer than the next words take to come, and a
@@ -31,7 +31,9 @@
 from roadpass.news import News, Word
 from roadpass.peer import Address
 from roadpass.peer_asker import Ask, Asked, PeerAsker
+from roadpass.position import START, Position
 from roadpass.reading_log import (
+    logged,
     tell_overtaken,
     tell_peer_behind,
     tell_reading,
@@ -75,16 +77,16 @@
     Args:
         on_fleet: Another fleet is in force; with the configuration it comes from.
         on_peers: Targets beside which there are, or were a while ago, other nodes.
-        on_confirmed: The source had nothing newer than a revision at a moment, in monotonic
+        on_confirmed: The source had nothing newer than a position at a moment, in monotonic
             seconds; and whether this node read that itself, so that others want to hear of it.
-        ask: Asks a peer for what came after a revision; may raise `StreamError`.
+        ask: Asks a peer for what came after a position; may raise `StreamError`.
         standing: Returns where this node stands among the readers.
     """
 
     on_fleet: Callable[[Fleet, PublishedConfig], None]
     on_peers: Callable[[Sequence[TargetEntry]], None]
-    on_confirmed: Callable[[int, float, bool], None]
-    ask: Callable[[Address, int], News]
+    on_confirmed: Callable[[Position, float, bool], None]
+    ask: Callable[[Address, Position], News]
     standing: Callable[[], Standing]
 
 
@@ -121,15 +123,15 @@
         self._rng = rng
         self._turn = ReadingTurn(bound_s, rng.random())
         self._heard = Heard()
-        self._revision: int | None = None
-        self._lost_at = 0
+        self._position: Position | None = None
+        self._lost_at = START
         self._confirmed_at = -math.inf
         self._rest_until = -math.inf
         self._failures = 0
         self._calling: Call | None = None
         self._asking: Ask | None = None
         self._behind_since = math.inf
-        self._told_behind: tuple[int, int | None] = (0, None)
+        self._told_behind: tuple[Position, Position | None] = (START, None)
         self._unusable: dict[str, str] = {}
         self._tick_waits = False
         self._ticker = Ticker("reader-tick", TICK_S, self._tick_soon)
@@ -203,31 +205,33 @@
 
     def _on_word(self, word: Word) -> None:
         """Take a peer's word: what it holds beyond this node is to be asked for."""
-        if word.revision > self._beyond:
+        if word.position > self._beyond:
             now = clock.now()
             self._behind_since = min(self._behind_since, now)
             self._heard.note(word)
             self._catch_up(now)
-        elif self._revision is not None and word.at > self._confirmed_at:
-            if word.revision < self._revision:
-                self._tell_behind(word)
+        elif word.at <= self._confirmed_at:
+            return
+        elif word.position == self._position:
             self._confirm(word.at, own=False)
+        else:
+            self._tell_behind(word)
 
     def _tell_behind(self, word: Word) -> None:
-        """Log that a peer is behind this node, once for each pair of revisions."""
-        pair = (word.revision, self._revision)
+        """Log that a peer is behind this node, once for each pair of positions."""
+        pair = (word.position, self._position)
         if pair != self._told_behind:
             self._told_behind = pair
-            tell_peer_behind(word, held=self._revision)
+            tell_peer_behind(word, held=self._position)
 
     @property
-    def _beyond(self) -> int:
-        """The revision that news must go beyond.
+    def _beyond(self) -> Position:
+        """The position that news must go beyond.
 
         After the source has lost its history, what peers hold from before tells nothing: only a
         whole reading, the own one or a peer's, goes on from there.
         """
-        return self._lost_at if self._revision is None else self._revision
+        return self._lost_at if self._position is None else self._position
 
     def _catch_up(self, now: float) -> None:
         """Ask a peer that holds more for what this node lacks, unless it reads by itself soon."""
@@ -235,7 +239,7 @@
             return
         word = self._heard.best(now, self._beyond)
         if word is not None:
-            self._asking = Ask(word, self._revision or 0, now)
+            self._asking = Ask(word, self._position or START, now)
             self._asker.tell(self._asking)
 
     def _may_ask(self, now: float) -> bool:
@@ -253,19 +257,19 @@
         match asked.result:
             case StreamError() as error:
                 self._heard.did_not_answer(word.vm, asked.at)
-                tell_unanswered(word, error, after=self._revision, asked_at=asked.ask.asked_at)
+                tell_unanswered(word, error, after=self._position, asked_at=asked.ask.asked_at)
             case news:
                 self._heard.answered(word.vm)
                 if news.away_at is not None:
                     self._source_away(news.away_at)
-                if news.changes.revision > self._beyond:
+                if news.changes.position > self._beyond:
                     self._take(news.changes, news.at, origin=word.vm, asked_at=asked.ask.asked_at)
         self._catch_up(clock.now())
 
     def _call(self, now: float) -> None:
         """Have the source called; what comes of it is told later."""
         wait_s = self._turn.wait_s(now - self._confirmed_at)
-        self._calling = Call(self._revision, 0.0 if self._revision is None else wait_s, now)
+        self._calling = Call(self._position, 0.0 if self._position is None else wait_s, now)
         self._caller.tell(self._calling)
 
     def _on_called(self, called: Called) -> None:
@@ -273,9 +277,9 @@
         self._calling = None
         call = called.call
         match called.result:
-            case HistoryLostError() as error if call.after == self._revision:
-                self._lost_at = self._revision or self._lost_at
-                self._revision = None
+            case HistoryLostError() as error if call.after == self._position:
+                self._lost_at = self._position or self._lost_at
+                self._position = None
                 self._failed(error, call.asked_at)
             case HistoryLostError():
                 self._overtaken(called)
@@ -285,7 +289,7 @@
                 self._succeeded()
                 if changes.changes:
                     self._rest_until = clock.now() + self._turn.rest_s
-                if changes.revision < (self._revision or 0):
+                if changes.position < (self._position or START):
                     self._overtaken(called)
                 else:
                     self._take(changes, called.at, origin="", asked_at=call.asked_at)
@@ -294,7 +298,7 @@
         tell_overtaken(
             called.result,
             asked_after=called.call.after,
-            after=self._revision,
+            after=self._position,
             asked_at=called.call.asked_at,
         )
 
@@ -305,13 +309,13 @@
         tell_reading(
             changes,
             told_by=origin,
-            after=self._revision,
+            after=self._position,
             config_held=held.version if held else None,
             news_at=at,
             confirmed_at=known_at,
             asked_at=asked_at,
         )
-        self._revision = changes.revision
+        self._position = changes.position
         self._behind_since = math.inf
         self._journal.note(changes, at)
         self._name_peers(changes)
@@ -322,11 +326,11 @@
 
     def _confirm(self, at: float, *, own: bool) -> None:
         """Note that the source had nothing newer at a moment, and say so."""
-        if self._revision is None:
+        if self._position is None:
             return
         self._confirmed_at = max(self._confirmed_at, at)
         self._journal.confirm(at)
-        self._events.on_confirmed(self._revision, self._confirmed_at, own)
+        self._events.on_confirmed(self._position, self._confirmed_at, own)
 
     def _failed(self, error: PlatformError, asked_at: float) -> None:
         self._failures += 1
@@ -336,7 +340,7 @@
         tell_source_failed(
             error,
             failures=self._failures,
-            after=self._revision,
+            after=self._position,
             confirmed_at=self._confirmed_at,
             asked_at=asked_at,
         )
@@ -365,7 +369,7 @@
             "reader",
             "fleet-in-force",
             revision=fleet.revision,
-            store_revision=self._revision,
+            **logged(self._position, "store_revision"),
             told_by=origin or "store",
             before_s=round(clock.now() - self._confirmed_at, 3),
             targets=len(fleet.targets),
--- a/roadpass/switchboard.py
+++ b/roadpass/switchboard.py
@@ -21,6 +21,7 @@
 from roadpass.news import Word
 from roadpass.patch import offer
 from roadpass.peer import Address
+from roadpass.position import Position
 from roadpass.quota_keeper import QuotaTalk
 from roadpass.reader import VersionHeard, choose_readers
 from roadpass.reading_turn import Standing
@@ -103,9 +104,9 @@
         members = neighbours(self._settings, entries)
         self.gossip.tell(Seed(members, frozenset(), spread=False))
 
-    def on_confirmed(self, revision: int, at: float, own: bool) -> None:
-        """Tell the others that a revision was still in force, and when."""
-        self.gossip.tell(Confirmed(revision, at, tell=own))
+    def on_confirmed(self, position: Position, at: float, own: bool) -> None:
+        """Tell the others that the source had nothing newer than a position, and when."""
+        self.gossip.tell(Confirmed(position, at, tell=own))
 
     def on_word(self, word: Word) -> None:
         """Hand on a peer's word on the source."""
@@ -168,7 +169,7 @@
         """
         if message["t"] == "pull":
             return offer(self._store.held, message["have"])
-        news = self._journal.since(message["after"])
+        news = self._journal.since(Position(message.get("era", 0), message["after"]))
         if news is None:
             raise StreamError("Nothing is known of the source yet.")
         return news.to_message(clock.now())
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -14,6 +14,7 @@
     build_fleet,
 )
 from roadpass.customer import Customer, Customers
+from roadpass.position import Position
 from roadpass.route import Part, Route
 from roadpass.source import (
     Changes,
@@ -47,7 +48,10 @@
     """Return a catalogue with one target of each service, and one of a service nobody knows."""
     catalogue = Catalogue(Policy(0.7, 0.2, 10.0))
     entries = (target("t1"), target("t2", service="b"), target("t3", service="unknown"))
-    assert catalogue.take(0.0, Changes(3, (config(5), *entries), whole=True)) == (True, [])
+    assert catalogue.take(0.0, Changes(Position(0, 3), (config(5), *entries), whole=True)) == (
+        True,
+        [],
+    )
     return catalogue
 
 
@@ -66,13 +70,13 @@
 @pytest.mark.parametrize("version", [4, 5])
 def test_a_version_that_is_not_newer_is_not_taken(held: Catalogue, version: int) -> None:
     """Whatever a stale or forgetful source says."""
-    assert held.take(1.0, Changes(4, (config(version),))) == (False, [])
+    assert held.take(1.0, Changes(Position(0, 4), (config(version),))) == (False, [])
     assert held.fleet().revision == 5
 
 
 def test_a_withdrawn_target_goes_after_a_moment(held: Catalogue) -> None:
     """Not at once, and not later than it must."""
-    held.take(1.0, Changes(4, (TargetWithdrawn("t1"),)))
+    held.take(1.0, Changes(Position(0, 4), (TargetWithdrawn("t1"),)))
     assert "t1" in held.fleet().targets
     assert held.next_expiry_s(1.0) == pytest.approx(WITHDRAWN_KEPT_S)
     assert not held.expire(1.0 + WITHDRAWN_KEPT_S / 2)
@@ -82,8 +86,8 @@
 
 def test_a_target_that_is_back_stays(held: Catalogue) -> None:
     """Its entry had lapsed."""
-    held.take(1.0, Changes(4, (TargetWithdrawn("t1"),)))
-    held.take(1.2, Changes(5, (target("t1"),)))
+    held.take(1.0, Changes(Position(0, 4), (TargetWithdrawn("t1"),)))
+    held.take(1.2, Changes(Position(0, 5), (target("t1"),)))
     assert not held.expire(9.0)
     assert "t1" in held.fleet().targets
 
@@ -93,7 +97,7 @@
 ) -> None:
     """About two seconds after its return."""
     held.source_away(10.0)
-    held.take(10.1, Changes(9, (config(5), target("t2", service="b")), whole=True))
+    held.take(10.1, Changes(Position(0, 9), (config(5), target("t2", service="b")), whole=True))
     assert not held.expire(10.0 + RETURN_S - 0.1)
     assert held.expire(10.0 + RETURN_S)
     assert "t1" not in held.fleet().targets
@@ -101,7 +105,7 @@
 
 def test_a_leaving_target_is_leaving_at_once(held: Catalogue) -> None:
     """What it says itself needs no time."""
-    assert held.take(1.0, Changes(4, (target("t1", leaving=True),))) == (True, [])
+    assert held.take(1.0, Changes(Position(0, 4), (target("t1", leaving=True),))) == (True, [])
     assert held.fleet().targets["t1"].leaving
 
 
@@ -110,7 +114,7 @@
     """Whoever wrote it: its target goes as if the entry were gone, and the others hold."""
     bad = Unusable("servers/t1", "nonsense", "t1")
     others = (target("t2", service="b"), target("t3", service="unknown"))
-    changed, unusable = held.take(1.0, Changes(4, (bad, *others), whole=whole))
+    changed, unusable = held.take(1.0, Changes(Position(0, 4), (bad, *others), whole=whole))
     assert (changed, unusable) == (False, [bad])
     assert held.expire(1.0 + WITHDRAWN_KEPT_S)
     assert set(held.targets) == {"t2", "t3"}
@@ -118,23 +122,23 @@
 
 def test_a_target_whose_entry_can_be_read_again_is_back(held: Catalogue) -> None:
     """It writes its entry anew with every heartbeat, whatever somebody else wrote there."""
-    held.take(1.0, Changes(4, (Unusable("servers/t1", "nonsense", "t1"),)))
-    held.take(1.2, Changes(5, (target("t1"),)))
+    held.take(1.0, Changes(Position(0, 4), (Unusable("servers/t1", "nonsense", "t1"),)))
+    held.take(1.2, Changes(Position(0, 5), (target("t1"),)))
     assert not held.expire(9.0)
     assert "t1" in held.targets
 
 
 def test_an_item_without_a_readable_key_concerns_no_target(held: Catalogue) -> None:
     """A key that only ends like an id is none of it."""
-    held.take(1.0, Changes(4, (Unusable("", "no key"), Unusable("other/t1", "noise"))))
+    held.take(1.0, Changes(Position(0, 4), (Unusable("", "no key"), Unusable("other/t1", "noise"))))
     assert not held.expire(9.0)
     assert set(held.targets) == {"t1", "t2", "t3"}
 
 
 def test_a_later_start_under_the_same_id_is_another_target(held: Catalogue) -> None:
     """All that was known of the earlier one is held under its own name."""
-    held.take(1.0, Changes(4, (target("t1", born=7),)))
-    held.take(2.0, Changes(5, (target("t1", born=9),)))
+    held.take(1.0, Changes(Position(0, 4), (target("t1", born=7),)))
+    held.take(2.0, Changes(Position(0, 5), (target("t1", born=9),)))
     fleet = held.fleet()
     assert {"t1@9", "t2"} == set(fleet.targets)
     assert fleet.targets["t1@9"].instance == "t1"
@@ -146,27 +150,27 @@
     held: Catalogue, whole: bool, withdrawn: bool
 ) -> None:
     """From a peer, a stale reading or after a lost history; also once the later one is gone."""
-    held.take(1.0, Changes(4, (target("t1", born=9),)))
+    held.take(1.0, Changes(Position(0, 4), (target("t1", born=9),)))
     if withdrawn:
-        held.take(2.0, Changes(5, (TargetWithdrawn("t1"),)))
+        held.take(2.0, Changes(Position(0, 5), (TargetWithdrawn("t1"),)))
         assert held.expire(2.0 + WITHDRAWN_KEPT_S)
     for born in (7, 8):
         old = target("t1", born=born)
-        held.take(4.0, Changes(6, (old, target("t2", service="b")), whole=whole))
+        held.take(4.0, Changes(Position(0, 6), (old, target("t2", service="b")), whole=whole))
         held.expire(9.0)
         assert set(held.fleet().targets) == ({"t2"} if withdrawn else {"t1@9", "t2"})
 
 
 def test_an_entry_that_tells_no_start_is_neither_newer_nor_older(held: Catalogue) -> None:
     """It is of the start that is known, what else it says counts, and it comes after one gone."""
-    held.take(1.0, Changes(4, (target("t1", born=9),)))
-    held.take(2.0, Changes(5, (target("t1", leaving=True),)))
+    held.take(1.0, Changes(Position(0, 4), (target("t1", born=9),)))
+    held.take(2.0, Changes(Position(0, 5), (target("t1", leaving=True),)))
     assert held.fleet().targets["t1@9"].leaving
-    held.take(3.0, Changes(6, (TargetWithdrawn("t1"),)))
+    held.take(3.0, Changes(Position(0, 6), (TargetWithdrawn("t1"),)))
     assert held.expire(3.0 + WITHDRAWN_KEPT_S)
-    held.take(4.0, Changes(7, (target("t1"),)))
+    held.take(4.0, Changes(Position(0, 7), (target("t1"),)))
     assert set(held.fleet().targets) == {"t1", "t2"}
-    held.take(5.0, Changes(8, (target("t1", born=11),)))
+    held.take(5.0, Changes(Position(0, 8), (target("t1", born=11),)))
     assert set(held.fleet().targets) == {"t1@11", "t2"}
 
 
@@ -174,11 +178,11 @@
     """The latest are kept: what is heard late is heard soon after."""
     catalogue = Catalogue(Policy())
     entries = tuple(target(f"t{n}", born=5) for n in range(BORN_KEPT + 1))
-    catalogue.take(0.0, Changes(3, (config(5), *entries), whole=True))
-    catalogue.take(1.0, Changes(4, (config(6),), whole=True))
+    catalogue.take(0.0, Changes(Position(0, 3), (config(5), *entries), whole=True))
+    catalogue.take(1.0, Changes(Position(0, 4), (config(6),), whole=True))
     catalogue.expire(9.0)
     late = tuple(target(f"t{n}", born=4) for n in (0, BORN_KEPT))
-    catalogue.take(10.0, Changes(5, late))
+    catalogue.take(10.0, Changes(Position(0, 5), late))
     assert set(catalogue.targets) == {"t0"}
 
 
@@ -189,7 +193,7 @@
         TargetPublished(TargetEntry(f"t{n}", "a", f"10.0.0.{n}:80", "h", 4, leaving=False))
         for n in range(12)
     ]
-    catalogue.take(0.0, Changes(3, (config(5), *entries), whole=True))
+    catalogue.take(0.0, Changes(Position(0, 3), (config(5), *entries), whole=True))
     service = catalogue.fleet().services["a"]
     assert service.retry_window_s == 10.0
     in_window = 12 * service.target_repeats
@@ -200,7 +204,7 @@
 def test_the_operators_weight_of_bytes_between_data_halls_holds_for_every_service() -> None:
     """It is a setting of the store's nodes, as prices differ."""
     catalogue = Catalogue(Policy(far_loss_per_kb=0.02))
-    catalogue.take(0.0, Changes(3, (config(5), target("t1")), whole=True))
+    catalogue.take(0.0, Changes(Position(0, 3), (config(5), target("t1")), whole=True))
     assert {service.far_loss_per_kb for service in catalogue.fleet().services.values()} == {0.02}
 
 
--- a/tests/test_heard.py
+++ b/tests/test_heard.py
@@ -5,6 +5,7 @@
 
 from roadpass.heard import Heard
 from roadpass.news import Word
+from roadpass.position import Position
 from roadpass.unanswered import FORGET_S, HOLD_S, Unanswered
 
 VMS = [f"vm-{number}" for number in range(4)]
@@ -12,7 +13,7 @@
 
 def word(vm: str, revision: int, at: float = 0.0, *, near: bool = True) -> Word:
     """Return a peer's word."""
-    return Word(revision, at, vm, (vm, 1), near)
+    return Word(Position(0, revision), at, vm, (vm, 1), near)
 
 
 def test_of_equal_peers_who_holds_the_most_is_asked_first() -> None:
@@ -20,8 +21,8 @@
     heard = Heard()
     for one in (word("vm-0", 5), word("vm-1", 7, 1.0), word("vm-2", 7, 2.0), word("vm-3", 3, 9.0)):
         heard.note(one)
-    assert heard.best(10.0, 4) == word("vm-2", 7, 2.0)
-    assert heard.best(10.0, 7) is None
+    assert heard.best(10.0, Position(0, 4)) == word("vm-2", 7, 2.0)
+    assert heard.best(10.0, Position(0, 7)) is None
 
 
 def test_who_did_not_answer_is_left_alone_for_a_while() -> None:
@@ -30,15 +31,17 @@
     heard.note(word("vm-0", 5))
     heard.note(word("vm-1", 6))
     heard.did_not_answer("vm-1", 10.0)
-    assert heard.best(10.0, 4) == word("vm-0", 5)
+    assert heard.best(10.0, Position(0, 4)) == word("vm-0", 5)
     heard.did_not_answer("vm-0", 10.5)
-    assert heard.best(10.6, 4) is None
-    assert heard.best(10.0 + HOLD_S, 4) == word("vm-1", 6)
+    assert heard.best(10.6, Position(0, 4)) is None
+    assert heard.best(10.0 + HOLD_S, Position(0, 4)) == word("vm-1", 6)
     heard.did_not_answer("vm-1", 11.0)
-    assert heard.best(11.0 + HOLD_S, 4) == word("vm-0", 5)
-    assert heard.best(11.0 + 2.0 * HOLD_S, 4) == word("vm-0", 5), "it was silent less often"
+    assert heard.best(11.0 + HOLD_S, Position(0, 4)) == word("vm-0", 5)
+    assert heard.best(11.0 + 2.0 * HOLD_S, Position(0, 4)) == word("vm-0", 5), (
+        "it was silent less often"
+    )
     heard.answered("vm-0")
-    assert heard.best(11.0 + 2.0 * HOLD_S, 4) == word("vm-1", 6)
+    assert heard.best(11.0 + 2.0 * HOLD_S, Position(0, 4)) == word("vm-1", 6)
 
 
 def test_a_near_one_comes_before_a_far_one_unless_it_was_silent() -> None:
@@ -46,9 +49,9 @@
     heard = Heard()
     heard.note(word("vm-0", 9, near=False))
     heard.note(word("vm-1", 5))
-    assert heard.best(0.0, 4) == word("vm-1", 5)
+    assert heard.best(0.0, Position(0, 4)) == word("vm-1", 5)
     heard.did_not_answer("vm-1", 0.0)
-    assert heard.best(9.0, 4) == word("vm-0", 9, near=False)
+    assert heard.best(9.0, Position(0, 4)) == word("vm-0", 9, near=False)
 
 
 def test_who_answered_is_asked_again_on_a_new_word_only() -> None:
@@ -56,9 +59,9 @@
     heard = Heard()
     heard.note(word("vm-0", 5))
     heard.answered("vm-0")
-    assert heard.best(0.0, 4) is None
+    assert heard.best(0.0, Position(0, 4)) is None
     heard.note(word("vm-0", 6))
-    assert heard.best(0.0, 4) == word("vm-0", 6)
+    assert heard.best(0.0, Position(0, 4)) == word("vm-0", 6)
 
 
 EVENTS = st.lists(
@@ -95,8 +98,10 @@
             silent.append((vm, now))
             heard.did_not_answer(vm, now)
     left_alone = {vm for vm in VMS if naive_hold(vm, silent, answers, now)}
-    wanted = [w for vm, w in words.items() if vm not in left_alone and w.revision > beyond]
-    best = heard.best(now, beyond)
+    wanted = [
+        w for vm, w in words.items() if vm not in left_alone and w.position > Position(0, beyond)
+    ]
+    best = heard.best(now, Position(0, beyond))
     if not wanted:
         assert best is None
     else:
@@ -104,7 +109,7 @@
         fewest = min(naive_times(w.vm, silent, answers) for w in wanted)
         among = [w for w in wanted if naive_times(w.vm, silent, answers) == fewest]
         assert best in among
-        assert best.revision == max(w.revision for w in among)
+        assert best.position == max(w.position for w in among)
 
 
 def naive_times(vm: str, silent: list[tuple[str, float]], answers: dict[str, float]) -> int:
--- a/tests/test_key_shown_nowhere.py
+++ b/tests/test_key_shown_nowhere.py
@@ -17,6 +17,7 @@
 from roadpass import clock
 from roadpass.journal import Journal
 from roadpass.platform import decode
+from roadpass.position import START, Position
 from roadpass.quota import Report
 from roadpass.source import Changes, ConfigPublished
 from stand_ins.store import StoreState, config, entry, store_server
@@ -95,8 +96,11 @@
 def test_no_message_between_nodes_holds_a_key() -> None:
     """Neither the news of a configuration nor what is told of a customer's requests."""
     journal = Journal()
-    journal.note(Changes(3, (ConfigPublished(decode.config(published(3, KEY))),), whole=True), 1.0)
-    news = journal.since(0)
+    journal.note(
+        Changes(Position(0, 3), (ConfigPublished(decode.config(published(3, KEY))),), whole=True),
+        1.0,
+    )
+    news = journal.since(START)
     assert news is not None
     written = repr(news.to_message(2.0)) + repr(Report("library", 1, 2, 2, 1.0))
     assert "library" in written
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -10,6 +10,7 @@
 from roadpass.message import check
 from roadpass.news import News
 from roadpass.packing import pack, unpack
+from roadpass.position import Position
 from roadpass.route import Part, Route
 from roadpass.source import (
     Change,
@@ -74,11 +75,18 @@
         *map(TargetPublished, targets),
         *map(TargetWithdrawn, withdrawn),
     )
-    news = News(Changes(7, changes, whole=whole), 90.0, 80.0)
+    news = News(Changes(Position(2, 7), changes, whole=whole), 90.0, 80.0)
     written = unpack(pack(news.to_message(100.0)))
     assert News.from_message(check(written), 100.0) == news
 
 
+def test_a_node_of_an_earlier_release_is_understood() -> None:
+    """It sends no era and reads none; what it holds is of the first era."""
+    message = News(Changes(Position(0, 7), (), whole=True), 90.0).to_message(100.0)
+    assert "era" not in message
+    assert News.from_message(check(unpack(pack(message))), 100.0).changes.position == Position(0, 7)
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
 from roadpass.peer import Address
 from roadpass.platform import decode
 from roadpass.platform.store import CALL_LIMIT_S, CALLS, StoreClient
+from roadpass.position import START, Position
 from roadpass.reading_turn import PATIENCE, Standing
 from roadpass.route import Part
 from roadpass.source import (
@@ -137,7 +138,7 @@
         bench.state.put(f"servers/i-{number}", entry("10.0.0.1:80"))
     got = bench.client.snapshot()
     assert got.whole
-    assert got.revision == 9
+    assert got.position == Position(0, 9)
     assert isinstance(got.changes[0], ConfigPublished)
     assert sum(isinstance(change, TargetPublished) for change in got.changes) == 8
     assert bench.metrics.get(CALLS) == bench.state.calls == 3
@@ -145,10 +146,14 @@
 
 def test_a_watch_brings_changes_and_withdrawals(bench: Bench) -> None:
     """At once if there are any, else after its time."""
-    assert bench.client.watch(2, 0.05).changes == ()
+    assert bench.client.watch(Position(0, 2), 0.05).changes == ()
     bench.state.delete("servers/i-1")
-    got = bench.client.watch(2, 5.0)
-    assert (got.revision, got.changes, got.whole) == (3, (TargetWithdrawn("i-1"),), False)
+    got = bench.client.watch(Position(0, 2), 5.0)
+    assert (got.position, got.changes, got.whole) == (
+        Position(0, 3),
+        (TargetWithdrawn("i-1"),),
+        False,
+    )
 
 
 def test_a_page_that_makes_no_sense_is_an_error_of_the_layer(bench: Bench) -> None:
@@ -164,10 +169,10 @@
     bench.state.put("op/config", config(5, [ROW]))
     bench.state.forget()
     with pytest.raises(HistoryLostError):
-        bench.client.watch(1, 0.05)
+        bench.client.watch(Position(0, 1), 0.05)
     bench.state.status = 429
     with pytest.raises(PlatformError) as raised:
-        bench.client.watch(3, 0.05)
+        bench.client.watch(Position(0, 3), 0.05)
     assert not isinstance(raised.value, HistoryLostError)
 
 
@@ -175,7 +180,7 @@
     """Also if only an error tells of it; a store that reports none has none."""
     caplog.set_level(logging.INFO, "roadpass.reader")
 
-    def told() -> list[tuple[str, str]]:
+    def told() -> list[tuple[int, int]]:
         lines = [r.__dict__["decision"] for r in caplog.records if r.getMessage() == "store-era"]
         return [(line["era_before"], line["era"]) for line in lines]
 
@@ -184,12 +189,52 @@
     assert told() == []
     bench.state.era = 4
     bench.client.snapshot()
-    bench.client.watch(2, 0.01)
+    bench.client.watch(Position(4, 2), 0.01)
     bench.state.restore(bench.state.backup())
     bench.state.forget()
     with pytest.raises(HistoryLostError):
-        bench.client.watch(9, 0.01)
-    assert told() == [("", "4"), ("4", "5")]
+        bench.client.watch(Position(4, 9), 0.01)
+    assert told() == [(0, 4), (4, 5)]
+
+
+def test_a_watch_from_an_earlier_era_brings_no_events(bench: Bench) -> None:
+    """The revision is there again, and was given to other changes."""
+    held = bench.client.snapshot().position
+    bench.state.restore(bench.state.backup())
+    bench.state.put("servers/i-2", entry("10.0.0.2:80"))
+    with pytest.raises(HistoryLostError):
+        bench.client.watch(held, 0.01)
+    assert bench.client.snapshot().position == Position(1, 3)
+
+
+def test_pages_of_two_eras_are_no_snapshot(bench: Bench) -> None:
+    """The store is restored after the first page was read."""
+    for number in range(2, 9):
+        bench.state.put(f"servers/i-{number}", entry("10.0.0.1:80"))
+    read_page = bench.state.range
+
+    def restore_and_read(prefix: str, after: str) -> dict[str, Any]:
+        if after and not bench.state.era:
+            bench.state.restore(bench.state.backup())
+        return read_page(prefix, after)
+
+    bench.state.range = restore_and_read  # type: ignore[method-assign]
+    with pytest.raises(HistoryLostError):
+        bench.client.snapshot()
+    assert bench.client.snapshot().position == Position(1, 9)
+
+
+@pytest.mark.parametrize("era", ["", "new", "3"])
+def test_an_era_that_makes_no_sense_or_is_over_is_an_error(bench: Bench, era: str) -> None:
+    """It may come from a copy of the store that is not in service any more."""
+    bench.state.era = 4
+    held = bench.client.snapshot()
+    bench.state.era = era  # type: ignore[assignment]
+    with pytest.raises(PlatformError) as raised:
+        bench.client.snapshot()
+    assert not isinstance(raised.value, HistoryLostError)
+    bench.state.era = None
+    assert bench.client.snapshot() == held
 
 
 def test_an_answer_that_comes_byte_by_byte_is_given_up_in_time() -> None:
@@ -213,7 +258,7 @@
     client = StoreClient(f"{host}:{port}", Metrics())
     began = clock.now()
     with pytest.raises(PlatformError, match="did not answer"):
-        client.watch(1, 0.0)
+        client.watch(Position(0, 1), 0.0)
     assert clock.now() - began < CALL_LIMIT_S + 1.0
     listener.close()
 
@@ -246,7 +291,7 @@
                 assert self.changed.wait(deadline - clock.now()), "not in time"
 
 
-def nobody(_: Address, __: int) -> News:
+def nobody(_: Address, __: Position) -> News:
     """Answer for a peer that cannot be reached."""
     raise StreamError("Nobody is there.")
 
@@ -257,15 +302,15 @@
     audit: AuditTrail,
     *,
     standing: Standing = ALONE,
-    ask: Callable[[Address, int], News] = nobody,
-    confirmed: list[tuple[int, bool]] | None = None,
+    ask: Callable[[Address, Position], News] = nobody,
+    confirmed: list[tuple[Position, bool]] | None = None,
 ) -> ActorRef[StoreReader]:
     """Start a reader of the store at some place among the readers of its data hall."""
     told = [] if confirmed is None else confirmed
     events = StoreEvents(
         on_fleet=followed.on_fleet,
         on_peers=lambda entries: None,
-        on_confirmed=lambda revision, at, own: told.append((revision, own)),
+        on_confirmed=lambda position, at, own: told.append((position, own)),
         ask=ask,
         standing=lambda: standing,
     )
@@ -353,10 +398,10 @@
 ) -> None:
     """A peer that has not noticed yet tells on what it holds: from there no history goes on."""
     followed = Followed()
-    asked: list[int] = []
+    asked: list[Position] = []
     held = bench.client.snapshot()
 
-    def ask(_: Address, after: int) -> News:
+    def ask(_: Address, after: Position) -> News:
         asked.append(after)
         return News(held, clock.now())
 
@@ -368,7 +413,7 @@
         deadline = clock.now() + LIMIT_S
         while not any(fleet.revision == 6 for fleet in followed.fleets):
             assert clock.now() < deadline, "not in time"
-            ref.tell(Word(held.revision, clock.now(), "vm-2", ("127.0.0.1", 1)))
+            ref.tell(Word(held.position, clock.now(), "vm-2", ("127.0.0.1", 1)))
             time.sleep(0.005)
     finally:
         ref.stop()
@@ -380,7 +425,7 @@
     followed = Followed()
     whole = News(bench.client.snapshot(), 0.0)
 
-    def ask(_: Address, after: int) -> News:
+    def ask(_: Address, after: Position) -> News:
         return whole
 
     ref = start_reader(bench, followed, AuditTrail(), ask=ask)
@@ -393,7 +438,7 @@
         deadline = clock.now() + LIMIT_S
         while not any(fleet.revision == 6 for fleet in followed.fleets):
             assert clock.now() < deadline, "not in time"
-            ref.tell(Word(whole.changes.revision, whole.at, "vm-2", ("127.0.0.1", 1)))
+            ref.tell(Word(whole.changes.position, whole.at, "vm-2", ("127.0.0.1", 1)))
             time.sleep(0.01)
     finally:
         ref.stop()
@@ -402,9 +447,9 @@
 def test_a_node_that_is_told_reads_nothing_itself(bench: Bench) -> None:
     """The word of a peer is enough, and what it lacks it asks of that peer."""
     followed = Followed()
-    asked: list[int] = []
+    asked: list[Position] = []
 
-    def ask(_: Address, after: int) -> News:
+    def ask(_: Address, after: Position) -> News:
         asked.append(after)
         return News(bench.client.snapshot(), clock.now())
 
@@ -414,13 +459,13 @@
         followed.wait_for_calls(bench, 1)
         calls_before = bench.state.calls
         for _ in range(20):
-            ref.tell(Word(bench.state.revision, clock.now(), "vm-2", ("127.0.0.1", 1)))
+            ref.tell(Word(Position(0, bench.state.revision), clock.now(), "vm-2", ("127.0.0.1", 1)))
             time.sleep(0.02)
         followed.wait_for(lambda fleet: fleet.revision == 4)
         snapshot_calls = bench.state.calls - calls_before
     finally:
         ref.stop()
-    assert asked == [0]
+    assert asked == [START]
     assert snapshot_calls == 1, "only the one that the peer of this test made"
 
 
@@ -428,7 +473,7 @@
 def test_a_node_that_is_told_nothing_reads_in_time(bench: Bench, place: int) -> None:
     """Whoever was cut off or frozen: what the store took is in force within the bound."""
     followed = Followed()
-    confirmed: list[tuple[int, bool]] = []
+    confirmed: list[tuple[Position, bool]] = []
     standing = Standing(place=place, peers=20)
     ref = start_reader(bench, followed, AuditTrail(), standing=standing, confirmed=confirmed)
     try:
@@ -438,13 +483,13 @@
             followed.wait_for(lambda fleet, v=version: fleet.revision == v, BOUND_S)  # type: ignore[misc]
     finally:
         ref.stop()
-    assert (bench.state.revision, True) in confirmed
+    assert (Position(0, bench.state.revision), True) in confirmed
 
 
 def test_the_first_reader_tells_that_nothing_is_newer(bench: Bench) -> None:
     """Often enough that the second in the order need not read."""
     followed = Followed()
-    confirmed: list[tuple[int, bool]] = []
+    confirmed: list[tuple[Position, bool]] = []
     ref = start_reader(bench, followed, AuditTrail(), confirmed=confirmed)
     try:
         followed.wait_for(lambda fleet: fleet.revision == 4)
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -28,6 +28,7 @@
 from roadpass.journal import Journal
 from roadpass.news import ASK_S, News, Word
 from roadpass.peer import Address
+from roadpass.position import START, Position
 from roadpass.reading_turn import Standing
 from roadpass.source import Changes, ConfigPublished, HistoryLostError, PublishedConfig
 from roadpass.store_reader import StoreEvents, StoreReader
@@ -73,15 +74,15 @@
 
     def glance(self) -> Changes:
         """Know nobody."""
-        return Changes(0, ())
+        return Changes(START, ())
 
     def snapshot(self) -> Changes:
         """Return the newest version."""
         return self._answer(0, 0.0, whole=True)
 
-    def watch(self, after: int, wait_s: float) -> Changes:
+    def watch(self, after: Position, wait_s: float) -> Changes:
         """Wait for a newer version."""
-        return self._answer(after, wait_s)
+        return self._answer(after.revision, wait_s)
 
     def _answer(self, after: int, wait_s: float, *, whole: bool = False) -> Changes:
         self.calls += 1
@@ -94,7 +95,7 @@
         with self.changed:
             self.changed.wait_for(lambda: self.version > after, wait_s)
             found = [ConfigPublished(config(self.version))] if self.version > after else []
-            return Changes(self.version, tuple(found), whole=whole)
+            return Changes(Position(0, self.version), tuple(found), whole=whole)
 
 
 class Reading:
@@ -105,7 +106,7 @@
         source: SourceInMemory,
         *,
         place: int,
-        ask: Callable[[Address, int], News],
+        ask: Callable[[Address, Position], News],
     ) -> None:
         self._source = source
         self._fleets: list[Fleet] = []
@@ -157,7 +158,7 @@
             self._fleets.append(fleet)
             self._changed.notify_all()
 
-    def _note_question(self, address: Address, after: int) -> News:
+    def _note_question(self, address: Address, after: Position) -> News:
         self.asked.append(address[0])
         return self._ask(address, after)
 
@@ -165,11 +166,11 @@
         turn = 0
         while not self._silent.wait(1.0 / WORDS_PER_S):
             vm = vms[turn % len(vms)]
-            self._ref.tell(Word(self._source.version, clock.now(), vm, (vm, 1)))
+            self._ref.tell(Word(Position(0, self._source.version), clock.now(), vm, (vm, 1)))
             turn += 1
 
 
-def cut_off(_: Address, __: int) -> News:
+def cut_off(_: Address, __: Position) -> News:
     """Stand for a peer to which no packet gets: a question to it lasts as long as it may."""
     time.sleep(ASK_S)
     raise StreamError("No connection: timed out.")
@@ -231,8 +232,8 @@
 ) -> None:
     """One of eight is enough for a node to which the source is away."""
 
-    def ask(address: Address, _: int) -> News:
-        return whole(source.version) if address[0] == PEERS[-1] else cut_off(address, 0)
+    def ask(address: Address, _: Position) -> News:
+        return whole(source.version) if address[0] == PEERS[-1] else cut_off(address, START)
 
     source = SourceInMemory()
     reading = started(source, place=1, ask=ask)
@@ -260,7 +261,7 @@
 def whole(version: int) -> News:
     """Return what a peer tells that holds a version."""
     found = ConfigPublished(config(version))
-    return News(Changes(version, (found,), whole=True), clock.now())
+    return News(Changes(Position(0, version), (found,), whole=True), clock.now())
 
 
 @pytest.mark.parametrize("place", [0, 1])
@@ -306,12 +307,12 @@
     source = SourceInMemory()
     unforeseen = [RuntimeError("a call"), RuntimeError("a question")]
 
-    def ask(_: Address, __: int) -> News:
+    def ask(_: Address, __: Position) -> News:
         if unforeseen:
             raise unforeseen.pop()
         return whole(source.version)
 
-    def watch(_: int, __: float) -> Changes:
+    def watch(_: Position, __: float) -> Changes:
         if unforeseen:
             raise unforeseen.pop()
         raise PlatformError("Nobody answers.")
