Add a failing test of a target withdrawn while the store forgets its history

The test fails: the target is in service after 2 s. With it, a test that passes: a target that a backup lacks stays in service until it has written itself again.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -346,6 +346,22 @@
     assert any(event.subject == "servers/bad" for event in audit.since())
 
 
+# Guards against a lost history that is taken for an outage, in which entries of targets lapse.
+def test_a_target_withdrawn_with_the_history_gets_no_work_after_the_bound(bench: Bench) -> None:
+    """The store answers, so it was no outage that ended the entry."""
+    followed = Followed()
+    bench.state.put("servers/i-2", entry("10.0.0.2:80"))
+    ref = start_reader(bench, followed, AuditTrail())
+    try:
+        followed.wait_for(lambda fleet: "i-2" in fleet.targets)
+        with bench.state.changed:
+            bench.state.delete("servers/i-2")
+            bench.state.forget()
+        followed.wait_for(lambda fleet: "i-2" not in fleet.targets, BOUND_S)
+    finally:
+        ref.stop()
+
+
 def test_of_an_entry_that_makes_no_sense_there_is_a_line_for_each_change(bench: Bench) -> None:
     """Not one for each reading: a store may hold thousands of them."""
     audit = AuditTrail()
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -26,6 +26,8 @@
 LIMIT_S = 5.0
 BOUND_S = 2.0
 """Seconds within which what the store acknowledged must be in force."""
+REWRITTEN_S = 2.0
+"""Seconds after which targets that live have written their entries again."""
 NODES = 3
 ROW: list[Any] = ["r", "one.example", "/a/", "idempotent", "s", None]
 
@@ -179,3 +181,24 @@
     put_and_delete(hall, later)
     hall.state.status = 200
     hall.wait_until(lambda n: n.fleet.revision == 28 and n.leaving("i-1"), BOUND_S)
+
+
+def test_a_target_that_the_backup_lacks_stays_in_service_until_it_is_written_again(
+    hall: Hall,
+) -> None:
+    """Targets write their entries anew within about two seconds."""
+    hall.start(NODES)
+    hall.wait_for(20)
+    backup = hall.state.backup()
+    hall.state.put("servers/i-3", entry("10.0.0.3:80"))
+    hall.wait_until(lambda node: "i-3" in node.fleet.targets)
+    hall.state.restore(backup)
+    hall.publish(28)
+    deadline = clock.now() + REWRITTEN_S
+    while clock.now() < deadline:
+        assert all("i-3" in node.fleet.targets for node in hall.nodes)
+        time.sleep(0.02)
+    hall.state.put("servers/i-3", entry("10.0.0.3:80"))
+    hall.wait_for(28)
+    time.sleep(REWRITTEN_S)
+    assert all("i-3" in node.fleet.targets for node in hall.nodes)
