Count only calls that the store did not answer as an outage

Withdrawn targets stay in service for 2.5 s after the store was away, as entries lapse while targets cannot write. An answer that says the history is lost was counted as such an outage, though the store answers: the ingress had it at 21.807 s, so the target, gone from the whole reading at 22.007 s, stayed until 24.399 s.

Such an answer is no outage any more. A reading of a later era is one, from when it comes: targets that the backup lacks write themselves again within about two seconds. Refusals (429, 503) still count: they may meet the targets' writing too.

Before: tests/test_platform.py::test_a_target_withdrawn_with_the_history_gets_no_work_after_the_bound failed.

--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -284,6 +284,7 @@
             case HistoryLostError():
                 self._overtaken(called)
             case PlatformError() as error:
+                self._source_away(clock.now())
                 self._failed(error, call.asked_at)
             case changes:
                 self._succeeded()
@@ -305,16 +306,20 @@
     def _take(self, changes: Changes, at: float, *, origin: str, asked_at: float) -> None:
         """Take in what the source or a peer told; an empty `origin` stands for the source."""
         known_at = self._confirmed_at
-        held = self._catalogue.config
+        config = self._catalogue.config
         tell_reading(
             changes,
             told_by=origin,
             after=self._position,
-            config_held=held.version if held else None,
+            config_held=config.version if config else None,
             news_at=at,
             confirmed_at=known_at,
             asked_at=asked_at,
         )
+        held = self._beyond
+        if held != START and changes.position.era > held.era:
+            # Targets that the backup lacks are as good as lapsed: they write themselves again.
+            self._source_away(clock.now())
         self._position = changes.position
         self._behind_since = math.inf
         self._journal.note(changes, at)
@@ -334,7 +339,6 @@
 
     def _failed(self, error: PlatformError, asked_at: float) -> None:
         self._failures += 1
-        self._source_away(clock.now())
         if self._failures == 1:
             self._audit.record(Kind.PLATFORM, "store", f"cannot be read: {error}")
         tell_source_failed(
