Add failing tests of a backup that undoes what was in force

Three nodes that know of a leaving target put it back in service when a whole reading of a restored store names it as ready, and nodes that hold version 24 hand version 20 of the backup to a new one.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -202,3 +202,40 @@
     hall.wait_for(28)
     time.sleep(REWRITTEN_S)
     assert all("i-3" in node.fleet.targets for node in hall.nodes)
+
+
+# Guards against a backup that puts a leaving target back in service.
+def test_a_target_that_said_it_leaves_stays_leaving_when_the_store_is_restored(
+    hall: Hall,
+) -> None:
+    """Also on a node that starts before the target has written it again."""
+    hall.start(NODES)
+    hall.wait_for(20)
+    backup = hall.state.backup()
+    hall.state.put("servers/i-1", entry("10.0.0.1:80", state="draining"))
+    hall.wait_until(lambda node: node.leaving("i-1"))
+    hall.state.restore(backup)
+    hall.publish(28)
+    hall.wait_for(28)
+    assert all(node.leaving("i-1") for node in hall.nodes)
+    hall.start(1)
+    hall.wait_for(28)
+    assert all(node.leaving("i-1") for node in hall.nodes)
+
+
+# Guards against a backup that is handed to new nodes in the place of what is in force.
+def test_no_version_goes_back_when_the_store_is_restored(hall: Hall) -> None:
+    """The older one of the backup is not taken, neither by those who knew nor by a new node."""
+    hall.start(NODES)
+    hall.wait_for(20)
+    backup = hall.state.backup()
+    hall.publish(24)
+    hall.wait_for(24)
+    hall.state.restore(backup)
+    hall.state.put("servers/i-3", entry("10.0.0.3:80"))
+    hall.wait_until(lambda node: "i-3" in node.fleet.targets)
+    hall.start(1)
+    hall.wait_for(24)
+    hall.publish(28)
+    hall.wait_for(28, BOUND_S)
+    assert all(node.versions == sorted(node.versions) for node in hall.nodes)
