Keep readings of a restored store from undoing earlier ones

A target that had said that it leaves came back in service on every node whose whole reading came between the store's restoration and the target's own second writing, and its peers handed that state, and an older configuration, to nodes that start then.

MonotonicReads passes each reading on with nothing older than before: the newest version of the configuration stands in for an older or missing one, and who said that it leaves is leaving for the rest of that start.

The test's nodes now hear at once what others hold when they start, as joining nodes do; without that the new one read the backup itself and the second test showed that, not what it is for. A new node that hears no peer within 0.1 s still takes the backup as it is.

--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -28,6 +28,7 @@
 from roadpass.fleet import Fleet
 from roadpass.heard import Heard
 from roadpass.journal import Journal
+from roadpass.monotonic import MonotonicReads
 from roadpass.news import News, Word
 from roadpass.peer import Address
 from roadpass.peer_asker import Ask, Asked, PeerAsker
@@ -123,6 +124,7 @@
         self._rng = rng
         self._turn = ReadingTurn(bound_s, rng.random())
         self._heard = Heard()
+        self._reads = MonotonicReads()
         self._position: Position | None = None
         self._lost_at = START
         self._confirmed_at = -math.inf
@@ -322,6 +324,7 @@
             self._source_away(clock.now())
         self._position = changes.position
         self._behind_since = math.inf
+        changes = self._reads.apply(changes)
         self._journal.note(changes, at)
         self._name_peers(changes)
         changed, unusable = self._catalogue.take(clock.now(), changes, known_at=known_at)
--- /dev/null
+++ b/tests/test_monotonic.py
@@ -0,0 +1,109 @@
+"""Readings of a source never go back."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpass.caller_limits import CallerLimits
+from roadpass.monotonic import LEAVING_KEPT, MonotonicReads
+from roadpass.position import Position
+from roadpass.source import (
+    Change,
+    Changes,
+    ConfigPublished,
+    PublishedConfig,
+    TargetEntry,
+    TargetPublished,
+    TargetWithdrawn,
+)
+
+
+def config(version: int) -> ConfigPublished:
+    """Return a configuration without any routes."""
+    return ConfigPublished(PublishedConfig(version, (), {}, CallerLimits()))
+
+
+def target(instance: str, *, leaving: bool = False, born: int = 0) -> TargetPublished:
+    """Return a target's entry."""
+    return TargetPublished(TargetEntry(instance, "s", "10.0.0.1:80", "h", 4, leaving, born))
+
+
+changes = st.one_of(
+    st.integers(1, 5).map(config),
+    st.builds(target, st.sampled_from("ab"), leaving=st.booleans(), born=st.integers(0, 2)),
+    st.sampled_from("ab").map(TargetWithdrawn),
+)
+readings = st.lists(
+    st.builds(
+        Changes,
+        st.builds(Position, st.integers(0, 3), st.integers(1, 9)),
+        st.lists(changes, max_size=5).map(tuple),
+        st.booleans(),
+    ),
+    max_size=8,
+)
+
+
+@given(readings)
+def test_nothing_goes_back(told: list[Changes]) -> None:
+    """Whatever the order of readings: versions only rise, and who left has left."""
+    reads = MonotonicReads()
+    version = 0
+    left: set[str] = set()
+    for reading in told:
+        taken = reads.apply(reading)
+        assert (taken.position, taken.whole) == (reading.position, reading.whole)
+        for change in taken.changes:
+            match change:
+                case ConfigPublished(config=config):
+                    assert config.version >= version
+                    version = config.version
+                case TargetPublished(entry=entry):
+                    assert entry.leaving or entry.name not in left
+                    left |= {entry.name} if entry.leaving else set()
+
+
+@given(readings)
+def test_what_only_rises_is_taken_as_it_is(told: list[Changes]) -> None:
+    """Each reading that names a configuration no older and nobody who left is left alone."""
+    reads = MonotonicReads()
+    version = 0
+    left: set[str] = set()
+    for reading in told:
+        configs = [c.config.version for c in reading.changes if isinstance(c, ConfigPublished)]
+        entries = [c.entry for c in reading.changes if isinstance(c, TargetPublished)]
+        rises = [version, *configs] == sorted([version, *configs])
+        ready = {entry.name for entry in entries if not entry.leaving}
+        left |= {entry.name for entry in entries if entry.leaving}
+        expected: tuple[Change, ...] = reading.changes
+        if reading.whole and not configs and version:
+            expected = (*expected, config(version))
+        if rises and not ready & left:
+            assert reads.apply(reading).changes == expected
+        else:
+            reads.apply(reading)
+        version = max([version, *configs])
+
+
+def test_a_whole_reading_without_a_configuration_has_the_newest() -> None:
+    """The backup may be older than the first one; who asks this node gets what it holds."""
+    reads = MonotonicReads()
+    reads.apply(Changes(Position(0, 3), (config(7),)))
+    assert reads.apply(Changes(Position(1, 1), (), whole=True)).changes == (config(7),)
+    assert reads.apply(Changes(Position(1, 2), ())).changes == ()
+
+
+def test_another_start_under_the_same_id_is_ready() -> None:
+    """Only the start that said so leaves."""
+    reads = MonotonicReads()
+    reads.apply(Changes(Position(0, 3), (target("a", leaving=True, born=7),)))
+    again = Changes(Position(1, 1), (target("a", born=7), target("a", born=9)))
+    assert reads.apply(again).changes == (target("a", leaving=True, born=7), target("a", born=9))
+
+
+def test_the_starts_that_are_remembered_are_bounded() -> None:
+    """The latest are kept."""
+    reads = MonotonicReads()
+    entries = tuple(target(f"t{n}", leaving=True) for n in range(LEAVING_KEPT + 1))
+    reads.apply(Changes(Position(0, 3), entries))
+    late = Changes(Position(1, 1), (target("t0"), target(f"t{LEAVING_KEPT}")))
+    assert reads.apply(late).changes == (target("t0"), target(f"t{LEAVING_KEPT}", leaving=True))
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -46,6 +46,7 @@
         self._journal = Journal()
         self.fleet = Fleet.empty()
         self.versions: list[int] = []
+        self.word: Word | None = None
         events = StoreEvents(
             on_fleet=self._on_fleet,
             on_peers=self._on_peers,
@@ -76,12 +77,11 @@
         """Know no others than those of the data hall."""
 
     def _on_confirmed(self, position: Any, at: float, own: bool) -> None:
-        if not own:
-            return
         name = str(self._place)
+        self.word = Word(position, at, name, (name, self._place))
         for node in self._hall:
-            if node is not self:
-                node.reader.tell(Word(position, at, name, (name, self._place)))
+            if own and node is not self:
+                node.reader.tell(self.word)
 
     def _ask(self, address: Address, after: Any) -> News:
         news = self._hall[address[1]]._journal.since(after)
@@ -99,9 +99,12 @@
         self.nodes: list[HallNode] = []
 
     def start(self, nodes: int) -> None:
-        """Start nodes, one after the other."""
+        """Start nodes, one after the other; each hears at once what the others hold."""
         for _ in range(nodes):
+            words = [node.word for node in self.nodes if node.word is not None]
             self.nodes.append(HallNode(self._address, self.nodes))
+            for word in words:
+                self.nodes[-1].reader.tell(word)
 
     def publish(self, version: int) -> None:
         """Have the operator write a configuration."""
