Add a failing test of a withdrawn target whose entry a backup brings back

Its entry is gone on all nodes, then a whole reading of the restored store names it: all three nodes put it back in service.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -242,3 +242,19 @@
     hall.publish(28)
     hall.wait_for(28, BOUND_S)
     assert all(node.versions == sorted(node.versions) for node in hall.nodes)
+
+
+# Guards against a backup that puts a withdrawn target back in service.
+def test_a_withdrawn_target_stays_out_of_service_when_the_store_is_restored(hall: Hall) -> None:
+    """Its entry is in the backup only; that of a target that lives is written again."""
+    hall.start(NODES)
+    hall.wait_for(20)
+    backup = hall.state.backup()
+    hall.state.delete("servers/i-1")
+    hall.wait_until(lambda node: "i-1" not in node.fleet.targets)
+    hall.state.restore(backup)
+    hall.publish(28)
+    hall.wait_for(28)
+    assert all("i-1" not in node.fleet.targets for node in hall.nodes)
+    hall.state.put("servers/i-1", entry("10.0.0.1:80"))
+    hall.wait_until(lambda node: "i-1" in node.fleet.targets)
