Hold entries that a backup of the store brought back

A target that had left without saying so, by the end of its entry, came back in service on all nodes when the store was restored from a backup with that entry, until it lapsed three heartbeats later. Same class as the leaving target: a later reading of an older state.

An entry whose end was seen, and that the first whole reading of a later era names, names no target until the target writes it again, or for 5 s: three heartbeats are 4.5 s, so one that is still there then has a target behind it. Known to be left: a target that lapsed while it could not write, and whose entry the backup still has, waits those 5 s; a node that starts meanwhile has not seen the end of the entry.

Before: the listed test failed on all three nodes. After: passed, with tests of each way out of the hold.

--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -10,6 +10,7 @@
 
 from roadpass.fleet import Fleet, Judgement, Service, Target, TrafficClass, joined_class
 from roadpass.offer import FAR_LOSS_PER_KB
+from roadpass.revived import RevivedEntries
 from roadpass.settings import StoreSettings
 from roadpass.source import (
     Changes,
@@ -87,6 +88,8 @@
         self._withdrawn: dict[str, float] = {}
         self._newest_born: dict[str, int] = {}
         self._away_until = float("-inf")
+        self._revived = RevivedEntries()
+        self._era: int | None = None
 
     @property
     def config(self) -> PublishedConfig | None:
@@ -122,12 +125,15 @@
         """
         changed = False
         unusable: list[Unusable] = []
+        restored = self._era is not None and changes.position.era > self._era
+        self._era = changes.position.era
         for change in changes.changes:
             match change:
                 case ConfigPublished(config=config):
                     changed |= self._take_config(config)
                 case TargetPublished(entry=entry):
-                    changed |= self._take_target(entry)
+                    if not self._revived.hold(now, entry, restored=restored, whole=changes.whole):
+                        changed |= self._take_target(entry)
                 case TargetWithdrawn(instance=instance):
                     self._withdraw(now, known_at, instance)
                 case Unusable(instance=instance):
@@ -138,20 +144,22 @@
         return changed, unusable
 
     def expire(self, now: float) -> bool:
-        """Drop withdrawn targets whose time is over.
+        """Drop withdrawn targets whose time is over, and take those that a backup rightly named.
 
         Returns:
-            Whether any was dropped.
+            Whether there was any.
         """
         over = [name for name, until in self._withdrawn.items() if until <= now]
         for name in over:
             del self._withdrawn[name]
             self._targets.pop(name, None)
-        return bool(over)
+        taken = [self._take_target(entry) for entry in self._revived.release(now)]
+        return bool(over) or any(taken)
 
     def next_expiry_s(self, now: float) -> float:
         """Return the seconds until `expire` has something to do, infinite if nothing waits."""
-        return max(0.0, min(self._withdrawn.values(), default=math.inf) - now)
+        until = min(self._withdrawn.values(), default=math.inf)
+        return max(0.0, min(until, self._revived.next_release()) - now)
 
     def fleet(self) -> Fleet:
         """Return the fleet that is in force by all that is held."""
@@ -187,10 +195,12 @@
             del self._newest_born[next(iter(self._newest_born))]
 
     def _withdraw(self, now: float, known_at: float, instance: str) -> None:
+        self._revived.discard(instance)
         if instance in self._targets and instance not in self._withdrawn:
             kept_until = min(now + WITHDRAWN_KEPT_S, known_at + WITHDRAWN_MAX_S)
             kept_until = max(kept_until, self._away_until + RETURN_S)
             self._withdrawn[instance] = kept_until
+            self._revived.note_withdrawn(self._targets[instance])
 
     def _withdraw_missing(self, now: float, known_at: float, changes: Changes) -> None:
         named = {
@@ -198,6 +208,7 @@
             for change in changes.changes
             if isinstance(change, TargetPublished)
         }
+        self._revived.discard_others(named)
         for instance in self._targets:
             if instance not in named:
                 self._withdraw(now, known_at, instance)
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -15,8 +15,10 @@
 )
 from roadpass.customer import Customer, Customers
 from roadpass.position import Position
+from roadpass.revived import HELD_S, WITHDRAWN_KEPT
 from roadpass.route import Part, Route
 from roadpass.source import (
+    Change,
     Changes,
     ConfigPublished,
     PublishedConfig,
@@ -103,6 +105,82 @@
     assert "t1" not in held.fleet().targets
 
 
+def restore(held: Catalogue, now: float, *named: TargetPublished, revision: int = 3) -> None:
+    """Take the first whole reading of a restored source."""
+    others = (target("t2", service="b"), target("t3", service="unknown"))
+    changes: tuple[Change, ...] = (config(5), *others, *named)
+    held.take(now, Changes(Position(1, revision), changes, whole=True))
+
+
+@pytest.fixture
+def withdrawn(held: Catalogue) -> Catalogue:
+    """Return a catalogue in which a target's entry is gone, and its time over."""
+    held.take(1.0, Changes(Position(0, 4), (TargetWithdrawn("t1"),)))
+    assert held.expire(1.0 + WITHDRAWN_KEPT_S)
+    return held
+
+
+def test_an_entry_that_a_backup_brings_back_is_held(withdrawn: Catalogue) -> None:
+    """It lapses again if nobody writes it; till then, and after, there is no such target."""
+    restore(withdrawn, 10.0, target("t1"))
+    assert "t1" not in withdrawn.targets
+    restore(withdrawn, 11.0, target("t1"), revision=4)
+    assert "t1" not in withdrawn.targets
+    withdrawn.take(14.0, Changes(Position(1, 5), (TargetWithdrawn("t1"),)))
+    assert not withdrawn.expire(10.0 + HELD_S)
+    assert "t1" not in withdrawn.targets
+
+
+def test_an_entry_that_is_missing_again_is_held_no_longer(withdrawn: Catalogue) -> None:
+    """A later whole reading does not name it."""
+    restore(withdrawn, 10.0, target("t1"))
+    restore(withdrawn, 12.0, revision=6)
+    assert not withdrawn.expire(10.0 + HELD_S)
+    assert "t1" not in withdrawn.targets
+
+
+def test_a_target_that_writes_its_entry_again_is_back_at_once(withdrawn: Catalogue) -> None:
+    """Only a backup is no proof that it lives."""
+    restore(withdrawn, 10.0, target("t1"))
+    assert withdrawn.take(10.5, Changes(Position(1, 4), (target("t1"),))) == (True, [])
+    assert "t1" in withdrawn.targets
+
+
+def test_an_entry_that_does_not_lapse_is_taken(withdrawn: Catalogue) -> None:
+    """Its target keeps it, and was withdrawn only as it could not reach the source."""
+    restore(withdrawn, 10.0, target("t1"))
+    assert withdrawn.next_expiry_s(10.0) == pytest.approx(HELD_S)
+    assert not withdrawn.expire(10.0 + HELD_S / 2.0)
+    assert withdrawn.expire(10.0 + HELD_S)
+    assert "t1" in withdrawn.targets
+
+
+def test_another_start_than_the_withdrawn_one_is_taken(withdrawn: Catalogue) -> None:
+    """What is held is of one start only."""
+    restore(withdrawn, 10.0, target("t1"))
+    restore(withdrawn, 11.0, target("t1", born=7), revision=4)
+    assert withdrawn.targets["t1"].born == 7
+
+
+def test_an_entry_that_is_back_without_a_restoration_is_taken(withdrawn: Catalogue) -> None:
+    """It had lapsed; a whole reading in the same era is of now."""
+    changes = (config(5), target("t1"), target("t2", service="b"))
+    withdrawn.take(10.0, Changes(Position(0, 9), changes, whole=True))
+    assert "t1" in withdrawn.targets
+
+
+def test_the_withdrawn_starts_that_are_remembered_are_bounded() -> None:
+    """The latest are kept."""
+    catalogue = Catalogue(Policy())
+    entries = tuple(target(f"t{n}") for n in (0, *range(9, WITHDRAWN_KEPT + 9)))
+    catalogue.take(0.0, Changes(Position(0, 3), (config(5), *entries), whole=True))
+    gone = tuple(TargetWithdrawn(entry.entry.instance) for entry in entries)
+    catalogue.take(1.0, Changes(Position(0, 4), gone))
+    catalogue.expire(9.0)
+    restore(catalogue, 10.0, target("t0"), entries[-1])
+    assert set(catalogue.targets) == {"t0", "t2", "t3"}
+
+
 def test_a_leaving_target_is_leaving_at_once(held: Catalogue) -> None:
     """What it says itself needs no time."""
     assert held.take(1.0, Changes(Position(0, 4), (target("t1", leaving=True),))) == (True, [])
