Have the soak restore its store from a backup

The store's stand-in of the soak goes away, comes back from a backup of 0.5, 2 or 4 s before, and what that lost is written again: before it answers, 0.3 s or 1.5 s later. A fault of its own with draws of its own, so that seeds that failed once still play what they played. Every other seed has no other faults of the store, since with all of them bounds on what it took hardly run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,11 +22,12 @@
     logs: Path | None = None,
     *,
     ending: bool = False,
+    restorations: bool = False,
 ) -> list[Finding]:
     """Play one soak and print findings and counts; logs stay if there are any, or as told."""
     folder = logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    history, steps = History(), plan(seed, seconds, processes)
+    history, steps = History(), plan(seed, seconds, processes, restorations=restorations)
     stage = Stage(folder, history, processes, net, seed, ending=ending)
     try:
         stage.play(steps, seconds)
@@ -56,6 +57,7 @@
     ):
         parser.add_argument(f"--{name}", type=kind, default=value)
     parser.add_argument("--ending", action="store_true", help="with a request that ends targets")
+    parser.add_argument("--restorations", action="store_true", help="of the store from a backup")
     parser.add_argument("--logs", type=Path, help="folder for logs, kept in any case")
     return 1 if play(**vars(parser.parse_args())) else 0
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -28,6 +28,8 @@
     Lane(4, ("garbled", "extra", "fail", "shed")),
 )
 SHARED = LANES[:2]
+RESTORED, RESTORED_GAP_S = "store-restored", (6.0, 10.0)
+"""A fault that is drawn only where wanted, and the seconds from one to the next."""
 
 
 class Step(NamedTuple):
@@ -40,8 +42,12 @@
     pick: int
 
 
-def plan(seed: int, seconds: float, processes: int) -> list[Step]:
-    """Return the faults of a run by time; of each lane on half the nodes at once at most."""
+def plan(seed: int, seconds: float, processes: int, *, restorations: bool = False) -> list[Step]:
+    """Return the faults of a run by time; of each lane on half the nodes at once at most.
+
+    With restorations of the store, every other seed has no other faults of the store: bounds on
+    what the store took run only while it is in order.
+    """
     rng = random.Random(seed)
     steps: list[Step] = []
     busy: dict[tuple[Lane, int], float] = {}
@@ -56,4 +62,18 @@
             steps.append(step)
             busy[lane, node] = at + step.lasts_s + lane.busy_s
         at += rng.expovariate(1.0 / GAP_S)
+    if restorations:
+        steps = [step for step in steps if seed % 2 or step.fault not in LANES[0].faults]
+        steps = sorted([*steps, *_restorations(seed, at)])
+    return steps
+
+
+def _restorations(seed: int, until: float) -> list[Step]:
+    """Return the restorations of the store from a backup."""
+    rng = random.Random(f"{RESTORED} {seed}")
+    steps: list[Step] = []
+    at = rng.uniform(FIRST_S, RESTORED_GAP_S[0])
+    while at < until:
+        steps.append(Step(at, RESTORED, 0, rng.uniform(0.0, 1.5), rng.randrange(1000)))
+        at += rng.uniform(*RESTORED_GAP_S)
     return steps
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from roadpass import clock
-from soak import customer
+from soak import customer, plan
 from soak.caller import (
     HOST,
     LONG_DEADLINE_S,
@@ -19,7 +19,7 @@
     PatientCaller,
 )
 from soak.checker import GRACE_S, SLOTS
-from soak.history import STORE, Configured, History, Instance
+from soak.history import STORE, Configured, History, Instance, Trouble
 from soak.node import SoakNode
 from soak.plan import Step
 from soak.store import FaultyStore
@@ -43,6 +43,9 @@
 leaving, and from its crash, to the end of its entry."""
 
 
+BACKUP_AGES_S, AGAIN_S = (0.5, 2.0, 4.0), (0.0, 0.3, 1.5)
+"""How old a backup is from which the store is restored, and when what it lost is written again:
+before it answers, so that revisions may be where they were, or later."""
 BACK_S = 2.0
 """Seconds from the end of a target under a request to its next start."""
 
@@ -142,6 +145,10 @@
             case "move" | "move-twice":
                 for number, delay_s in enumerate(TWICE_S if step.fault == "move-twice" else (0.0,)):
                     self._later(delay_s, self._write_config, step.pick >> 2 * number)
+            case plan.RESTORED:
+                trouble = self._history.trouble(STORE, step.fault)
+                self._store.fail(step.fault)
+                self._later(step.lasts_s, self._restore_store, step, trouble)
             case fault if fault.startswith(STORE):
                 self._fail(STORE, self._store.fail, step)
             case _:
@@ -156,6 +163,16 @@
         self._later(step.lasts_s, fail, "")
         self._later(step.lasts_s, lambda: setattr(trouble, "end", clock.now()))
 
+    def _restore_store(self, step: Step, trouble: Trouble) -> None:
+        """Bring the store back from a backup; what that lost is written again, then or later."""
+        self._store.restore_from(BACKUP_AGES_S[step.pick % len(BACKUP_AGES_S)])
+        delay_s = AGAIN_S[step.pick // len(BACKUP_AGES_S) % len(AGAIN_S)]
+        if not delay_s:
+            self._store.write_again()
+        self._store.fail("")
+        self._later(delay_s, self._store.write_again)
+        self._later(delay_s, lambda: setattr(trouble, "end", clock.now()))
+
     def _publish(self, target: SoakTarget) -> None:
         self._store.put(*_item(target))
         target.instance.born = clock.now()
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -81,6 +81,7 @@
         with self.changed:
             self.revision = backup.revision
             self.items, self.events = dict(backup.items), list(backup.events)
+            self.history_from = min(self.history_from, backup.revision)
             self.era = (self.era or 0) + 1
             self.changed.notify_all()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,12 +28,13 @@
     Request,
     Trouble,
 )
-from soak.plan import LANES, plan
+from soak.plan import LANES, RESTORED, plan
 from soak.seeds import REGRESSIONS
 from soak.target import ENDING
 
 SHORT, NET = (1, 8.0, 4), 61
-ENDING_RUN = (501, 12.0, 6, True)
+ENDING_RUN = (501, 12.0, 6, True, False)
+RESTORED_RUN = (1002, 15.0, 5, False, True)
 REPLACED = "replaced"
 Findings = list[Finding]
 
@@ -146,19 +147,22 @@
 def test_the_schedule_comes_from_the_seed() -> None:
     """The same for the same seed, another for another, and all faults over some of them."""
     assert plan(*SHORT) == plan(*SHORT) != plan(2, *SHORT[1:])
-    drawn = {step.fault for seed in range(40) for step in plan(seed, 15.0, 5)}
-    assert drawn == {fault for lane in LANES for fault in lane.faults}
+    faults = {fault for lane in LANES for fault in lane.faults}
+    for restorations, more in ((False, set()), (True, {RESTORED})):
+        plans = [plan(seed, 15.0, 5, restorations=restorations) for seed in range(40)]
+        assert {step.fault for steps in plans for step in steps} == faults | more
 
 
-RUNS = [*((*run, False) for run in (SHORT, *REGRESSIONS)), ENDING_RUN]
+RUNS = [*((*run, False, False) for run in (SHORT, *REGRESSIONS)), ENDING_RUN, RESTORED_RUN]
 
 
 @pytest.fixture(scope="module", params=RUNS, ids=lambda run: f"seed{run[0]}-{run[2]}")
 def findings(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Findings:
-    """Play a short run, those that broke a promise, and one with a request that ends targets."""
-    seed, seconds, processes, ending = request.param
+    """Play a short run, those that broke a promise, and two with faults that are drawn apart."""
+    seed, seconds, processes, ending, restorations = request.param
     logs = tmp_path_factory.mktemp(f"seed{seed}")
-    return play(seed, seconds, processes, net=NET, logs=logs, ending=ending)
+    options = {"ending": ending, "restorations": restorations}
+    return play(seed, seconds, processes, net=NET, logs=logs, **options)
 
 
 def test_a_run_breaks_no_promise(findings: Findings) -> None:
