End a stop cleanly when nothing is in flight at its limit

Its own line of the limit shows nothing in flight at that moment.

At the limit it is enough that the last look found nothing in flight and the process did not stand still before it. Callers see no difference; operators read the exit code and the line, which were wrong.

Before: tests/test_drain.py::test_a_node_that_has_ended_its_work_at_the_limit_ends_cleanly failed. After: passed, with the other tests of stops.

--- a/roadpass/drain.py
+++ b/roadpass/drain.py
@@ -14,7 +14,7 @@
     Args:
         refusing: Whether new work is to be refused from now on.
         over: Whether the node is to stop.
-        clean: Whether nothing was in flight for long enough.
+        clean: Whether nothing was in flight for long enough, or at the limit.
     """
 
     refusing: bool
@@ -64,5 +64,6 @@
         late = now - self._began >= self._limit_s + self._paused_s
         if now - self._began < self._leave_s and not late:
             return Stage(refusing=False, over=False)
-        clean = now - self._quiet_since >= QUIET_S
+        quiet_s = now - self._quiet_since
+        clean = quiet_s >= QUIET_S or (late and quiet_s > 0.0)
         return Stage(refusing=True, over=clean or late, clean=clean)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -45,6 +45,23 @@
     assert not stage.clean
 
 
+# Guards against a stop that reports cut work when the last answer was out shortly before its limit.
+def test_a_node_that_has_ended_its_work_at_the_limit_ends_cleanly() -> None:
+    """There is no time left to wait whether more follows, and nothing was cut."""
+    now, stage = ends_at(drain(), 0.0, busy_until=LIMIT_S - QUIET_S / 2.0)
+    assert LIMIT_S <= now < LIMIT_S + 2 * STEP_S
+    assert stage.clean
+
+
+def test_a_pause_right_before_the_limit_is_no_clean_end() -> None:
+    """Nobody has looked since at what came meanwhile."""
+    one = drain()
+    one.look(LIMIT_S - 0.1, 1)
+    assert not one.look(LIMIT_S - 0.05, 1).over
+    woken = LIMIT_S + 2.0 * PAUSED_S
+    assert not one.look(woken, 0).clean
+
+
 def test_a_pause_is_no_quiet_time() -> None:
     """Requests that came meanwhile lie unread: they are read before the node ends."""
     one = drain()
