Have tests notice when a mechanism for restored stores is gone

A test of its own for the second: a peer that tells of a lower revision, however fresh, does not keep a follower from reading the source.

--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -131,9 +131,9 @@
             bound_s=BOUND_S,
         )
 
-    def hear(self, vms: Sequence[str]) -> None:
-        """Have peers tell, one after the other, that they hold all there is, until the end."""
-        threading.Thread(target=self._tell, args=(vms,), daemon=True).start()
+    def hear(self, vms: Sequence[str], revision: int = 0) -> None:
+        """Have peers tell, one after the other, that they hold a revision, or else all there is."""
+        threading.Thread(target=self._tell, args=(vms, revision), daemon=True).start()
 
     def wait_for(self, version: int, limit_s: float) -> float:
         """Return the seconds until a version is in force."""
@@ -162,11 +162,12 @@
         self.asked.append(address[0])
         return self._ask(address, after)
 
-    def _tell(self, vms: Sequence[str]) -> None:
+    def _tell(self, vms: Sequence[str], revision: int) -> None:
         turn = 0
         while not self._silent.wait(1.0 / WORDS_PER_S):
             vm = vms[turn % len(vms)]
-            self._ref.tell(Word(Position(0, self._source.version), clock.now(), vm, (vm, 1)))
+            position = Position(0, revision or self._source.version)
+            self._ref.tell(Word(position, clock.now(), vm, (vm, 1)))
             turn += 1
 
 
@@ -244,6 +245,18 @@
         reading.wait_for(source.publish(), LIMIT_S)
 
 
+# Guards against a peer that is behind and is taken for a proof that nothing is newer.
+def test_a_peer_that_holds_less_confirms_nothing(started: Callable[..., Reading]) -> None:
+    """However fresh it says that is: this node reads the source when nobody else confirms it."""
+    source = SourceInMemory()
+    source.version = 3
+    reading = started(source, place=5, ask=cut_off)
+    reading.wait_for(3, LIMIT_S)
+    reading.hear(PEERS[:1], revision=2)
+    for _ in range(2):
+        reading.wait_for(source.publish(), BOUND_S)
+
+
 def test_a_peer_that_does_not_answer_is_not_asked_for_each_of_its_words(
     started: Callable[..., Reading],
 ) -> None:
