--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -34,7 +34,7 @@
 from roadpass.member import Member, MemberState, Send
 from roadpass.membership import Members
 from roadpass.metric import Metrics
-from roadpass.news import Word
+from roadpass.news import PeerPosition
 from roadpass.position import START, Position
 from roadpass.quarantine import Quarantine
 from roadpass.quota import Allowance, Report
@@ -219,10 +219,10 @@
             self._send(answer)
 
     def _hear_of_source(self, now: float, message: Datagram) -> None:
-        """Take the sender's word on what it holds of the platform, and how fresh that is."""
+        """Note what the sender holds of the platform, and how fresh that is."""
         age_s = message.get("platform_age_s", UNKNOWN_AGE_S)
         seen_at = now - max(0.0, age_s)
-        if self._events.on_word is None:
+        if self._events.on_peer_position is None:
             self._platform_seen_at = max(self._platform_seen_at, seen_at)
             self._compare_version(message)
             return
@@ -230,8 +230,8 @@
         if member is not None and message["revision"]:
             address = (member.address, member.stream_port)
             near = member.hall == self._settings.hall
-            self._events.on_word(
-                Word(Position.from_message(message), seen_at, member.vm, address, near)
+            self._events.on_peer_position(
+                PeerPosition(Position.from_message(message), seen_at, member.vm, address, near)
             )
 
     def _on_confirmed(self, confirmed: Confirmed) -> None:
@@ -338,7 +338,7 @@
 
     def _held(self) -> dict[str, int]:
         """Return the fields that tell what this node holds of the platform."""
-        if self._events.on_word is None:
+        if self._events.on_peer_position is None:
             return {"revision": self._version.revision}
         return self._position.to_message()
 
--- a/roadpass/gossip_messages.py
+++ b/roadpass/gossip_messages.py
@@ -5,7 +5,7 @@
 
 from roadpass.detect import Scores
 from roadpass.member import Member
-from roadpass.news import Word
+from roadpass.news import PeerPosition
 from roadpass.position import Position
 from roadpass.quota_keeper import QuotaTalk
 from roadpass.revision import Version
@@ -88,7 +88,7 @@
         on_version: A peer has a version that differs from the own one; with its stream address.
         on_hint: A word on a target came in.
         on_leave: This node was told that it is leaving.
-        on_word: A peer's word on the source came in, on a node that follows one.
+        on_peer_position: A peer told up to where it holds the source, if this node follows one.
         on_quota: A peer has told of customers' quotas.
     """
 
@@ -96,5 +96,5 @@
     on_version: Callable[[Version, tuple[str, int]], None]
     on_hint: Callable[[str, Scores], None]
     on_leave: Callable[[], None]
-    on_word: Callable[[Word], None] | None = None
+    on_peer_position: Callable[[PeerPosition], None] | None = None
     on_quota: Callable[[QuotaTalk], None] = lambda talk: None
--- a/roadpass/news.py
+++ b/roadpass/news.py
@@ -28,12 +28,12 @@
 _UNUSABLE = (TypeError, ValueError, IndexError, AttributeError)
 
 
-class Word(NamedTuple):
-    """A peer's word on the source.
+class PeerPosition(NamedTuple):
+    """Up to where a peer holds the source.
 
     Args:
-        position: Up to which the peer holds the source.
-        at: Clock seconds at which the source had nothing newer, by the peer's word.
+        position: In the history of the source.
+        at: Clock seconds at which the source had nothing newer, as the peer tells.
         vm: The peer.
         address: Of its streams.
         near: Whether it is in the own data hall.
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -133,7 +133,7 @@
                 self._board.on_version,
                 self._board.on_hint,
                 self.leave,
-                self._board.on_word if self._settings.store else None,
+                self._board.on_peer_position if self._settings.store else None,
                 self._board.on_quota,
             ),
             self.audit,
--- a/roadpass/peer_asker.py
+++ b/roadpass/peer_asker.py
@@ -9,7 +9,7 @@
 from roadpass import clock
 from roadpass._actor import Actor
 from roadpass.errors import StreamError
-from roadpass.news import News, Word
+from roadpass.news import News, PeerPosition
 from roadpass.peer import Address
 from roadpass.position import Position
 
@@ -20,12 +20,12 @@
     """One question: what came after a position.
 
     Args:
-        word: Of the peer that is asked.
+        peer: Who is asked.
         after: The position; `START` for all there is.
         asked_at: Clock seconds at which it was wanted.
     """
 
-    word: Word
+    peer: PeerPosition
     after: Position
     asked_at: float
 
@@ -69,15 +69,15 @@
 
     def _result(self, ask: Ask) -> News | StreamError:
         try:
-            return self._ask(ask.word.address, ask.after)
+            return self._ask(ask.peer.address, ask.after)
         except StreamError as error:
             return error
         except Exception as error:
-            _log.exception("a question to %s failed in a way that nobody foresaw", ask.word.vm)
+            _log.exception("a question to %s failed in a way that nobody foresaw", ask.peer.vm)
             return StreamError(f"The question failed: {error!r}.")
 
     def _tell(self, asked: Asked) -> None:
         try:
             self._reader.tell(asked)
         except pykka.ActorDeadError:
-            _log.info("nobody waits for the answer of %s any more", asked.ask.word.vm)
+            _log.info("nobody waits for the answer of %s any more", asked.ask.peer.vm)
--- a/roadpass/platform/store.py
+++ b/roadpass/platform/store.py
@@ -42,7 +42,7 @@
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
         self._era = 0
 
-    def glance(self) -> Changes:
+    def stale_snapshot(self) -> Changes:
         """Return what the store held some seconds ago, for a tenth of the price; see `Source`."""
         return self._range({"AllowStale": "1"})
 
--- a/roadpass/reading_log.py
+++ b/roadpass/reading_log.py
@@ -6,14 +6,14 @@
 from roadpass import clock
 from roadpass.decision import decided
 from roadpass.errors import PlatformError, StreamError
-from roadpass.news import Word
+from roadpass.news import PeerPosition
 from roadpass.position import Position
 from roadpass.source import Changes, ConfigPublished
 
 PART = "reader"
 
 
-def tell_reading(
+def log_reading(
     changes: Changes,
     *,
     told_by: str,
@@ -51,7 +51,7 @@
     )
 
 
-def tell_source_failed(
+def log_source_failed(
     error: PlatformError,
     *,
     failures: int,
@@ -71,7 +71,7 @@
     )
 
 
-def tell_overtaken(
+def log_overtaken(
     result: Changes | PlatformError,
     *,
     asked_after: Position | None,
@@ -90,31 +90,31 @@
     )
 
 
-def tell_unanswered(
-    word: Word, error: StreamError, *, after: Position | None, asked_at: float
+def log_unanswered(
+    peer: PeerPosition, error: StreamError, *, after: Position | None, asked_at: float
 ) -> None:
     """Log a question to a peer that it did not answer; arguments as above."""
     decided(
         PART,
         "peer-failed",
-        vm=word.vm,
-        **logged(word.position, "revision"),
+        vm=peer.vm,
+        **logged(peer.position, "revision"),
         error=str(error),
         **logged(after, "after"),
-        word_age_s=_age_s(word.at),
+        word_age_s=_age_s(peer.at),
         took_s=_age_s(asked_at),
     )
 
 
-def tell_peer_behind(word: Word, *, held: Position | None) -> None:
+def log_peer_behind(peer: PeerPosition, *, held: Position | None) -> None:
     """Log that a peer holds less than this node and takes that for the newest."""
     decided(
         PART,
         "peer-behind",
-        vm=word.vm,
-        **logged(word.position, "revision"),
+        vm=peer.vm,
+        **logged(peer.position, "revision"),
         **logged(held, "held"),
-        word_age_s=_age_s(word.at),
+        word_age_s=_age_s(peer.at),
     )
 
 
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -136,7 +136,7 @@
 class Source(Protocol):
     """Where a node reads the fleet."""
 
-    def glance(self) -> Changes:
+    def stale_snapshot(self) -> Changes:
         """Return what there was a while ago, at a small price; good only for finding peers.
 
         Raises:
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -4,12 +4,11 @@
 datagram up to which position they hold the source and how fresh that is; what this node lacks it
 asks of them over a stream.
 
-A question to a peer that cannot be reached takes longer than the next words take to come, and a
+A question to a peer that cannot be reached takes longer than the next datagrams take to come, and a
 call to a source that is away takes seconds. So no message makes this actor wait: two actors of its
-own make the calls (`source_caller`) and ask the questions (`peer_asker`), one at a time each. Words
-are kept beside the queue, the newest of each peer, and who did not answer is left alone for a
-while. When it asked for every word itself, in its order, nodes that heard all their peers and
-reached none fell 9 s behind, while their own look at the source waited in the same queue.
+own make the calls (`source_caller`) and ask the questions (`peer_asker`), one at a time each. The
+newest position of each peer is kept beside the queue, and who did not answer is left alone for a
+while: else the node's own look at the source would wait behind questions that nobody answers.
 """
 
 import logging
@@ -26,20 +25,20 @@
 from roadpass.decision import decided
 from roadpass.errors import PlatformError, StreamError
 from roadpass.fleet import Fleet
-from roadpass.heard import Heard
 from roadpass.journal import Journal
 from roadpass.monotonic import MonotonicReads
-from roadpass.news import News, Word
+from roadpass.news import News, PeerPosition
 from roadpass.peer import Address
 from roadpass.peer_asker import Ask, Asked, PeerAsker
+from roadpass.peer_positions import PeerPositions
 from roadpass.position import START, Position
 from roadpass.reading_log import (
+    log_overtaken,
+    log_peer_behind,
+    log_reading,
+    log_source_failed,
+    log_unanswered,
     logged,
-    tell_overtaken,
-    tell_peer_behind,
-    tell_reading,
-    tell_source_failed,
-    tell_unanswered,
 )
 from roadpass.reading_turn import FIRST_WORD_S, ReadingTurn, Standing
 from roadpass.source import (
@@ -61,7 +60,7 @@
 """Seconds to pause after a failed call, doubled up to the latter: bounds run while the source is
 away."""
 ANSWER_S = 0.25
-"""Seconds from a word that there is more until peers are asked although a call is under way: it
+"""Seconds from hearing that there is more until peers are asked although a call is under way: it
 tells the same before that, also with a slow source, unless it hangs."""
 DEFAULT_BOUND_S = 2.0
 
@@ -123,7 +122,7 @@
         self._audit = audit
         self._rng = rng
         self._turn = ReadingTurn(bound_s, rng.random())
-        self._heard = Heard()
+        self._peers = PeerPositions()
         self._reads = MonotonicReads()
         self._position: Position | None = None
         self._lost_at = START
@@ -133,7 +132,7 @@
         self._calling: Call | None = None
         self._asking: Ask | None = None
         self._behind_since = math.inf
-        self._told_behind: tuple[Position, Position | None] = (START, None)
+        self._logged_behind: tuple[Position, Position | None] = (START, None)
         self._unusable: dict[str, str] = {}
         self._tick_waits = False
         self._ticker = Ticker("reader-tick", TICK_S, self._tick_soon)
@@ -160,8 +159,8 @@
                 self._on_called(message)
             case Asked():
                 self._on_asked(message)
-            case Word():
-                self._on_word(message)
+            case PeerPosition():
+                self._on_peer_position(message)
             case Policy():
                 self._catalogue.adopt(message)
                 self._publish(True)
@@ -177,7 +176,7 @@
     def _find_peers(self) -> None:
         """Name the nodes that a cheap and perhaps old reading shows: they know what is newest."""
         try:
-            changes = self._source.glance()
+            changes = self._source.stale_snapshot()
         except PlatformError as error:
             _log.info("no peers found: %s", error)
             return
@@ -205,30 +204,30 @@
             return False
         return self._turn.is_due(self._events.standing(), now - self._confirmed_at)
 
-    def _on_word(self, word: Word) -> None:
-        """Take a peer's word: what it holds beyond this node is to be asked for."""
-        if word.position > self._beyond:
+    def _on_peer_position(self, peer: PeerPosition) -> None:
+        """Hear up to where a peer holds the source: what it holds beyond this node is asked for."""
+        if peer.position > self._watermark:
             now = clock.now()
             self._behind_since = min(self._behind_since, now)
-            self._heard.note(word)
+            self._peers.note(peer)
             self._catch_up(now)
-        elif word.at <= self._confirmed_at:
+        elif peer.at <= self._confirmed_at:
             return
-        elif word.position == self._position:
-            self._confirm(word.at, own=False)
+        elif peer.position == self._position:
+            self._confirm(peer.at, own=False)
         else:
-            self._tell_behind(word)
+            self._log_behind(peer)
 
-    def _tell_behind(self, word: Word) -> None:
+    def _log_behind(self, peer: PeerPosition) -> None:
         """Log that a peer is behind this node, once for each pair of positions."""
-        pair = (word.position, self._position)
-        if pair != self._told_behind:
-            self._told_behind = pair
-            tell_peer_behind(word, held=self._position)
+        pair = (peer.position, self._position)
+        if pair != self._logged_behind:
+            self._logged_behind = pair
+            log_peer_behind(peer, held=self._position)
 
     @property
-    def _beyond(self) -> Position:
-        """The position that news must go beyond.
+    def _watermark(self) -> Position:
+        """The position that readings must go beyond.
 
         After the source has lost its history, what peers hold from before tells nothing: only a
         whole reading, the own one or a peer's, goes on from there.
@@ -239,9 +238,9 @@
         """Ask a peer that holds more for what this node lacks, unless it reads by itself soon."""
         if self._asking is not None or not self._may_ask(now):
             return
-        word = self._heard.best(now, self._beyond)
-        if word is not None:
-            self._asking = Ask(word, self._position or START, now)
+        peer = self._peers.best(now, self._watermark)
+        if peer is not None:
+            self._asking = Ask(peer, self._position or START, now)
             self._asker.tell(self._asking)
 
     def _may_ask(self, now: float) -> bool:
@@ -255,17 +254,17 @@
     def _on_asked(self, asked: Asked) -> None:
         """Take in what a peer told; the source may have told more meanwhile."""
         self._asking = None
-        word = asked.ask.word
+        peer = asked.ask.peer
         match asked.result:
             case StreamError() as error:
-                self._heard.did_not_answer(word.vm, asked.at)
-                tell_unanswered(word, error, after=self._position, asked_at=asked.ask.asked_at)
+                self._peers.did_not_answer(peer.vm, asked.at)
+                log_unanswered(peer, error, after=self._position, asked_at=asked.ask.asked_at)
             case news:
-                self._heard.answered(word.vm)
+                self._peers.answered(peer.vm)
                 if news.away_at is not None:
                     self._source_away(news.away_at)
-                if news.changes.position > self._beyond:
-                    self._take(news.changes, news.at, origin=word.vm, asked_at=asked.ask.asked_at)
+                if news.changes.position > self._watermark:
+                    self._take(news.changes, news.at, origin=peer.vm, asked_at=asked.ask.asked_at)
         self._catch_up(clock.now())
 
     def _call(self, now: float) -> None:
@@ -298,7 +297,7 @@
                     self._take(changes, called.at, origin="", asked_at=call.asked_at)
 
     def _overtaken(self, called: Called) -> None:
-        tell_overtaken(
+        log_overtaken(
             called.result,
             asked_after=called.call.after,
             after=self._position,
@@ -309,7 +308,7 @@
         """Take in what the source or a peer told; an empty `origin` stands for the source."""
         known_at = self._confirmed_at
         config = self._catalogue.config
-        tell_reading(
+        log_reading(
             changes,
             told_by=origin,
             after=self._position,
@@ -318,7 +317,7 @@
             confirmed_at=known_at,
             asked_at=asked_at,
         )
-        held = self._beyond
+        held = self._watermark
         if held != START and changes.position.era > held.era:
             # Targets that the backup lacks are as good as lapsed: they write themselves again.
             self._source_away(clock.now())
@@ -344,7 +343,7 @@
         self._failures += 1
         if self._failures == 1:
             self._audit.record(Kind.PLATFORM, "store", f"cannot be read: {error}")
-        tell_source_failed(
+        log_source_failed(
             error,
             failures=self._failures,
             after=self._position,
--- a/roadpass/switchboard.py
+++ b/roadpass/switchboard.py
@@ -18,7 +18,7 @@
 from roadpass.manifest import VmEntry
 from roadpass.message import Message
 from roadpass.monitor import FleetChanged, HintHeard
-from roadpass.news import Word
+from roadpass.news import PeerPosition
 from roadpass.patch import offer
 from roadpass.peer import Address
 from roadpass.position import Position
@@ -108,9 +108,9 @@
         """Tell the others that the source had nothing newer than a position, and when."""
         self.gossip.tell(Confirmed(position, at, tell=own))
 
-    def on_word(self, word: Word) -> None:
-        """Hand on a peer's word on the source."""
-        self.store_reader.tell(word)
+    def on_peer_position(self, peer: PeerPosition) -> None:
+        """Hand on up to where a peer holds the source."""
+        self.store_reader.tell(peer)
 
     def on_quota(self, talk: QuotaTalk) -> None:
         """Hand on what another node tells of customers."""
--- a/tests/test_heard.py
+++ b/tests/test_peer_positions.py
@@ -3,65 +3,70 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from roadpass.heard import Heard
-from roadpass.news import Word
+from roadpass.news import PeerPosition
+from roadpass.peer_positions import PeerPositions
 from roadpass.position import Position
 from roadpass.unanswered import FORGET_S, HOLD_S, Unanswered
 
 VMS = [f"vm-{number}" for number in range(4)]
 
 
-def word(vm: str, revision: int, at: float = 0.0, *, near: bool = True) -> Word:
-    """Return a peer's word."""
-    return Word(Position(0, revision), at, vm, (vm, 1), near)
+def holds(vm: str, revision: int, at: float = 0.0, *, near: bool = True) -> PeerPosition:
+    """Return up to where a peer holds the source."""
+    return PeerPosition(Position(0, revision), at, vm, (vm, 1), near)
 
 
 def test_of_equal_peers_who_holds_the_most_is_asked_first() -> None:
-    """Of two that hold as much, the one whose word is younger."""
-    heard = Heard()
-    for one in (word("vm-0", 5), word("vm-1", 7, 1.0), word("vm-2", 7, 2.0), word("vm-3", 3, 9.0)):
-        heard.note(one)
-    assert heard.best(10.0, Position(0, 4)) == word("vm-2", 7, 2.0)
-    assert heard.best(10.0, Position(0, 7)) is None
+    """Of two that hold as much, the one that is known to be fresher."""
+    peers = PeerPositions()
+    for one in (
+        holds("vm-0", 5),
+        holds("vm-1", 7, 1.0),
+        holds("vm-2", 7, 2.0),
+        holds("vm-3", 3, 9.0),
+    ):
+        peers.note(one)
+    assert peers.best(10.0, Position(0, 4)) == holds("vm-2", 7, 2.0)
+    assert peers.best(10.0, Position(0, 7)) is None
 
 
 def test_who_did_not_answer_is_left_alone_for_a_while() -> None:
     """The next one is asked meanwhile, and none where there is no other."""
-    heard = Heard()
-    heard.note(word("vm-0", 5))
-    heard.note(word("vm-1", 6))
-    heard.did_not_answer("vm-1", 10.0)
-    assert heard.best(10.0, Position(0, 4)) == word("vm-0", 5)
-    heard.did_not_answer("vm-0", 10.5)
-    assert heard.best(10.6, Position(0, 4)) is None
-    assert heard.best(10.0 + HOLD_S, Position(0, 4)) == word("vm-1", 6)
-    heard.did_not_answer("vm-1", 11.0)
-    assert heard.best(11.0 + HOLD_S, Position(0, 4)) == word("vm-0", 5)
-    assert heard.best(11.0 + 2.0 * HOLD_S, Position(0, 4)) == word("vm-0", 5), (
+    peers = PeerPositions()
+    peers.note(holds("vm-0", 5))
+    peers.note(holds("vm-1", 6))
+    peers.did_not_answer("vm-1", 10.0)
+    assert peers.best(10.0, Position(0, 4)) == holds("vm-0", 5)
+    peers.did_not_answer("vm-0", 10.5)
+    assert peers.best(10.6, Position(0, 4)) is None
+    assert peers.best(10.0 + HOLD_S, Position(0, 4)) == holds("vm-1", 6)
+    peers.did_not_answer("vm-1", 11.0)
+    assert peers.best(11.0 + HOLD_S, Position(0, 4)) == holds("vm-0", 5)
+    assert peers.best(11.0 + 2.0 * HOLD_S, Position(0, 4)) == holds("vm-0", 5), (
         "it was silent less often"
     )
-    heard.answered("vm-0")
-    assert heard.best(11.0 + 2.0 * HOLD_S, Position(0, 4)) == word("vm-1", 6)
+    peers.answered("vm-0")
+    assert peers.best(11.0 + 2.0 * HOLD_S, Position(0, 4)) == holds("vm-1", 6)
 
 
 def test_a_near_one_comes_before_a_far_one_unless_it_was_silent() -> None:
     """Where only the own data hall can be reached, its peers are found at once."""
-    heard = Heard()
-    heard.note(word("vm-0", 9, near=False))
-    heard.note(word("vm-1", 5))
-    assert heard.best(0.0, Position(0, 4)) == word("vm-1", 5)
-    heard.did_not_answer("vm-1", 0.0)
-    assert heard.best(9.0, Position(0, 4)) == word("vm-0", 9, near=False)
+    peers = PeerPositions()
+    peers.note(holds("vm-0", 9, near=False))
+    peers.note(holds("vm-1", 5))
+    assert peers.best(0.0, Position(0, 4)) == holds("vm-1", 5)
+    peers.did_not_answer("vm-1", 0.0)
+    assert peers.best(9.0, Position(0, 4)) == holds("vm-0", 9, near=False)
 
 
-def test_who_answered_is_asked_again_on_a_new_word_only() -> None:
+def test_who_answered_is_asked_again_on_a_new_position_only() -> None:
     """Else a peer that holds less than it said would be asked for ever."""
-    heard = Heard()
-    heard.note(word("vm-0", 5))
-    heard.answered("vm-0")
-    assert heard.best(0.0, Position(0, 4)) is None
-    heard.note(word("vm-0", 6))
-    assert heard.best(0.0, Position(0, 4)) == word("vm-0", 6)
+    peers = PeerPositions()
+    peers.note(holds("vm-0", 5))
+    peers.answered("vm-0")
+    assert peers.best(0.0, Position(0, 4)) is None
+    peers.note(holds("vm-0", 6))
+    assert peers.best(0.0, Position(0, 4)) == holds("vm-0", 6)
 
 
 EVENTS = st.lists(
@@ -79,29 +84,29 @@
 def test_the_choice_is_that_of_a_plain_list(
     events: list[tuple[str, str, int, float]], beyond: int
 ) -> None:
-    """Keep all words and all silences, and look through them at the end."""
-    heard = Heard()
-    words: dict[str, Word] = {}
+    """Keep all positions and all silences, and look through them at the end."""
+    peers = PeerPositions()
+    held: dict[str, PeerPosition] = {}
     silent: list[tuple[str, float]] = []
     answers: dict[str, float] = {}
     now = 0.0
     for what, vm, revision, step in events:
         now += step
         if what == "note":
-            words[vm] = word(vm, revision, now)
-            heard.note(words[vm])
+            held[vm] = holds(vm, revision, now)
+            peers.note(held[vm])
         elif what == "answered":
-            words.pop(vm, None)
+            held.pop(vm, None)
             answers[vm] = now
-            heard.answered(vm)
+            peers.answered(vm)
         else:
             silent.append((vm, now))
-            heard.did_not_answer(vm, now)
+            peers.did_not_answer(vm, now)
     left_alone = {vm for vm in VMS if naive_hold(vm, silent, answers, now)}
     wanted = [
-        w for vm, w in words.items() if vm not in left_alone and w.position > Position(0, beyond)
+        w for vm, w in held.items() if vm not in left_alone and w.position > Position(0, beyond)
     ]
-    best = heard.best(now, Position(0, beyond))
+    best = peers.best(now, Position(0, beyond))
     if not wanted:
         assert best is None
     else:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from roadpass.fleet import Fleet
 from roadpass.journal import Journal
 from roadpass.metric import Metrics
-from roadpass.news import News, Word
+from roadpass.news import News, PeerPosition
 from roadpass.peer import Address
 from roadpass.platform import decode
 from roadpass.platform.store import CALL_LIMIT_S, CALLS, StoreClient
@@ -429,7 +429,7 @@
         deadline = clock.now() + LIMIT_S
         while not any(fleet.revision == 6 for fleet in followed.fleets):
             assert clock.now() < deadline, "not in time"
-            ref.tell(Word(held.position, clock.now(), "vm-2", ("127.0.0.1", 1)))
+            ref.tell(PeerPosition(held.position, clock.now(), "vm-2", ("127.0.0.1", 1)))
             time.sleep(0.005)
     finally:
         ref.stop()
@@ -454,7 +454,7 @@
         deadline = clock.now() + LIMIT_S
         while not any(fleet.revision == 6 for fleet in followed.fleets):
             assert clock.now() < deadline, "not in time"
-            ref.tell(Word(whole.changes.position, whole.at, "vm-2", ("127.0.0.1", 1)))
+            ref.tell(PeerPosition(whole.changes.position, whole.at, "vm-2", ("127.0.0.1", 1)))
             time.sleep(0.01)
     finally:
         ref.stop()
@@ -475,7 +475,11 @@
         followed.wait_for_calls(bench, 1)
         calls_before = bench.state.calls
         for _ in range(20):
-            ref.tell(Word(Position(0, bench.state.revision), clock.now(), "vm-2", ("127.0.0.1", 1)))
+            ref.tell(
+                PeerPosition(
+                    Position(0, bench.state.revision), clock.now(), "vm-2", ("127.0.0.1", 1)
+                )
+            )
             time.sleep(0.02)
         followed.wait_for(lambda fleet: fleet.revision == 4)
         snapshot_calls = bench.state.calls - calls_before
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -15,7 +15,7 @@
 from roadpass.fleet import Fleet
 from roadpass.journal import Journal
 from roadpass.metric import Metrics
-from roadpass.news import News, Word
+from roadpass.news import News, PeerPosition
 from roadpass.peer import Address
 from roadpass.platform.store import StoreClient
 from roadpass.reading_turn import Standing
@@ -46,7 +46,7 @@
         self._journal = Journal()
         self.fleet = Fleet.empty()
         self.versions: list[int] = []
-        self.word: Word | None = None
+        self.position: PeerPosition | None = None
         events = StoreEvents(
             on_fleet=self._on_fleet,
             on_peers=self._on_peers,
@@ -78,10 +78,10 @@
 
     def _on_confirmed(self, position: Any, at: float, own: bool) -> None:
         name = str(self._place)
-        self.word = Word(position, at, name, (name, self._place))
+        self.position = PeerPosition(position, at, name, (name, self._place))
         for node in self._hall:
             if own and node is not self:
-                node.reader.tell(self.word)
+                node.reader.tell(self.position)
 
     def _ask(self, address: Address, after: Any) -> News:
         news = self._hall[address[1]]._journal.since(after)
@@ -101,10 +101,10 @@
     def start(self, nodes: int) -> None:
         """Start nodes, one after the other; each hears at once what the others hold."""
         for _ in range(nodes):
-            words = [node.word for node in self.nodes if node.word is not None]
+            positions = [n.position for n in self.nodes if n.position is not None]
             self.nodes.append(HallNode(self._address, self.nodes))
-            for word in words:
-                self.nodes[-1].reader.tell(word)
+            for position in positions:
+                self.nodes[-1].reader.tell(position)
 
     def publish(self, version: int) -> None:
         """Have the operator write a configuration."""
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -26,7 +26,7 @@
 from roadpass.errors import PlatformError, StreamError
 from roadpass.fleet import Fleet
 from roadpass.journal import Journal
-from roadpass.news import ASK_S, News, Word
+from roadpass.news import ASK_S, News, PeerPosition
 from roadpass.peer import Address
 from roadpass.position import START, Position
 from roadpass.reading_turn import Standing
@@ -72,7 +72,7 @@
             self.changed.notify_all()
             return self.version
 
-    def glance(self) -> Changes:
+    def stale_snapshot(self) -> Changes:
         """Know nobody."""
         return Changes(START, ())
 
@@ -167,7 +167,7 @@
         while not self._silent.wait(1.0 / WORDS_PER_S):
             vm = vms[turn % len(vms)]
             position = Position(0, revision or self._source.version)
-            self._ref.tell(Word(position, clock.now(), vm, (vm, 1)))
+            self._ref.tell(PeerPosition(position, clock.now(), vm, (vm, 1)))
             turn += 1
 
 
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -70,7 +70,7 @@
     ),
     Mechanism(
         "peers that do not answer are left alone by the reader",
-        "roadpass/heard.py",
+        "roadpass/peer_positions.py",
         "if not self._unanswered.holds(vm, now)]",
         "]",
         "tests/test_store_reader.py",
