--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -48,10 +48,9 @@
     Source,
     TargetEntry,
     TargetPublished,
-    TargetWithdrawn,
-    Unusable,
 )
 from roadpass.source_caller import Call, Called, SourceCaller
+from roadpass.unusable import UnusableItems
 
 TICK_S = 0.1
 """Seconds between looks at whether it is this node's turn."""
@@ -133,7 +132,7 @@
         self._asking: Ask | None = None
         self._behind_since = math.inf
         self._logged_behind: tuple[Position, Position | None] = (START, None)
-        self._unusable: dict[str, str] = {}
+        self._unusable = UnusableItems(audit)
         self._tick_waits = False
         self._ticker = Ticker("reader-tick", TICK_S, self._tick_soon)
 
@@ -327,7 +326,7 @@
         self._journal.note(changes, at)
         self._name_peers(changes)
         changed, unusable = self._catalogue.take(clock.now(), changes, known_at=known_at)
-        self._report(changes, unusable, whole=changes.whole and not origin)
+        self._unusable.report(changes.changes, unusable, whole=changes.whole and not origin)
         self._publish(changed, origin)
         self._confirm(at, own=not origin)
 
@@ -382,22 +381,3 @@
             leaving=sum(target.leaving for target in fleet.targets.values()),
             routes=len(fleet.routes),
         )
-
-    def _report(self, changes: Changes, unusable: list[Unusable], *, whole: bool) -> None:
-        """Say of each item that makes no sense that it was left out: once, until that changes."""
-        told = self._unusable
-        if whole:
-            self._unusable = {}
-        for change in changes.changes:
-            match change:
-                case TargetPublished(entry=entry):
-                    self._unusable.pop(entry.instance, None)
-                case TargetWithdrawn(instance=instance):
-                    self._unusable.pop(instance, None)
-                case _:
-                    pass
-        for item in unusable:
-            name = item.instance or item.key
-            if told.get(name) != item.why:
-                self._audit.record(Kind.REVISION_REFUSED, item.key, item.why)
-            self._unusable[name] = item.why
--- /dev/null
+++ b/roadpass/unusable.py
@@ -0,0 +1,45 @@
+"""Audit of a source's items that make no sense: once each, until that changes."""
+
+from collections.abc import Iterable
+
+from roadpass.audit import AuditTrail, Kind
+from roadpass.source import Change, TargetPublished, TargetWithdrawn, Unusable
+
+
+class UnusableItems:
+    """The items that are left out, by target or key.
+
+    Args:
+        audit: The audit trail.
+    """
+
+    def __init__(self, audit: AuditTrail) -> None:
+        self._audit = audit
+        self._reasons: dict[str, str] = {}
+
+    def report(
+        self, changes: Iterable[Change], unusable: Iterable[Unusable], *, whole: bool
+    ) -> None:
+        """Record each item that was not known to make no sense for this reason.
+
+        Args:
+            changes: What the source told.
+            unusable: Of that, what cannot be used.
+            whole: Whether the source named all it has.
+        """
+        known = self._reasons
+        if whole:
+            self._reasons = {}
+        for change in changes:
+            match change:
+                case TargetPublished(entry=entry):
+                    self._reasons.pop(entry.instance, None)
+                case TargetWithdrawn(instance=instance):
+                    self._reasons.pop(instance, None)
+                case _:
+                    pass
+        for item in unusable:
+            name = item.instance or item.key
+            if known.get(name) != item.why:
+                self._audit.record(Kind.REVISION_REFUSED, item.key, item.why)
+            self._reasons[name] = item.why
