Take no entry that a backup lacks for one that has ended

A target that one backup lacked was remembered as withdrawn, so that after a second restoration from a later backup its entry was held for 5 s though it lives. Found by reading the change again, not seen. Only an entry whose end the source told, or that a reading of the same era lacks, counts as withdrawn. The catalogue, which sees the era of each reading, also gives such targets the time of an outage, in the reader's place.

A peer that is behind is logged once for each position held, not for each pair of positions: two such peers made a line for every datagram.

The new test of two backups passes, and fails without the distinction; the mechanism "what a backup lacks" fails its test when switched off in its new place.

--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -127,6 +127,8 @@
         unusable: list[Unusable] = []
         restored = self._era is not None and changes.position.era > self._era
         self._era = changes.position.era
+        if restored:  # targets that the backup lacks write themselves again, as after an outage
+            self.source_away(now)
         for change in changes.changes:
             match change:
                 case ConfigPublished(config=config):
@@ -140,7 +142,7 @@
                     unusable.append(change)
                     self._withdraw(now, known_at, instance)
         if changes.whole:
-            self._withdraw_missing(now, known_at, changes)
+            self._withdraw_missing(now, known_at, changes, ended=not restored)
         return changed, unusable
 
     def expire(self, now: float) -> bool:
@@ -194,15 +196,19 @@
         if len(self._newest_born) > BORN_KEPT:
             del self._newest_born[next(iter(self._newest_born))]
 
-    def _withdraw(self, now: float, known_at: float, instance: str) -> None:
+    def _withdraw(self, now: float, known_at: float, instance: str, *, ended: bool = True) -> None:
+        """Let a target go whose entry is gone, as it has `ended` or as a backup lacks it."""
         self._revived.discard(instance)
         if instance in self._targets and instance not in self._withdrawn:
             kept_until = min(now + WITHDRAWN_KEPT_S, known_at + WITHDRAWN_MAX_S)
             kept_until = max(kept_until, self._away_until + RETURN_S)
             self._withdrawn[instance] = kept_until
-            self._revived.note_withdrawn(self._targets[instance])
+            if ended:
+                self._revived.note_withdrawn(self._targets[instance])
 
-    def _withdraw_missing(self, now: float, known_at: float, changes: Changes) -> None:
+    def _withdraw_missing(
+        self, now: float, known_at: float, changes: Changes, *, ended: bool
+    ) -> None:
         named = {
             change.entry.instance
             for change in changes.changes
@@ -211,7 +217,7 @@
         self._revived.discard_others(named)
         for instance in self._targets:
             if instance not in named:
-                self._withdraw(now, known_at, instance)
+                self._withdraw(now, known_at, instance, ended=ended)
 
 
 def build_fleet(config: PublishedConfig, entries: Iterable[TargetEntry], policy: Policy) -> Fleet:
--- a/roadpass/reading_log.py
+++ b/roadpass/reading_log.py
@@ -106,7 +106,7 @@
     )
 
 
-def log_peer_behind(peer: PeerPosition, *, held: Position | None) -> None:
+def log_peer_behind(peer: PeerPosition, *, held: Position) -> None:
     """Log that a peer holds less than this node and takes that for the newest."""
     decided(
         PART,
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -131,7 +131,7 @@
         self._calling: Call | None = None
         self._asking: Ask | None = None
         self._behind_since = math.inf
-        self._logged_behind: tuple[Position, Position | None] = (START, None)
+        self._logged_behind = START
         self._unusable = UnusableItems(audit)
         self._tick_waits = False
         self._ticker = Ticker("reader-tick", TICK_S, self._tick_soon)
@@ -218,10 +218,9 @@
             self._log_behind(peer)
 
     def _log_behind(self, peer: PeerPosition) -> None:
-        """Log that a peer is behind this node, once for each pair of positions."""
-        pair = (peer.position, self._position)
-        if pair != self._logged_behind:
-            self._logged_behind = pair
+        """Log the first peer that is behind this node, once for each position held."""
+        if self._position is not None and self._position != self._logged_behind:
+            self._logged_behind = self._position
             log_peer_behind(peer, held=self._position)
 
     @property
@@ -316,10 +315,6 @@
             confirmed_at=known_at,
             asked_at=asked_at,
         )
-        held = self._watermark
-        if held != START and changes.position.era > held.era:
-            # Targets that the backup lacks are as good as lapsed: they write themselves again.
-            self._source_away(clock.now())
         self._position = changes.position
         self._behind_since = math.inf
         changes = self._reads.apply(changes)
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -155,6 +155,16 @@
     assert "t1" in withdrawn.targets
 
 
+def test_an_entry_that_one_backup_lacks_and_the_next_has_is_taken(held: Catalogue) -> None:
+    """That a backup lacks it is no sign that its target has ended."""
+    restore(held, 1.0)
+    assert "t1" in held.targets
+    changes = (config(5), target("t1"), target("t2", service="b"))
+    held.take(2.0, Changes(Position(2, 3), changes, whole=True))
+    held.expire(2.0 + RETURN_S)
+    assert "t1" in held.targets
+
+
 def test_another_start_than_the_withdrawn_one_is_taken(withdrawn: Catalogue) -> None:
     """What is held is of one start only."""
     restore(withdrawn, 10.0, target("t1"))
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -49,8 +49,8 @@
     ),
     Mechanism(
         "what a backup lacks gets the time of an outage",
-        "roadpass/store_reader.py",
-        "if held != START and changes.position.era > held.era:",
+        "roadpass/catalogue.py",
+        "if restored:",
         "if False:",
         "tests/test_restored_store.py",
     ),
