--- a/soak/store.py
+++ b/soak/store.py
@@ -69,7 +69,8 @@
             self.status = 503 if fault in DOWN else 200
             if not fault:
                 self._past = StoreState()
-                self._past.items, self._past.revision = dict(self.items), self.revision
+                self._past.history_from = self.history_from
+                self._past.restore(self.backup())
             if fault == "store-forgets":
                 self.forget()
             self.changed.notify_all()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """The fault soak: its checks see made-up faults, and a short run is clean."""
 
+import base64
+import time
 from collections.abc import Callable
 
 import pytest
@@ -30,6 +32,7 @@
 )
 from soak.plan import LANES, RESTORED, plan
 from soak.seeds import REGRESSIONS
+from soak.store import FaultyStore
 from soak.target import ENDING
 
 SHORT, NET = (1, 8.0, 4), 61
@@ -144,6 +147,40 @@
     assert {finding.promise for finding in check(past)} == ({promise} if promise else set())
 
 
+# Guards against a stand-in that hides changes, which looks like a node that misses them.
+def test_a_stale_store_tells_the_events_that_it_has_or_that_they_are_gone() -> None:
+    """Its copy keeps what came before it, and the point from which history is kept."""
+    store = FaultyStore()
+    for number in range(3):
+        store.put("a", number)
+    store.fail("")
+    store.fail("store-stale")
+    found = store.watch("", 1, 0.0)
+    assert found is not None
+    assert [event["Revision"] for event in found["events"]] == [2, 3]
+    store.fail("store-forgets")
+    store.fail("")
+    store.fail("store-stale")
+    assert store.watch("", 1, 0.0) is None
+
+
+def test_what_a_restoration_lost_is_written_again_unless_it_was_written_since() -> None:
+    """Items and ends of items; the store goes back to the backup in between."""
+    store = FaultyStore()
+    store.put("kept", 1)
+    store.put("ended", 1)
+    time.sleep(0.05)
+    for key in ("kept", "new", "newer"):
+        store.put(key, 2)
+    store.delete("ended")
+    store.restore_from(0.04)
+    assert (store.revision, store.era, set(store.items)) == (2, 1, {"kept", "ended"})
+    store.put("newer", 3)
+    store.write_again()
+    values = {key: base64.b64decode(item["Value"]) for key, item in store.items.items()}
+    assert values == {"kept": b"2", "new": b"2", "newer": b"3"}
+
+
 def test_the_schedule_comes_from_the_seed() -> None:
     """The same for the same seed, another for another, and all faults over some of them."""
     assert plan(*SHORT) == plan(*SHORT) != plan(2, *SHORT[1:])
