Test that datagrams carry the position of the source with its era

Told by a node that holds one and heard from others; without the field the era is the first, as nodes of earlier releases send it. Nothing tested the wire form of datagrams before: with the era left out of them the new test fails.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,11 +12,13 @@
 from roadpass import clock
 from roadpass.audit import AuditTrail
 from roadpass.gossip import Gossip
-from roadpass.gossip_messages import Begin, CrashNews, Events, Seed
+from roadpass.gossip_messages import Begin, Confirmed, CrashNews, Events, Seed
 from roadpass.member import Member, MemberState
 from roadpass.message import check_gossip
 from roadpass.metric import Metrics
+from roadpass.news import PeerPosition
 from roadpass.packing import pack, unpack
+from roadpass.position import Position
 from roadpass.quarantine import Quarantine
 from roadpass.settings import Ports, Settings
 
@@ -33,6 +35,7 @@
     *,
     quarantine: Quarantine | None = None,
     address: str = ADDRESS,
+    on_peer_position: Callable[[PeerPosition], None] | None = None,
 ) -> ActorRef[Gossip]:
     """Start an actor that notes the nodes it hears of."""
     own = Member("vm-1", 1, MemberState.ALIVE, address, 8081, 8082, "hall", "region")
@@ -42,6 +45,7 @@
         on_version=lambda version, address: None,
         on_hint=lambda target, scores: None,
         on_leave=lambda: None,
+        on_peer_position=on_peer_position,
     )
     return Gossip.start(
         config, own, events, AuditTrail(), metrics, random.Random(1), quarantine or Quarantine()
@@ -117,6 +121,29 @@
     ref.stop()
 
 
+def test_the_position_of_the_source_is_told_and_heard_with_its_era() -> None:
+    """Nodes of earlier releases send none, which is the first."""
+    heard: list[PeerPosition] = []
+    ref = start(Metrics(), [], address="127.0.41.4", on_peer_position=heard.append)
+    ref.tell(Begin())
+    ref.proxy().agreeing_peers.get()  # answered once the socket is bound and read
+    peer = Member("vm-9", 1, MemberState.ALIVE, "127.0.41.10", 8081, 8082, "hall", "region")
+    ref.tell(Seed((peer,), frozenset()))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((peer.address, peer.gossip_port))
+        sock.settimeout(LIMIT_S)
+        for position in (Position(0, 7), Position(2, 5)):
+            ref.tell(Confirmed(position, clock.now(), tell=True))
+            told = (unpack(sock.recv(2048)) for _ in range(DATAGRAMS))
+            assert any(Position.from_message(message) == position for message in told)
+        for fields in ({"revision": 9}, {"revision": 4, "era": 3}):
+            content = pack({**unpack(datagram("vm-9")), "platform_age_s": 0.1, **fields})
+            sock.sendto(content, ("127.0.41.4", PORTS.gossip))
+        assert eventually(lambda: len(heard) == 2)
+    assert [one.position for one in heard] == [Position(0, 9), Position(3, 4)]
+    ref.stop()
+
+
 @settings(max_examples=30)
 @given(st.binary(max_size=100), st.integers(0, 100))
 def test_spoilt_datagrams_never_raise_anything_but_their_own_error(noise: bytes, at: int) -> None:
