--- a/roadpass/monotonic.py
+++ b/roadpass/monotonic.py
@@ -37,8 +37,8 @@
                 case ConfigPublished():
                     named = True
                     yield self._newest_config(change)
-                case TargetPublished(entry=entry):
-                    yield TargetPublished(self._newest_entry(entry))
+                case TargetPublished():
+                    yield self._newest_entry(change)
                 case _:
                     yield change
         if changes.whole and not named and self._config is not None:
@@ -50,11 +50,13 @@
             self._config = change
         return self._config or change
 
-    def _newest_entry(self, entry: TargetEntry) -> TargetEntry:
+    def _newest_entry(self, change: TargetPublished) -> TargetPublished:
+        entry = change.entry
         if entry.leaving:
             self._note_leaving(entry)
-            return entry
-        return entry._replace(leaving=entry.name in self._leaving)
+        elif entry.name in self._leaving:
+            return TargetPublished(entry._replace(leaving=True))
+        return change
 
     def _note_leaving(self, entry: TargetEntry) -> None:
         self._leaving.pop(entry.name, None)
