--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -45,7 +45,7 @@
         "self._position = None\n                self._failed(error, call.asked_at)",
         "self._position = None\n                self._source_away(clock.now())\n"
         "                self._failed(error, call.asked_at)",
-        "tests/test_platform.py",
+        "tests/test_platform_reader.py",
     ),
     Mechanism(
         "what a backup lacks gets the time of an outage",
