Log what targets name in their responses: a limit, and that they leave

The logs of the record show every start at a target and nothing of what its answers said, so they can't tell whether nobody reads a named limit, whether each ingress keeps it by itself, or whether some starts pass it by. The sidecar now reads both headers of each complete head, also of one whose body is lost or not accepted, and logs one line for each change, with target, limit and request. Nothing acts on them.

A 421 or another instance's answer says nothing about this one.

--- a/roadpass/dialect.py
+++ b/roadpass/dialect.py
@@ -18,6 +18,8 @@
         origin_service: Service of the VM at which a request originated.
         not_run: Marks a target's response as "request not run".
         load: A target's running and waiting requests and its slots, separated by commas.
+        limit: Requests a second that a target accepts from the whole fleet.
+        leaving: Marks the responses of a target that is shutting down.
         ends_by_close: Whether a response without a length is complete once its connection is closed
             cleanly.
         exact_retry_after: Whether `Retry-After` may have fractions of a second.
@@ -35,6 +37,8 @@
     origin_service: str = ""
     not_run: str = ""
     load: str = ""
+    limit: str = ""
+    leaving: str = ""
     ends_by_close: bool = False
     exact_retry_after: bool = False
     authorization: str = "Authorization"
--- a/roadpass/exchange.py
+++ b/roadpass/exchange.py
@@ -10,6 +10,7 @@
 from roadpass.failure_estimator import End
 from roadpass.fleet import Service, Target
 from roadpass.message import Attempt
+from roadpass.notice_table import NoticeTable
 from roadpass.outcome import (
     RETRY_LATER_MS,
     RETRY_SOON_MS,
@@ -28,6 +29,7 @@
     TargetLostError,
     TargetTimeoutError,
 )
+from roadpass.target_notice import TargetNotice
 
 
 class Exchange:
@@ -39,6 +41,7 @@
         slots: The target's slots, which also tell whether it is shutting down.
         quarantine: The node's record of requests during which targets exited.
         calls: Outcomes of the requests that targets of this VM may have made.
+        notices: What targets state about themselves; responses are recorded there.
         dialect: Header names and rules to talk to the target.
 
     Attributes:
@@ -52,9 +55,11 @@
         slots: Slots,
         quarantine: Quarantine,
         calls: CallLog,
+        notices: NoticeTable,
         *,
         dialect: Dialect = OWN,
     ) -> None:
+        self._notices = notices
         self._target = target
         self._service = service
         self._slots = slots
@@ -136,6 +141,11 @@
         return outcome, end
 
     def _ask(self, attempt: Attempt, timeout_s: float, watch: CallerWatch | None) -> TargetAnswer:
+        def on_notice(notice: TargetNotice, started: float) -> None:
+            self._notices.hear(
+                clock.now(), self._target.name, notice, started, request=attempt.request_id
+            )
+
         return self._client.send(
             attempt.id,
             attempt.method,
@@ -149,6 +159,7 @@
             origin=attempt.origin,
             customer=attempt.customer,
             watch=watch,
+            on_notice=on_notice,
         )
 
     def _read_answer(self, got: TargetAnswer) -> Outcome:
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -14,6 +14,7 @@
 from roadpass.fence import FenceTable
 from roadpass.fleet import Service, Target
 from roadpass.message import AdmissionCheck, Attempt, LoadReport
+from roadpass.notice_table import NoticeTable
 from roadpass.outcome import (
     RETRY_SOON_MS,
     SERVER_ERROR,
@@ -52,6 +53,7 @@
         pause: Detects pauses of this process.
         quarantine: The node's record of requests during which targets exited.
         calls: Outcomes of the requests that targets of this VM may have made.
+        notices: What targets state about themselves.
         shutdown: When this process ends.
         dialect: Header names and rules to talk to the target.
     """
@@ -64,6 +66,7 @@
         pause: PauseWatch,
         quarantine: Quarantine,
         calls: CallLog,
+        notices: NoticeTable,
         shutdown: Shutdown,
         *,
         dialect: Dialect = OWN,
@@ -90,7 +93,9 @@
             lock=self._lock,
             shutdown=shutdown,
         )
-        self._exchange = Exchange(target, service, self._slots, quarantine, calls, dialect=dialect)
+        self._exchange = Exchange(
+            target, service, self._slots, quarantine, calls, notices, dialect=dialect
+        )
         self._guard = self._exchange.guard
         self._evidence = Evidence(service.false_ejections_per_target_week, clock.now())
         self.leaving = target.leaving
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -15,6 +15,7 @@
 from roadpass.fleet import Fleet
 from roadpass.local_target import LocalTarget
 from roadpass.message import AdmissionCheck, Attempt, LoadReport, Message, Reply
+from roadpass.notice_table import NoticeTable
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
 from roadpass.pause import PauseWatch
 from roadpass.quarantine import Quarantine
@@ -36,6 +37,7 @@
         behind: Called with an ingress's VM and its revision if that is newer than the one here.
         dialect: Header names and rules to talk to the targets.
         shutdown: When this process ends, `None` if it has no planned shutdown.
+        notices: What targets state about themselves, as this node knows it; `None` for a new table.
 
     Attributes:
         calls: Outcomes of the requests that targets of this VM may have made.
@@ -52,6 +54,7 @@
         behind: Callable[[str, int], None],
         dialect: Dialect = OWN,
         shutdown: Shutdown | None = None,
+        notices: NoticeTable | None = None,
     ) -> None:
         self._ending = shutdown or Shutdown()
         self._dialect = dialect
@@ -62,6 +65,7 @@
         self._behind = behind
         self._fences = FenceTable(started_at=clock.now())
         self._quarantine = Quarantine()
+        self._notices = notices or NoticeTable()
         self.calls = CallLog()
         self._fleet = Fleet.empty()
         self._targets: dict[str, LocalTarget] = {}
@@ -100,6 +104,7 @@
                     self._pause,
                     self._quarantine,
                     self.calls,
+                    self._notices,
                     self._ending,
                     dialect=self._dialect,
                 )
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -3,8 +3,8 @@
 import math
 import re
 import threading
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, TypeAlias
 
 from roadpass import clock
 from roadpass.dialect import OWN, Dialect
@@ -17,6 +17,7 @@
     AnswerRules,
     CallerLeftError,
     RawAnswer,
+    ResponseHead,
     TargetConnection,
     TargetLostError,
     TargetProtocolError,
@@ -24,6 +25,7 @@
     WireRequest,
     values_of,
 )
+from roadpass.target_notice import TargetNotice, read_notice
 
 __all__ = [
     "MAX_ANSWER_BYTES",
@@ -69,6 +71,11 @@
 _LOAD = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
 
 
+OnNotice: TypeAlias = Callable[[TargetNotice, float], None]
+"""Called with what a response states about its target, and the clock seconds at which the request
+was sent, -inf if unknown."""
+
+
 class TargetLoad(NamedTuple):
     """Load reported by a target: running and waiting requests, and its number of slots."""
 
@@ -144,6 +151,7 @@
         origin: str = "",
         customer: str = "",
         watch: CallerWatch | None = None,
+        on_notice: OnNotice | None = None,
     ) -> TargetAnswer:
         """Send one request and wait for its complete response.
 
@@ -161,6 +169,7 @@
             origin: Service of the VM at which the request entered the fleet.
             customer: The customer it belongs to, empty if none.
             watch: Detects that the caller has disconnected.
+            on_notice: Called for each head of a response of this instance.
 
         Raises:
             TargetRefusedError: Nothing was sent.
@@ -177,7 +186,7 @@
             self._active[attempt_id] = connection
         keep_s = 0.0
         try:
-            raw, service_ms = self._exchange(connection, call, deadline, watch)
+            raw, service_ms = self._exchange(connection, call, deadline, watch, on_notice)
             keep_s = _idle_limit_s(raw)
         except TargetTimeoutError:
             if connection.reused:
@@ -293,6 +302,7 @@
         call: _Call,
         deadline: float,
         watch: CallerWatch | None,
+        on_notice: OnNotice | None,
     ) -> tuple[RawAnswer, float]:
         dialect = self._dialect
         encoded = bool(values_of(call.headers, "accept-encoding"))
@@ -307,7 +317,13 @@
             raise TargetTimeoutError("The deadline passed before the request was sent.")
         sent = _sent_headers(call, dialect, self.address, deadline - started)
         message = WireRequest(call.method, call.path, sent, call.body)
-        raw = connection.exchange(message, rules, deadline, watch)
+
+        def on_head(head: ResponseHead) -> None:
+            if on_notice is not None and _is_from(head, dialect, call.instance):
+                notice = read_notice(head.headers, dialect)
+                on_notice(notice, started if head.own else -math.inf)
+
+        raw = connection.exchange(message, rules, deadline, watch, on_head=on_head)
         return raw, (clock.now() - started) * 1000.0
 
     def _release(self, connection: TargetConnection, keep_s: float) -> None:
@@ -354,6 +370,14 @@
     return sent
 
 
+def _is_from(head: ResponseHead, dialect: Dialect, instance: str) -> bool:
+    """Return whether a response is from the instance that the request was meant for."""
+    if not (dialect.expected_instance and instance):
+        return True
+    named = values_of(head.headers, dialect.instance) if dialect.instance else []
+    return head.status != _MISDIRECTED and set(named) <= {instance}
+
+
 def _answer(
     raw: RawAnswer, service_ms: float, dialect: Dialect, expected_instance: str
 ) -> TargetAnswer:
--- a/roadpass/target_connection.py
+++ b/roadpass/target_connection.py
@@ -3,7 +3,8 @@
 import math
 import select
 import socket
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, TypeAlias
 
 import h11
 
@@ -75,6 +76,21 @@
     reusable: bool
 
 
+class ResponseHead(NamedTuple):
+    """Status and headers of a response, whose body may never arrive.
+
+    Args:
+        own: Whether it responds to the request in progress, not to an earlier one.
+    """
+
+    status: int
+    headers: Headers
+    own: bool
+
+
+OnHead: TypeAlias = Callable[[ResponseHead], None]
+
+
 def values_of(headers: Headers, name: str) -> list[str]:
     """Return the values of all headers with a name, which is not case-sensitive."""
     return [value for given, value in headers if given.lower() == name.lower()]
@@ -83,10 +99,13 @@
 class _AnswerReader:
     """Parses received bytes until the response to one request is complete."""
 
-    def __init__(self, message: WireRequest, rules: AnswerRules, reused: bool) -> None:
+    def __init__(
+        self, message: WireRequest, rules: AnswerRules, reused: bool, on_head: OnHead | None
+    ) -> None:
         self._message = message
         self._rules = rules
         self._reused = reused
+        self._on_head = on_head
         self._skipped = False
         self.head = self._begin(b"")
 
@@ -146,7 +165,10 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers.raw_items()
         ]
-        self._check_owner()
+        self._foreign = self._is_foreign()
+        if self._on_head is not None:
+            self._on_head(ResponseHead(self._status, self._headers, own=not self._foreign))
+        self._check_acceptable()
         if self._message.method == "HEAD" or self._status in _BODILESS:
             return
         lengths = values_of(self._headers, "content-length")
@@ -156,13 +178,16 @@
         if self._by_close and (self._foreign or not self._rules.ends_by_close):
             raise TargetProtocolError("The response has no length, so its end cannot be verified.")
 
-    def _check_owner(self) -> None:
-        rules = self._rules
-        if rules.echo and set(values_of(self._headers, rules.echo)) != {rules.id}:
+    def _is_foreign(self) -> bool:
+        """Return whether the response belongs to another request."""
+        echo = self._rules.echo
+        return bool(echo) and set(values_of(self._headers, echo)) != {self._rules.id}
+
+    def _check_acceptable(self) -> None:
+        if self._foreign:
             if not self._reused:
                 raise TargetProtocolError("The response belongs to another request.")
-            self._foreign = True
-        elif rules.reject_encoded and values_of(self._headers, "content-encoding"):
+        elif self._rules.reject_encoded and values_of(self._headers, "content-encoding"):
             raise TargetProtocolError("The response has a content encoding that was not requested.")
 
     def _add(self, data: bytes) -> None:
@@ -217,16 +242,29 @@
             raise TargetRefusedError(f"Connecting to {host}:{port} failed: {error}.") from error
 
     def exchange(
-        self, message: WireRequest, rules: AnswerRules, deadline: float, watch: CallerWatch | None
+        self,
+        message: WireRequest,
+        rules: AnswerRules,
+        deadline: float,
+        watch: CallerWatch | None,
+        *,
+        on_head: OnHead | None = None,
     ) -> RawAnswer:
         """Send a request and wait for its complete response.
 
+        Args:
+            message: The request.
+            rules: Conditions under which a response is accepted.
+            deadline: Clock seconds by which the response must be complete.
+            watch: Detects that the caller has disconnected.
+            on_head: Called with the head of each response, also if its body is not accepted.
+
         Raises:
             TargetRefusedError: The request is not valid HTTP; nothing was sent.
             TargetError: No complete response; the subclass tells why. The request may have run.
         """
         try:
-            reader = _AnswerReader(message, rules, self.reused)
+            reader = _AnswerReader(message, rules, self.reused, on_head)
         except (h11.LocalProtocolError, UnicodeError) as error:
             raise TargetRefusedError(f"The request is not valid HTTP: {error}.") from error
         self._unsent = _chunks(reader.head, message.body)
--- a/tests/gray_target.py
+++ b/tests/gray_target.py
@@ -10,6 +10,7 @@
 from roadpass.request import CallerWatch
 from roadpass.target import (
     CallerLeftError,
+    OnNotice,
     TargetAnswer,
     TargetClient,
     TargetLostError,
@@ -163,6 +164,7 @@
         origin: str = "",
         customer: str = "",
         watch: CallerWatch | None = None,
+        on_notice: OnNotice | None = None,
     ) -> TargetAnswer:
         if self._target.mode is TargetMode.REFUSE:
             raise TargetRefusedError("The target refuses connections.")
