Show that nobody keeps a limit that a target names, and that a leaving target gets new work

Three whole nodes, six callers. A target that names 0.5 requests a second in its answers gets 35 requests in 4 s, where one and a half times the limit and five more, 8, are tolerated; as many after its node was killed and started again. One that says it leaves gets 36 requests later than 2 s after its first such answer.

--- a/tests/stopping.py
+++ b/tests/stopping.py
@@ -35,10 +35,15 @@
 
 
 class TimedTarget:
-    """Runs requests for the time that each path gives; records when each arrived."""
+    """Runs requests for the time that each path gives; records when each arrived.
+
+    Attributes:
+        headers: Additional headers of all responses, each with its line end.
+    """
 
     def __init__(self, ip: str) -> None:
         self.received_at: dict[str, float] = {}
+        self.headers = b""
         self.listener = socket.create_server((ip, TARGET_PORT), backlog=64)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -65,7 +70,7 @@
                     return
                 sock.sendall(
                     b"HTTP/1.1 200 OK\r\nRequest-Id: " + identity + b"\r\nServer-Signature: s1\r\n"
-                    b"Content-Length: 2\r\n\r\nok"
+                    b"Content-Length: 2\r\n" + self.headers + b"\r\nok"
                 )
 
 
@@ -160,6 +165,13 @@
         killer.start()
         return sent_at
 
+    def restart(self, number: int) -> None:
+        """Kill a node, and start it again."""
+        self.processes[number].kill()
+        self.processes[number].wait()
+        self.processes[number] = self._start(self.ips[number])
+        wait_until(lambda: _is_ready(self.ips[number]), 15.0)
+
     def log(self, number: int) -> list[dict[str, Any]]:
         """Return the JSON log lines of a node."""
         lines = (self._folder / f"{self.ips[number]}.log").read_text().splitlines()
