--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -58,6 +58,16 @@
     Required property
     """
 
+    notice: "Notice"
+    r"""
+    notice.
+
+    What a target stated: requests a second, -1 if its limit ended, null if it never named one; whether it is leaving; age of the limit in seconds
+
+    minItems: 3
+    maxItems: 3
+    """
+
 
 
 class Attempt(TypedDict, total=False):
@@ -147,6 +157,16 @@
     customer: str
     r""" maxLength: 200 """
 
+    notice: "Notice"
+    r"""
+    notice.
+
+    What a target stated: requests a second, -1 if its limit ended, null if it never named one; whether it is leaving; age of the limit in seconds
+
+    minItems: 3
+    maxItems: 3
+    """
+
 
 
 class CatchUp(TypedDict, total=False):
@@ -205,6 +225,16 @@
     traffic_class: Required[str]
     r""" Required property """
 
+    notice: "Notice"
+    r"""
+    notice.
+
+    What a target stated: requests a second, -1 if its limit ended, null if it never named one; whether it is leaving; age of the limit in seconds
+
+    minItems: 3
+    maxItems: 3
+    """
+
 
 
 Crash = tuple["_Crash0", int | float, "_Crash2"]
@@ -258,6 +288,9 @@
     crashes: list["Crash"]
     r""" maxItems: 16 """
 
+    notices: list["TargetNotice"]
+    r""" maxItems: 16 """
+
     usage: list["Usage"]
     r""" maxItems: 64 """
 
@@ -519,6 +552,31 @@
     maxItems: 3
     """
 
+    notice: "Notice"
+    r"""
+    notice.
+
+    What a target stated: requests a second, -1 if its limit ended, null if it never named one; whether it is leaving; age of the limit in seconds
+
+    minItems: 3
+    maxItems: 3
+    """
+
+    detail: str
+    r""" A more specific reason, which older nodes do not know """
+
+
+
+Notice = tuple[int | float | None, bool, int | float]
+r"""
+notice.
+
+What a target stated: requests a second, -1 if its limit ended, null if it never named one; whether it is leaving; age of the limit in seconds
+
+minItems: 3
+maxItems: 3
+"""
+
 
 
 class Pull(TypedDict, total=False):
@@ -599,6 +657,18 @@
 
 
 
+TargetNotice = tuple["_TargetNotice0", int | float | None, bool, int | float]
+r"""
+target notice.
+
+target, and its notice
+
+minItems: 4
+maxItems: 4
+"""
+
+
+
 TargetRow = tuple[str, str, str, str, "_TargetRow4", bool, "_TargetRow6"]
 r"""
 target row.
@@ -636,6 +706,16 @@
     maxItems: 3
     """
 
+    notice: "Notice"
+    r"""
+    notice.
+
+    What a target stated: requests a second, -1 if its limit ended, null if it never named one; whether it is leaving; age of the limit in seconds
+
+    minItems: 3
+    maxItems: 3
+    """
+
 
 
 Usage = tuple["_Usage0", int, int, int, int | float]
@@ -779,6 +859,14 @@
 
 
 
+_TargetNotice0 = str
+r"""
+minLength: 1
+maxLength: 256
+"""
+
+
+
 _TargetRow4 = int
 r""" minimum: 1 """
 
--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -1,14 +1,15 @@
 """Admission control at the sidecar: concurrency slots, short queues per traffic class, reserved
-shares, fairness among callers, deadlines.
+shares, fairness among callers, deadlines, and the limit of starts that a target names.
 """
 
 from collections import OrderedDict, deque
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 from roadpass.fleet import TrafficClass
 from roadpass.outcome import Reason
+from roadpass.start_limit import StartLimit
 
 MIN_RETRY_AFTER_MS = 100
 SHORT_SHARE = 0.75
@@ -68,6 +69,18 @@
 Decision: TypeAlias = Admitted | Queued | Refused
 
 
+class ExpectedWait(NamedTuple):
+    """Expected wait of a new request.
+
+    Args:
+        ms: Milliseconds, 0 if it may start now.
+        reason: What it would wait for, `BUSY` for a slot or `LIMITED` for a start.
+    """
+
+    ms: float
+    reason: Reason = Reason.BUSY
+
+
 class _ClassState:
     """Slots in use and queue of one class, round robin among callers."""
 
@@ -111,9 +124,18 @@
         classes: Traffic classes of the service, the most important first.
         slots: Requests that the target runs concurrently.
         queue_limit: Maximum number of queued requests.
+        starts: Limit of the target's starts, `None` for no limit.
     """
 
-    def __init__(self, classes: Sequence[TrafficClass], *, slots: int, queue_limit: int) -> None:
+    def __init__(
+        self,
+        classes: Sequence[TrafficClass],
+        *,
+        slots: int,
+        queue_limit: int,
+        starts: StartLimit | None = None,
+    ) -> None:
+        self._starts = starts or StartLimit()
         self._slots = slots
         self._queue_limit = queue_limit
         self._classes = {entry.name: _ClassState(entry.reserved) for entry in classes}
@@ -163,13 +185,14 @@
         state = self._classes[name]
         if remaining_s * 1000.0 <= 0.0:
             return Refused(Reason.EXPIRED, MIN_RETRY_AFTER_MS)
-        if not self._short and state.waiting == 0 and self._may_run(name):
+        may_run = not self._short and state.waiting == 0 and self._may_run(name)
+        if may_run and self._starts.take(now):
             self._occupy(state)
             return Admitted()
         short = self._is_short(typical_ms)
-        wait_ms = self._expected_wait_ms(name, short=short)
+        wait_ms, reason = self._estimate_wait(now, name, short=short)
         if wait_ms + (typical_ms or self._service_ms) > remaining_s * 1000.0:
-            return self._refuse(Reason.TOO_LATE, wait_ms)
+            return self._refuse(Reason.TOO_LATE if reason is Reason.BUSY else reason, wait_ms)
         displaced = None
         if not self._has_room(state, caller, retry):
             displaced = None if retry else self._displace(state)
@@ -182,21 +205,34 @@
             state.push(ticket)
         return Queued(ticket, displaced)
 
-    def expected_wait_ms(self, traffic_class: str, typical_ms: float = 0.0) -> float:
-        """Estimate the wait of a new request in milliseconds, 0 if a slot is free.
+    def expected_wait(
+        self, now: float, traffic_class: str, typical_ms: float = 0.0
+    ) -> ExpectedWait:
+        """Estimate the wait of a new request.
 
         Args:
+            now: Clock seconds.
             traffic_class: Name of its class.
             typical_ms: Typical latency of such requests in milliseconds, 0 if unknown.
         """
         name = traffic_class if traffic_class in self._classes else self._last_class
-        if self.waiting == 0 and self._may_run(name):
-            return 0.0
-        return max(1.0, self._expected_wait_ms(name, short=self._is_short(typical_ms)))
+        if self.waiting == 0 and self._may_run(name) and self._starts.wait_s(now) <= 0.0:
+            return ExpectedWait(0.0)
+        wait = self._estimate_wait(now, name, short=self._is_short(typical_ms))
+        return wait._replace(ms=max(1.0, wait.ms))
+
+    def grant_due(self, now: float) -> list[Ticket]:
+        """Return the tickets granted because the target accepts further starts by now."""
+        return self._grant(now)
 
-    def release(self, now: float, traffic_class: str) -> list[Ticket]:
+    def release(self, now: float, traffic_class: str, *, started: bool = True) -> list[Ticket]:
         """Release a slot.
 
+        Args:
+            now: Clock seconds.
+            traffic_class: Name of the request's class.
+            started: Whether the request was sent to the target.
+
         Returns:
             The tickets granted as a result. Expired tickets are dropped without notice, as their
             waiting threads time out at the same deadline.
@@ -204,6 +240,8 @@
         name = traffic_class if traffic_class in self._classes else self._last_class
         self._classes[name].in_use -= 1
         self._in_use -= 1
+        if not started:
+            self._starts.give_back()
         return self._grant(now)
 
     def abandon(self, now: float, ticket: Ticket) -> list[Ticket]:
@@ -213,7 +251,7 @@
             The tickets granted as a result.
         """
         if ticket.granted:
-            return self.release(now, ticket.traffic_class)
+            return self.release(now, ticket.traffic_class, started=False)
         if not ticket.short:
             self._classes[ticket.traffic_class].remove(ticket)
         elif ticket in self._short:
@@ -222,15 +260,17 @@
 
     def _grant(self, now: float) -> list[Ticket]:
         granted: list[Ticket] = []
-        while True:
+        while self._starts.wait_s(now) <= 0.0:
             ticket = self._next()
             if ticket is None:
-                return granted
+                break
             if ticket.expires_at <= now:
                 continue
+            self._starts.take(now)
             self._occupy(self._classes[ticket.traffic_class])
             ticket.granted = True
             granted.append(ticket)
+        return granted
 
     def _next(self) -> Ticket | None:
         """Remove and return the next ticket that may run: short ones first, except every third."""
@@ -278,14 +318,22 @@
                 return ticket
         return None
 
-    def _expected_wait_ms(self, name: str, *, short: bool) -> float:
-        """Estimate the wait from the requests queued ahead and the service time."""
+    def _estimate_wait(self, now: float, name: str, *, short: bool) -> ExpectedWait:
+        """Estimate the wait of a request that cannot start now, for a slot or for a start."""
+        ahead = self._count_ahead(name, short=short)
+        start_ms = self._starts.wait_s(now, ahead) * 1000.0
+        slot_ms = (ahead + 1) / max(1, self._slots) * self._service_ms
+        if start_ms > 0.0 and (start_ms > slot_ms or self._may_run(name)):
+            return ExpectedWait(start_ms, Reason.LIMITED)
+        return ExpectedWait(slot_ms)
+
+    def _count_ahead(self, name: str, *, short: bool) -> int:
+        """Count the queued requests that start before a new one of a class."""
         names = list(self._classes)
         ahead = len(self._short)
         if not short:
             ahead += sum(self._classes[n].waiting for n in names[: names.index(name) + 1])
-        rounds = (ahead + 1) / max(1, self._slots)
-        return rounds * self._service_ms
+        return ahead
 
     def _refuse(self, reason: Reason, wait_ms: float) -> Refused:
         backlog_ms = self.waiting * self._service_ms / max(1, self._slots)
--- a/roadpass/attempt_feedback.py
+++ b/roadpass/attempt_feedback.py
@@ -91,8 +91,11 @@
         self._chooser.learn(now, state, target, reply, last=last)
         if reply.crash is not None:
             self._quarantine.merge(now, reply.crash)
+        if reply.notice is not None and target.vm != self._view.vm:
+            self._view.notices.merge(now, target.name, reply.notice, "sidecar")
         if reply.load is not None:
-            self._loads.report(now, target.name, reply.load)
+            limited = self._view.notices.rate_per_s(target.name) is not None
+            self._loads.report(now, target.name, reply.load, limited=limited)
             if reply.load.revision > self._view.fleet.revision:
                 self._behind(target.vm, reply.load.revision)
             scores, latency_ms = _scores(reply.load), reply.load.latency_ms
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -30,9 +30,11 @@
 from roadpass.request_log import log_attempt, log_end, log_refused
 from roadpass.request_state import MIN_ATTEMPT_S, RequestState
 from roadpass.retry import RetryBudget
+from roadpass.return_schedule import ReturnSchedule
 from roadpass.route import Route
 from roadpass.route_stats import RouteStatsTable
 from roadpass.sidecar import Sidecar
+from roadpass.start_limit import MIN_RATE_PER_S
 from roadpass.stop_notices import StopNotices
 from roadpass.target_chooser import TargetChooser
 from roadpass.transport import CONNECT_TIMEOUT_S, Transport
@@ -92,6 +94,7 @@
         self._attempt_numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
         self._spent_until: dict[str, float] = {}
+        self._returns = ReturnSchedule()
         self._route_stats = RouteStatsTable()
         self._learning = AttemptFeedback(
             view,
@@ -198,7 +201,9 @@
                 continue
             if target is None:
                 self._repeats_spent(state, all_probed=not state.offers)
-                return state.final_outcome(_late_everywhere(state) if state.offers else outcome)
+                return state.final_outcome(
+                    self._late_everywhere(state) if state.offers else outcome
+                )
             outcome = self._attempt(state, target)
             if state.should_give_up:
                 outcome = _given_up(outcome)
@@ -210,7 +215,7 @@
     ) -> bool:
         """Record how an attempt ended; return whether another one may be made."""
         match outcome:
-            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL):
+            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL | Reason.LIMITED):
                 return not state.should_give_up
             case _:
                 state.tried.add(target.name)
@@ -284,6 +289,7 @@
             revision=self._view.fleet.revision,
             slow_ms=slow_ms,
             has_repeat=self._has_repeat(state),
+            notice=self._view.notices.row(now, target.name),
         )
 
     def _send(
@@ -306,6 +312,18 @@
             del self.pending[attempt.id]
             self._loads.end(target.name, latency_ms, overdue=pending.times_overdue > 0)
 
+    def _late_everywhere(self, state: RequestState) -> NotRun:
+        """Return the refusal of a request that every target would answer late."""
+        wait_ms = max(int(state.shortest_wait_ms()), RETRY_SOON_MS)
+        if not all(offer.limited for offer in state.offers.values()):
+            return NotRun(Reason.BUSY, wait_ms)
+        rates = [self._view.notices.rate_per_s(name) or 0.0 for name in state.offers]
+        own_rate = max(MIN_RATE_PER_S, sum(rates)) / max(1, self._view.fleet.size)
+        wait_s = self._returns.wait_s(
+            clock.now(), state.service.name, wait_ms / 1000.0, 1.0 / own_rate
+        )
+        return NotRun(Reason.LIMITED, int(wait_s * 1000.0))
+
     def _fence_key(self, state: RequestState, attempt_id: str) -> Outcome | None:
         """Have every sidecar of the service confirm that a declared repeat's key never started."""
         vms = {target.vm for target in self._view.fleet.targets_of(state.service.name)}
@@ -352,11 +370,6 @@
             return outcome
 
 
-def _late_everywhere(state: RequestState) -> NotRun:
-    """Return the refusal of a request that every target would answer late."""
-    return NotRun(Reason.BUSY, max(int(state.shortest_wait_ms()), RETRY_SOON_MS))
-
-
 def _may_retry(outcome: Outcome, route: Route) -> bool:
     match outcome:
         case Answered(status=status):
--- a/roadpass/event_router.py
+++ b/roadpass/event_router.py
@@ -16,6 +16,7 @@
     Confirmed,
     CrashUpdate,
     InForce,
+    NoticeUpdate,
     PlatformSeen,
     PublishHint,
     Seed,
@@ -168,6 +169,13 @@
         except pykka.ActorDeadError:  # the request's response is delivered all the same
             _log.debug("crash not announced to other nodes: gossip has stopped")
 
+    def on_notice_update(self) -> None:
+        """Announce what a target has stated about itself to the other nodes."""
+        try:
+            self.gossip.tell(NoticeUpdate())
+        except pykka.ActorDeadError:  # the target's response is delivered all the same
+            _log.debug("statement of a target not announced to other nodes: gossip has stopped")
+
     def on_platform(self) -> None:
         """Announce that the platform was read successfully."""
         self.gossip.tell(PlatformSeen())
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -24,6 +24,7 @@
     Events,
     InForce,
     Leave,
+    NoticeUpdate,
     PlatformSeen,
     PublishHint,
     Seed,
@@ -34,6 +35,7 @@
 from roadpass.member_records import node_of
 from roadpass.membership import Members
 from roadpass.metric import Metrics
+from roadpass.notice_table import NoticeTable
 from roadpass.position import START, Position
 from roadpass.quarantine import Quarantine
 from roadpass.quota import Allowance, Report
@@ -69,6 +71,7 @@
         metrics: Counts datagrams and bytes.
         rng: Source of randomness.
         quarantine: Crash records of this node.
+        notices: What targets state about themselves, as this node knows it.
     """
 
     def __init__(
@@ -80,10 +83,12 @@
         metrics: Metrics,
         rng: random.Random,
         quarantine: Quarantine,
+        notices: NoticeTable,
     ) -> None:
         super().__init__()
         self._quarantine = quarantine
-        self._crashes_changed = False
+        self._notices = notices
+        self._records_changed = False
         self._settings = settings
         self._members = Members(own, rng)
         self._events = events
@@ -156,8 +161,8 @@
                 self._members.leave()
                 self._announcements = ANNOUNCE_REPEATS
                 self._announce()
-            case CrashUpdate():
-                self._crashes_changed = True
+            case CrashUpdate() | NoticeUpdate():
+                self._records_changed = True
             case QuotaMessage():
                 self._send_quota(message)
             case PublishHint(target=target, scores=scores):
@@ -177,11 +182,11 @@
             for member in self._members.sample(SYNC_PEERS, hall=self._settings.hall):
                 self._send(Send((member.address, member.gossip_port), "sync", 0))
         self._last_tick = now
-        if self._announcements > 0 or self._crashes_changed:
+        if self._announcements > 0 or self._records_changed:
             self._announce()
         elif self._hints_changed:
             self._announce(far=False)
-        self._hints_changed = self._crashes_changed = False
+        self._hints_changed = self._records_changed = False
         if self._members.size == 1:
             for seed in self._settings.seeds:
                 self._send(Send(seed, "sync", 0))
@@ -213,6 +218,8 @@
                 self._hints_changed = True
         for crash in message.get("crashes", ()):
             self._quarantine.merge(now, crash)
+        for target, *notice in message.get("notices", ()):
+            self._notices.merge(now, target, notice, "gossip")
         reports = tuple(Report(*row) for row in message.get("usage", ()))
         allowances = tuple(Allowance(*row) for row in message.get("allowances", ()))
         if reports or allowances:
@@ -343,6 +350,9 @@
         crashes = self._quarantine.rows(now)
         if crashes:
             message["crashes"] = crashes
+        notices = self._notices.rows(now)
+        if notices:
+            message["notices"] = notices
         return message
 
     def _position_fields(self) -> dict[str, int]:
--- a/roadpass/gossip_messages.py
+++ b/roadpass/gossip_messages.py
@@ -73,6 +73,10 @@
     """There are new crash records of requests; peers are notified at once."""
 
 
+class NoticeUpdate(NamedTuple):
+    """A target named or ended a limit, or said that it leaves; peers are notified at once."""
+
+
 class PublishHint(NamedTuple):
     """Scores of one of this VM's targets from its sidecar, to be sent to peers as a hint."""
 
--- a/roadpass/load_table.py
+++ b/roadpass/load_table.py
@@ -6,6 +6,7 @@
 
 from roadpass.balance import Load
 from roadpass.message import LoadReport
+from roadpass.offer import Offer
 
 REPORT_TTL_S = 1.0
 """Seconds after which a report is no longer used; its weight falls linearly until then."""
@@ -27,7 +28,7 @@
 """Seconds for which the reply of a target that is full or likely to fail is reused for other
 requests: probing it for every request costs time if it is near, and bytes if it is far. The reply
 of a far target is reused for as long as the wait that it announced, within the latter two
-limits."""
+limits, and so is that of a near one that names a limit: no slot becomes free sooner there."""
 DEFAULT_LIMIT = 10
 FULL = 1.0
 
@@ -44,19 +45,13 @@
     avoid_until: float = float("-inf")
     unreachable_until: float = float("-inf")
     unreachable_s: float = 0.0
+    next_start_at: float = float("-inf")
 
 
 class CachedOffer(NamedTuple):
-    """The reply of a target that has no free slot or is likely to fail.
+    """A reply, and the clock seconds until which it is reused."""
 
-    Args:
-        failure_risk: Probability that the target is failing.
-        wait_ms: Milliseconds until it has a free slot.
-        until: Clock seconds until which the reply is reused.
-    """
-
-    failure_risk: float
-    wait_ms: float
+    offer: Offer
     until: float
 
 
@@ -86,6 +81,8 @@
         utilization = (entry.own + others) / entry.limit
         if entry.overdue:
             utilization = FULL + max(utilization, float(entry.overdue))
+        elif now < entry.next_start_at:
+            utilization = max(FULL, utilization)
         return Load(utilization, entry.latency_ms, entry.failure_risk * fresh)
 
     def begin(self, target: str) -> None:
@@ -116,8 +113,15 @@
                 entry.latency_ms = latency_ms
             entry.latency_ms += SMOOTHING * (latency_ms - entry.latency_ms)
 
-    def report(self, now: float, target: str, report: LoadReport) -> None:
-        """Store a sidecar's load report, less the attempts of this ingress that it includes."""
+    def report(self, now: float, target: str, report: LoadReport, *, limited: bool = False) -> None:
+        """Store a sidecar's load report, less the attempts of this ingress that it includes.
+
+        Args:
+            now: Clock seconds.
+            target: Name of the target.
+            report: The report.
+            limited: Whether the target names a limit; it counts as full until its next start.
+        """
         with self._lock:
             entry = self._entries.setdefault(target, _Entry())
             entry.others = max(0, report.in_flight + report.queued - entry.own)
@@ -126,6 +130,7 @@
             self._average_others += AVERAGE_SMOOTHING * (used - self._average_others)
             entry.failure_risk = report.bad
             entry.reported_at = now
+            entry.next_start_at = now + report.wait_ms / 1000.0 if limited else now
 
     def avoid(self, now: float, target: str, *, for_s: float = AVOID_S) -> None:
         """Avoid a target that accepts no work, by default while configuration changes spread."""
@@ -156,40 +161,35 @@
             name for name, entry in self._entries.copy().items() if now < entry.unreachable_until
         }
 
-    def cache_offer(
-        self, now: float, target: str, failure_risk: float, wait_ms: float, *, far: bool, last: bool
-    ) -> None:
+    def cache_offer(self, now: float, target: str, offer: Offer, *, last: bool) -> None:
         """Store the reply of a target that is full or likely to fail, for use by other requests.
 
         Args:
             now: Clock seconds.
             target: Name of the target.
-            failure_risk: Probability that the target is failing.
-            wait_ms: Milliseconds until it has a free slot.
-            far: Whether it is in another data hall.
+            offer: The reply.
             last: Whether a failure would have lost the request, so that it accepted only a very low
                 risk. The reply of a target with a free slot is not stored then: a request that
                 would be repeated accepts it.
         """
-        if wait_ms <= 0.0 and last:
+        if offer.wait_ms <= 0.0 and last:
             return
-        ttl_s = (
-            min(FAR_OFFER_TTL_MAX_S, max(FAR_OFFER_TTL_MIN_S, wait_ms / 1000.0))
-            if far
-            else OFFER_TTL_S
-        )
-        until = now + ttl_s
-        self._cached[target] = CachedOffer(failure_risk, wait_ms, until)
+        wait_s = offer.wait_ms / 1000.0
+        ttl_s = OFFER_TTL_S
+        if offer.far:
+            ttl_s = min(FAR_OFFER_TTL_MAX_S, max(FAR_OFFER_TTL_MIN_S, wait_s))
+        elif offer.limited:
+            ttl_s = min(FAR_OFFER_TTL_MAX_S, max(OFFER_TTL_S, wait_s))
+        self._cached[target] = CachedOffer(offer, now + ttl_s)
 
     def discard_offer(self, target: str) -> None:
         """Drop the stored reply of a target that replied otherwise since."""
         self._cached.pop(target, None)
 
-    def cached_offers(self, now: float) -> list[tuple[str, CachedOffer]]:
+    def cached_offers(self, now: float) -> list[tuple[str, Offer]]:
         """Return the replies that are still reused, by target."""
-        return [
-            (name, cached) for name, cached in self._cached.copy().items() if cached.until > now
-        ]
+        cached = self._cached.copy().items()
+        return [(name, one.offer) for name, one in cached if one.until > now]
 
     def avoided(self, now: float) -> set[str]:
         """Return the targets that are avoided now, unreachable ones included."""
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -3,6 +3,7 @@
 import threading
 
 from roadpass import clock
+from roadpass.admission import ExpectedWait
 from roadpass.breaker_log import BreakerLog
 from roadpass.circuit_breaker import CircuitBreaker
 from roadpass.dialect import OWN, Dialect
@@ -31,6 +32,7 @@
 from roadpass.shedding import Shedding
 from roadpass.shutdown import Shutdown
 from roadpass.slots import Slots
+from roadpass.start_limit import StartLimit
 
 MIN_START_MS = 2.0
 """Minimum time left, in milliseconds, to start an attempt."""
@@ -54,6 +56,7 @@
         quarantine: The node's record of requests during which targets exited.
         calls: Outcomes of the requests that targets of this VM may have made.
         notices: What targets state about themselves.
+        starts: Limit of the target's starts; it outlives this object.
         shutdown: When this process ends.
         dialect: Header names and rules to talk to the target.
     """
@@ -67,12 +70,14 @@
         quarantine: Quarantine,
         calls: CallLog,
         notices: NoticeTable,
+        starts: StartLimit,
         shutdown: Shutdown,
         *,
         dialect: Dialect = OWN,
     ) -> None:
         self.target = target
         self._service = service
+        self._notices = notices
         self._shutdown = shutdown
         self._fences = fences
         self._pause = pause
@@ -92,6 +97,7 @@
             queue_limit=service.queue_limit,
             lock=self._lock,
             shutdown=shutdown,
+            starts=starts,
         )
         self._exchange = Exchange(
             target, service, self._slots, quarantine, calls, notices, dialect=dialect
@@ -99,6 +105,7 @@
         self._guard = self._exchange.guard
         self._evidence = Evidence(service.false_ejections_per_target_week, clock.now())
         self.leaving = target.leaving
+        self.apply_notice()
 
     @property
     def leaving(self) -> bool:
@@ -144,6 +151,10 @@
             self.leaving = target.leaving
         return True
 
+    def apply_notice(self) -> None:
+        """Apply the limit that the target has named."""
+        self._slots.set_rate(clock.now(), self._notices.rate_per_s(self.target.name))
+
     def report(self, revision: int, traffic_class: str = "", route: str = "") -> LoadReport:
         """Return the load report that goes with every response.
 
@@ -156,7 +167,7 @@
         now = clock.now()
         with self._lock:
             bad = self._expected_cost(now)
-            wait_ms = self._expected_wait_ms(now, traffic_class, route)
+            wait = self._expected_wait(now, traffic_class, route)
         return LoadReport(
             in_flight=self._slots.in_use,
             queued=self._slots.waiting,
@@ -166,7 +177,7 @@
             latency_ms=round(self._evidence.latency_ms, 1),
             revision=revision,
             bad=round(bad, 3),
-            wait_ms=round(wait_ms),
+            wait_ms=round(wait.ms),
         )
 
     def refusal(self, check: AdmissionCheck) -> NotRun | None:
@@ -176,25 +187,26 @@
             return refusal
         now = clock.now()
         with self._lock:
-            wait_ms = self._expected_wait_ms(now, check.traffic_class, check.route)
+            wait = self._expected_wait(now, check.traffic_class, check.route)
             bad = self._estimator.bad(now)
             shed_cost = self._shedding.cost(now)
             admits_as_trial = self._breaker.admits_as_trial(
                 now, trial=check.may_be_trial and check.spare
             )
-        if wait_ms > (check.most_wait_ms if check.may_wait else 0.0):
-            return NotRun(Reason.BUSY, int(wait_ms))
+        if wait.ms > (check.most_wait_ms if check.may_wait else 0.0):
+            return NotRun(wait.reason, int(wait.ms))
         if shed_cost > check.most_bad or (bad > check.most_bad and not admits_as_trial):
             return NotRun(Reason.DOUBTFUL, 0)
         return None
 
-    def _expected_wait_ms(self, now: float, traffic_class: str, route: str) -> float:
-        """Return the expected wait of a new request in ms, extended while requests hang."""
+    def _expected_wait(self, now: float, traffic_class: str, route: str) -> ExpectedWait:
+        """Return the expected wait of a new request; one for a slot is longer if requests hang."""
         typical_ms = self._estimator.latency(route).typical_ms if route else 0.0
-        wait_ms = self._slots.expected_wait_ms(traffic_class, typical_ms)
-        if wait_ms <= 0.0:
-            return 0.0
-        return self._evidence.stretched_wait_ms(now, wait_ms, self._slots.service_ms)
+        wait = self._slots.expected_wait(now, traffic_class, typical_ms)
+        if wait.ms <= 0.0 or wait.reason is Reason.LIMITED:
+            return wait
+        stretched_ms = self._evidence.stretched_wait_ms(now, wait.ms, self._slots.service_ms)
+        return wait._replace(ms=stretched_ms)
 
     def _expected_cost(self, now: float) -> float:
         """Return the expected cost of sending a request here, relative to a lost request."""
@@ -251,14 +263,16 @@
         refusal = self._slots.acquire(attempt, deadline, typical_ms)
         if refusal is not None:
             return refusal
+        started = False
         try:
             self._pause.settle()
             unclaimed = self._worsened(attempt, bad) or self._claim(attempt, deadline, watch)
             if unclaimed is not None:
                 return unclaimed
+            started = True
             return self._execute(attempt, deadline, watch)
         finally:
-            self._slots.release(attempt.traffic_class)
+            self._slots.release(attempt.traffic_class, started=started)
 
     def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt that waits or runs here; does nothing for an unknown id."""
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -30,6 +30,8 @@
 from roadpass.errors import FrameError
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 
+_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY}
+"""Reasons that older nodes do not know, and those that are sent to them instead."""
 UNBOUNDED_MS = 1e9
 """Milliseconds that mean no limit, because messages cannot hold an infinite number."""
 
@@ -78,6 +80,8 @@
         usual_ms: Typical latency of such requests in milliseconds, 0 if the ingress has none.
         fingerprint: Fingerprint of the request, see `roadpass.fingerprint`; empty if not sent.
         customer: Customer that sent the request, empty for none.
+        notice: What the ingress knows that the target stated, see `roadpass.notice_table`; `None`
+            for nothing.
     """
 
     id: str
@@ -106,6 +110,7 @@
     usual_ms: float = 0.0
     fingerprint: str = ""
     customer: str = ""
+    notice: list[Any] | None = None
 
     @property
     def may_be_trial(self) -> bool:
@@ -137,7 +142,10 @@
 
     def to_message(self) -> Message:
         """Return the wire form."""
-        return {"t": "attempt", **self._asdict()}
+        message = {"t": "attempt", **self._asdict()}
+        if self.notice is None:
+            del message["notice"]
+        return message
 
 
 class AdmissionCheck(NamedTuple):
@@ -152,6 +160,7 @@
         spare: Whether the request is not lost if the attempt fails, or is refused without it.
         repeat: Whether an earlier attempt at the request reached a target.
         route: Route of the request, by which its typical latency is looked up.
+        notice: What the ingress knows that the target stated, `None` for nothing.
     """
 
     target: str
@@ -164,6 +173,7 @@
     most_wait_ms: float = UNBOUNDED_MS
     repeat: bool = False
     route: str = ""
+    notice: list[Any] | None = None
 
     @classmethod
     def of(cls, attempt: Attempt) -> "AdmissionCheck":
@@ -179,6 +189,7 @@
             attempt.most_wait_ms,
             attempt.retry,
             attempt.route,
+            attempt.notice,
         )
 
     @classmethod
@@ -195,6 +206,7 @@
             message.get("most_wait_ms", UNBOUNDED_MS),
             message.get("retry", False),
             message.get("route", ""),
+            message.get("notice"),
         )
 
     def to_message(self) -> Message:
@@ -217,6 +229,8 @@
             message["retry"] = True
         if self.route:
             message["route"] = self.route
+        if self.notice is not None:
+            message["notice"] = self.notice
         return message
 
 
@@ -247,11 +261,13 @@
         load: Load report of the target, if included.
         crash: Crash record of the request, if targets crashed while they processed it, see
             `roadpass.quarantine`.
+        notice: What the target stated about itself, see `roadpass.notice_table`.
     """
 
     outcome: Outcome
     load: LoadReport | None = None
     crash: list[Any] | None = None
+    notice: list[Any] | None = None
 
     @classmethod
     def from_message(cls, message: Message) -> "Reply":
@@ -262,7 +278,8 @@
         """
         load = LoadReport(**message["load"]) if "load" in message else None
         try:
-            return cls(_outcome_from_message(message), load, message.get("crash"))
+            outcome = _outcome_from_message(message)
+            return cls(outcome, load, message.get("crash"), message.get("notice"))
         except ValueError as error:
             raise FrameError(f"The reply is invalid: {error}.") from error
 
@@ -273,6 +290,8 @@
             message["load"] = self.load._asdict()
         if self.crash is not None:
             message["crash"] = self.crash
+        if self.notice is not None:
+            message["notice"] = self.notice
         return message
 
 
@@ -318,7 +337,8 @@
                 raise FrameError("The body of the response is not bytes.")
             return Answered(message["status"], headers, body, message["service_ms"])
         case "not_run":
-            return NotRun(Reason(message["reason"]), message["retry_after_ms"])
+            reason = _known_detail(message) or Reason(message["reason"])
+            return NotRun(reason, message["retry_after_ms"])
         case "unknown":
             return Unknown(Reason(message["reason"]))
         case other:
@@ -336,6 +356,16 @@
                 "service_ms": service_ms,
             }
         case NotRun(reason=reason, retry_after_ms=retry_after_ms):
-            return {"t": "not_run", "reason": reason.value, "retry_after_ms": retry_after_ms}
+            sent = _LESS_SPECIFIC.get(reason, reason)
+            not_run = {"t": "not_run", "reason": sent.value, "retry_after_ms": retry_after_ms}
+            return not_run if sent is reason else {**not_run, "detail": reason.value}
         case Unknown(reason=reason):
             return {"t": "unknown", "reason": reason.value}
+
+
+def _known_detail(message: Message) -> Reason | None:
+    """Return the more specific reason of a refusal, `None` if there is none known here."""
+    try:
+        return Reason(message.get("detail", ""))
+    except ValueError:
+        return None
--- a/roadpass/metric.py
+++ b/roadpass/metric.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -22,14 +22,29 @@
     reason: str
 
 
+class Gauge(NamedTuple):
+    """Values that are read when metrics are collected.
+
+    Args:
+        name: Name of the metric, with its unit.
+        label: Label that tells the values apart.
+        read: Returns the current value by label value.
+    """
+
+    name: str
+    label: str
+    read: Callable[[], Mapping[str, float]]
+
+
 class Metrics:
-    """Counters and histograms of one node; thread-safe."""
+    """Counters, histograms and gauges of one node; thread-safe."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._latency: dict[str, HdrHistogram] = {}
         self._outcomes: Counter[OutcomeKey] = Counter()
         self._counters: Counter[str] = Counter()
+        self._gauges: list[Gauge] = []
 
     def record(self, key: OutcomeKey, latency_s: float) -> None:
         """Record a request's outcome and its latency at this ingress."""
@@ -46,6 +61,15 @@
         with self._lock:
             self._counters[name] += by
 
+    def add_gauge(self, gauge: Gauge) -> None:
+        """Add a gauge."""
+        self._gauges.append(gauge)
+
+    @property
+    def gauges(self) -> list[Gauge]:
+        """All gauges."""
+        return self._gauges
+
     def get(self, name: str) -> int:
         """Return a plain counter, 0 if it was never counted."""
         return self._counters[name]
@@ -73,6 +97,7 @@
                 "latency": latency,
                 "outcomes": outcomes,
                 "counters": dict(self._counters),
+                "gauges": {gauge.name: dict(gauge.read()) for gauge in self._gauges},
             }
 
     def prometheus(self) -> str:
@@ -109,3 +134,8 @@
         yield latency
         for name, value in summary["counters"].items():
             yield CounterMetricFamily(f"roadpass_{name}", "Plain counter.", value=value)
+        for gauge in self._metrics.gauges:
+            family = GaugeMetricFamily(f"roadpass_{gauge.name}", "Gauge.", labels=[gauge.label])
+            for label, value in summary["gauges"][gauge.name].items():
+                family.add_metric([label], value)
+            yield family
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -133,19 +133,26 @@
         active = self._services.get(target.service)
         state: State | None = None
         scores = Scores(0.0, 0.0)
+        unjudged = "no traffic from here yet"
         if active is not None and name in active.health.names:
-            state = active.health.state(name)
+            state, unjudged = active.health.state(name), ""
             scores = active.health.scores(now, name)
         return TargetStatus(
             name,
             target.service,
             target.vm,
             state.value if state else "not-judged",
-            self._reasons.get(name, "no traffic from here yet" if state is None else ""),
+            self._statement(name) or self._reasons.get(name, unjudged),
             round(scores.failure, 3),
             round(scores.slow, 3),
         )
 
+    def _statement(self, name: str) -> str:
+        """Return what a target states about itself, empty for nothing."""
+        notices = self._view.notices
+        rate_per_s = notices.rate_per_s(name)
+        return "" if rate_per_s is None else f"it names a limit of {rate_per_s:g} requests/s"
+
     def _on_tick(self, now: float) -> None:
         self._take_observations(now)
         self._scan_pending(now)
@@ -236,12 +243,12 @@
         present = {}
         for target in self._view.fleet.targets_of(service):
             if target.vm == self._view.vm:
-                leaving = target.leaving or self._view.leaving
+                leaving = self._view.is_leaving(target) or self._view.leaving
                 present[target.name] = Presence(target.slots, leaving)
                 continue
             node = self._view.nodes.get(target.vm)
-            leaving = target.leaving or (node is not None and node.leaving)
             node_dead = node is None or not node.alive
+            leaving = self._view.is_leaving(target)
             present[target.name] = Presence(target.slots, leaving, node_dead)
         return present
 
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -23,7 +23,7 @@
 from roadpass.journal import Journal
 from roadpass.manifest import Platform
 from roadpass.member_records import own_member
-from roadpass.metric import Metrics
+from roadpass.metric import Gauge, Metrics
 from roadpass.monitor import HealthMonitor
 from roadpass.pages import Pages, PageSources
 from roadpass.pause import PauseWatch
@@ -77,7 +77,10 @@
             behind=self._router.on_behind,
             dialect=self._dialect,
             shutdown=self._view.shutdown,
+            notices=self._view.notices,
+            metrics=self.metrics,
         )
+        self.metrics.add_gauge(Gauge("target_limit_per_s", "target", self._view.notices.limits))
         self._router.sidecar = self._sidecar
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         policy = settings.store.quota_policy if settings.store else QuotaPolicy()
@@ -113,6 +116,7 @@
             QuotaCoordinator, self._quotas, self._view, self._router.send_quota
         )
         self._sidecar.quarantine.on_change = self._router.on_crash_update
+        self._view.notices.on_change = self._router.on_notice_update
         self._router.monitor = self._start_monitor()
         self._router.puller = self._start(
             Puller, self._peers, self._store, self._router.on_offer, self.metrics
@@ -143,6 +147,7 @@
             self.metrics,
             self._rng,
             self._sidecar.quarantine,
+            self._view.notices,
         )
 
     def _start_monitor(self) -> Any:
--- a/roadpass/offer.py
+++ b/roadpass/offer.py
@@ -21,17 +21,19 @@
 
 
 class Offer(NamedTuple):
-    """The reply of a target that has no free slot or is likely to fail.
+    """The reply of a target that has no free slot or start, or is likely to fail.
 
     Args:
         failure_risk: Probability that the target is failing.
         wait_ms: Milliseconds until it has a free slot.
         far: Whether it is in another data hall.
+        limited: Whether the wait is for a start, by the limit that the target names.
     """
 
     failure_risk: float
     wait_ms: float
     far: bool
+    limited: bool = False
 
 
 class Costs(NamedTuple):
--- a/roadpass/outcome.py
+++ b/roadpass/outcome.py
@@ -26,6 +26,7 @@
     EXPIRED = "expired"
     FENCED = "fenced"
     BUSY = "no-free-slot"
+    LIMITED = "target-limit"
     DOUBTFUL = "target-doubtful"
     QUEUE_FULL = "queue-full"
     TOO_LATE = "deadline-cannot-be-met"
--- a/roadpass/request_log.py
+++ b/roadpass/request_log.py
@@ -36,6 +36,7 @@
         bad=reply.load.bad if reply.load is not None else None,
         wait_ms=_wait_ms(reply.outcome),
         most_wait_ms=round(attempt.most_wait_ms),
+        limit_per_s=reply.notice[0] if reply.notice is not None else None,
         outcome=_name(reply.outcome),
     )
 
--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import Any
 
 from roadpass import clock
 from roadpass.fleet import Service, Target
@@ -279,6 +280,7 @@
         revision: int,
         slow_ms: float,
         has_repeat: bool,
+        notice: list[Any] | None = None,
     ) -> Attempt:
         """Return the next attempt.
 
@@ -289,6 +291,7 @@
             revision: Revision of the configuration that it is routed by.
             slow_ms: Above which an answer of the target counts as slow, zero if unknown.
             has_repeat: Whether the retry budget allows a repeat after it.
+            notice: What the target is known to have stated about itself, `None` for nothing.
         """
         return Attempt(
             id=attempt_id,
@@ -317,6 +320,7 @@
             usual_ms=self.typical_or_assumed_ms,
             fingerprint=self.request.fingerprint,
             customer=self.request.customer.name if self.request.customer else "",
+            notice=notice,
         )
 
     @property
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -15,12 +15,14 @@
 from roadpass.fleet import Fleet
 from roadpass.local_target import LocalTarget
 from roadpass.message import AdmissionCheck, Attempt, LoadReport, Message, Reply
+from roadpass.metric import Metrics
 from roadpass.notice_table import NoticeTable
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
 from roadpass.pause import PauseWatch
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
 from roadpass.shutdown import Shutdown
+from roadpass.start_limit import StartLimit
 
 CLOCK_TOLERANCE_S = 5.0
 """Seconds by which a selector's time window is extended here, for clock differences between VMs."""
@@ -38,6 +40,7 @@
         dialect: Header names and rules to talk to the targets.
         shutdown: When this process ends, `None` if it has no planned shutdown.
         notices: What targets state about themselves, as this node knows it; `None` for a new table.
+        metrics: Counts refusals by limits of targets; `None` to discard the counts.
 
     Attributes:
         calls: Outcomes of the requests that targets of this VM may have made.
@@ -55,6 +58,7 @@
         dialect: Dialect = OWN,
         shutdown: Shutdown | None = None,
         notices: NoticeTable | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._ending = shutdown or Shutdown()
         self._dialect = dialect
@@ -66,11 +70,14 @@
         self._fences = FenceTable(started_at=clock.now())
         self._quarantine = Quarantine()
         self._notices = notices or NoticeTable()
+        self._metrics = metrics or Metrics()
         self.calls = CallLog()
         self._fleet = Fleet.empty()
         self._targets: dict[str, LocalTarget] = {}
+        self._start_limits: dict[str, StartLimit] = {}
         self._retired: list[LocalTarget] = []
         self._lock = threading.Lock()
+        self._notices.on_target = self._apply_notice
         self.leaving = False
         self.refused = 0
         self.replies = ActiveCount()
@@ -90,8 +97,14 @@
         """The node's record of requests during which targets exited."""
         return self._quarantine
 
+    @property
+    def notices(self) -> NoticeTable:
+        """What targets state about themselves, as this node knows it."""
+        return self._notices
+
     def configure(self, fleet: Fleet) -> None:
         """Apply a revision of the configuration to the targets of this VM."""
+        self._notices.configure(clock.now(), fleet.targets)
         targets: dict[str, LocalTarget] = {}
         for target in fleet.targets_on(self._vm):
             service = fleet.services[target.service]
@@ -105,6 +118,7 @@
                     self._quarantine,
                     self.calls,
                     self._notices,
+                    self._start_limits.setdefault(target.name, StartLimit()),
                     self._ending,
                     dialect=self._dialect,
                 )
@@ -122,23 +136,31 @@
         return [*self._targets.values(), *self._retired]
 
     def expire(self) -> None:
-        """Drop expired fences; called regularly."""
-        self._fences.expire(clock.now())
+        """Drop expired fences and statements of targets; called regularly."""
+        now = clock.now()
+        self._fences.expire(now)
+        self._notices.expire(now)
+        for name in [name for name in self._start_limits if name not in self._targets]:
+            if self._notices.rate_per_s(name) is None:
+                del self._start_limits[name]
 
     def check(self, check: AdmissionCheck) -> Message:
         """Return whether an attempt would be accepted, without running it."""
         local = self._targets.get(check.target)
         if local is None:
             return Reply(NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)).to_message()
+        self._merge_notice(check.target, check.notice)
         refusal = local.refusal(check)
+        self._count_limited(refusal)
+        notice = self._notices.row(clock.now(), check.target)
         match refusal:
             case None:
                 return {"t": "accepted"}
-            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL):
+            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL | Reason.LIMITED):
                 report = local.report(self._fleet.revision, check.traffic_class, check.route)
-                return Reply(refusal, report).to_message()
+                return Reply(refusal, report, notice=notice).to_message()
             case _:
-                return Reply(refusal).to_message()
+                return Reply(refusal, notice=notice).to_message()
 
     def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
         """Run one attempt and return its outcome with a load report.
@@ -150,13 +172,43 @@
         """
         deadline = clock.now() + attempt.remaining_ms / 1000.0 - age_s
         local = self._targets.get(attempt.target)
+        if local is not None:
+            self._merge_notice(attempt.target, attempt.notice)
         refusal = self._refusal(attempt, local, deadline)
         if refusal is not None or local is None:
             self.refused += 1
             outcome: Outcome = refusal or NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
-            return Reply(outcome, self._report(local, attempt) if local else None)
+            return self._reply(outcome, local, attempt)
         outcome = local.run(attempt, deadline, watch)
-        return Reply(outcome, self._report(local, attempt), self._quarantine_row(outcome, attempt))
+        self._count_limited(outcome)
+        return self._reply(outcome, local, attempt)
+
+    def _reply(self, outcome: Outcome, local: LocalTarget | None, attempt: Attempt) -> Reply:
+        """Return the reply to an attempt, with what is known of its target and of its request."""
+        return Reply(
+            outcome,
+            self._report(local, attempt) if local is not None else None,
+            self._quarantine_row(outcome, attempt),
+            self._notices.row(clock.now(), attempt.target),
+        )
+
+    def _count_limited(self, outcome: Outcome | None) -> None:
+        match outcome:
+            case NotRun(reason=Reason.LIMITED):
+                self._metrics.count("limit_refusals")
+            case _:
+                pass
+
+    def _merge_notice(self, target: str, notice: list[Any] | None) -> None:
+        """Learn from an ingress what a target of this VM stated before this process started."""
+        if notice is not None:
+            self._notices.merge(clock.now(), target, notice, "ingress")
+
+    def _apply_notice(self, target: str) -> None:
+        """Apply a changed statement, if it is of a target of this VM."""
+        local = self._targets.get(target)
+        if local is not None:
+            local.apply_notice()
 
     def _report(self, local: LocalTarget, attempt: Attempt) -> LoadReport:
         return local.report(self._fleet.revision, attempt.traffic_class, attempt.route)
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -6,16 +6,19 @@
 
 from roadpass import clock
 from roadpass.adaptive_limit import AdaptiveLimit
-from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
+from roadpass.admission import Admission, Admitted, ExpectedWait, Queued, Refused, Ticket
 from roadpass.fleet import TrafficClass
 from roadpass.message import Attempt
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Reason
 from roadpass.shutdown import Shutdown
+from roadpass.start_limit import StartLimit
 
 WAIT_FACTOR = 1.5
 WAIT_MIN_S = 0.1
 """A request leaves a target's queue after this multiple of its expected wait, but not before this
 many seconds: by then other targets have free slots."""
+MIN_STEP_S = 0.001
+"""Shortest time between two looks of a waiting attempt, in seconds."""
 
 
 class Slots:
@@ -27,6 +30,7 @@
         queue_limit: Maximum number of requests that wait.
         lock: The owner's lock, which guards the state; some methods expect the caller to hold it.
         shutdown: When this process ends.
+        starts: Limit of the target's starts, `None` for no limit.
     """
 
     def __init__(
@@ -37,9 +41,13 @@
         queue_limit: int,
         lock: threading.Lock,
         shutdown: Shutdown,
+        starts: StartLimit | None = None,
     ) -> None:
         self._limit = AdaptiveLimit(slots)
-        self._admission = Admission(classes, slots=slots, queue_limit=queue_limit)
+        self._starts = starts or StartLimit()
+        self._admission = Admission(
+            classes, slots=slots, queue_limit=queue_limit, starts=self._starts
+        )
         self._queued: dict[str, Ticket] = {}
         self._lock = lock
         self._shutdown = shutdown
@@ -81,9 +89,15 @@
         """Apply a changed number of slots; the caller must hold the lock."""
         self._limit.resize(slots)
 
-    def expected_wait_ms(self, traffic_class: str, typical_ms: float) -> float:
-        """Return the expected wait of a new request in milliseconds; see `Admission`."""
-        return self._admission.expected_wait_ms(traffic_class, typical_ms)
+    def set_rate(self, now: float, rate_per_s: float | None) -> None:
+        """Apply a limit of starts in requests a second, `None` for none."""
+        with self._lock:
+            self._starts.set_rate(now, rate_per_s)
+            _wake_all(self._admission.grant_due(now))
+
+    def expected_wait(self, now: float, traffic_class: str, typical_ms: float) -> ExpectedWait:
+        """Return the expected wait of a new request; see `Admission`."""
+        return self._admission.expected_wait(now, traffic_class, typical_ms)
 
     def acquire(self, attempt: Attempt, deadline: float, typical_ms: float) -> NotRun | None:
         """Acquire a slot for an attempt, waiting for one if needed.
@@ -109,7 +123,7 @@
                 retry=attempt.retry,
                 typical_ms=typical_ms,
             )
-            expected_ms = self._admission.expected_wait_ms(attempt.traffic_class, typical_ms)
+            expected = self._admission.expected_wait(now, attempt.traffic_class, typical_ms)
             match decision:
                 case Admitted():
                     return None
@@ -120,12 +134,17 @@
                     self._queued[attempt.id] = ticket
         if displaced is not None:
             _wake(displaced)
-        return self._wait(attempt, ticket, deadline, now + self._max_wait_s(expected_ms))
+        return self._wait(attempt, ticket, deadline, now + self._max_wait_s(expected.ms))
+
+    def release(self, traffic_class: str, *, started: bool = True) -> None:
+        """Release a slot and wake the attempts that it goes to.
 
-    def release(self, traffic_class: str) -> None:
-        """Release a slot and wake the attempts that it goes to."""
+        Args:
+            traffic_class: Class of the attempt that had it.
+            started: Whether the attempt was sent to the target.
+        """
         with self._lock:
-            _wake_all(self._admission.release(clock.now(), traffic_class))
+            _wake_all(self._admission.release(clock.now(), traffic_class, started=started))
 
     def cancel(self, attempt_id: str) -> bool:
         """End the wait of an attempt in the queue.
@@ -172,9 +191,10 @@
         def until() -> float:
             return -math.inf if self._leaving else min(deadline, wait_until, last_start())
 
-        while not signal.wait(max(0.0, min(clock.STEP_S, until() - clock.now()))):
+        while not signal.wait(max(0.0, min(self._step_s(), until() - clock.now()))):
             if clock.now() >= until():
                 break
+            self._grant_due_starts()
         with self._lock:
             self._queued.pop(attempt.id, None)
             if ticket.granted:
@@ -186,9 +206,28 @@
         if now >= deadline:
             return NotRun(Reason.TOO_LATE, RETRY_SOON_MS)
         if now >= wait_until:
-            return NotRun(Reason.BUSY, RETRY_SOON_MS)
+            return self._refusal_after_wait(now)
         return NotRun(Reason.QUEUE_FULL, RETRY_SOON_MS)
 
+    def _refusal_after_wait(self, now: float) -> NotRun:
+        """Return the refusal of an attempt that has waited longer than was expected."""
+        with self._lock:
+            start_ms = int(self._starts.wait_s(now) * 1000.0)
+        reason = Reason.LIMITED if start_ms else Reason.BUSY
+        return NotRun(reason, max(RETRY_SOON_MS, start_ms))
+
+    def _grant_due_starts(self) -> None:
+        """Grant the starts that became due since the last look."""
+        with self._lock:
+            if self._starts.limited:
+                _wake_all(self._admission.grant_due(clock.now()))
+
+    def _step_s(self) -> float:
+        """Return the seconds until a waiting attempt looks for a start that is due."""
+        with self._lock:
+            wait_s = self._starts.wait_s(clock.now())
+        return min(clock.STEP_S, max(MIN_STEP_S, wait_s)) if wait_s > 0.0 else clock.STEP_S
+
 
 def _wake_all(tickets: list[Ticket]) -> None:
     for ticket in tickets:
--- a/roadpass/target_chooser.py
+++ b/roadpass/target_chooser.py
@@ -78,11 +78,15 @@
             last: Whether a failure of the attempt would have lost the request.
         """
         match reply.outcome:
-            case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL, retry_after_ms=wait_ms):
+            case NotRun(
+                reason=Reason.BUSY | Reason.DOUBTFUL | Reason.LIMITED as reason,
+                retry_after_ms=wait_ms,
+            ):
                 far = self._view.tier(target) > 0
                 risk = reply.load.bad if reply.load is not None else 0.0
-                state.add_offer(target.name, Offer(risk, float(wait_ms), far))
-                self._loads.cache_offer(now, target.name, risk, float(wait_ms), far=far, last=last)
+                offer = Offer(risk, float(wait_ms), far, limited=reason is Reason.LIMITED)
+                state.add_offer(target.name, offer)
+                self._loads.cache_offer(now, target.name, offer, last=last)
             case _:
                 self._loads.discard_offer(target.name)
         self._avoid(now, target.name, reply.outcome)
@@ -115,11 +119,9 @@
         """Add as offers what targets without a free slot or likely to fail replied to others."""
         if state.accepts_best:
             return
-        for name, cached in self._loads.cached_offers(now):
+        for name, offer in self._loads.cached_offers(now):
             if name in picker.far or name in picker.near:
-                state.offers.setdefault(
-                    name, Offer(cached.failure_risk, cached.wait_ms, name in picker.far)
-                )
+                state.offers.setdefault(name, offer._replace(far=name in picker.far))
 
     def _avoid(self, now: float, name: str, outcome: Outcome) -> None:
         """Avoid a target that refused, for as long as the cause is likely to last."""
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -6,6 +6,7 @@
 from roadpass.balance import Candidate, Picker
 from roadpass.caller_limits import CallerLimits
 from roadpass.fleet import Fleet, Target
+from roadpass.notice_table import NoticeTable
 from roadpass.shutdown import Shutdown
 
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
@@ -81,6 +82,7 @@
         self.leaving = False
         self.refusing = False
         self.shutdown = Shutdown()
+        self.notices = NoticeTable()
 
     @property
     def vm(self) -> str:
@@ -95,6 +97,13 @@
             return 0
         return 1 if node is not None and node.region == self._region else 2
 
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target is shutting down, by the source or the node beside it."""
+        if target.leaving:
+            return True
+        node = self.nodes.get(target.vm)
+        return node is not None and node.leaving
+
     def service(self, name: str) -> ServiceView:
         """Return the view of a service, with all targets at full weight until they are judged."""
         found = self.services.get(name)
@@ -107,8 +116,6 @@
     def _unjudged(self, service: str) -> dict[str, Candidate]:
         candidates = {}
         for target in self.fleet.targets_of(service):
-            node = self.nodes.get(target.vm)
-            leaving = target.leaving or (node is not None and node.leaving)
-            if not leaving:
+            if not self.is_leaving(target):
                 candidates[target.name] = Candidate(target.name, self.tier(target), 1.0)
         return candidates
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -110,12 +110,17 @@
         self._crowd = crowd
         with crowd.world.acting(self.process):
             self.pause = PauseWatch()
+            self.view = View(vm, hall, "region")
             self.sidecar = Sidecar(
-                vm, 1, self.pause, pull=lambda message: message, behind=lambda vm, revision: None
+                vm,
+                1,
+                self.pause,
+                pull=lambda message: message,
+                behind=lambda vm, revision: None,
+                notices=self.view.notices,
             )
             self.has_updates = False
             self.sidecar.quarantine.on_change = self._set_has_updates
-            self.view = View(vm, hall, "region")
             self.configure(fleet)
             self.view.ready = True
             peers = cast("PeerPool", _Peers(crowd, self))
@@ -183,6 +188,7 @@
             their ids.
         names: Names of the kinds of requests, by path and body.
         crashed: Times at which a target crashed while running a request, by path and body.
+        starts: Times at which requests reached each target.
     """
 
     def __init__(self, load: Load, seed: int) -> None:
@@ -197,6 +203,7 @@
         self.reached: dict[tuple[str, bytes], list[float]] = defaultdict(list)
         self.crashed: dict[tuple[str, bytes], list[float]] = defaultdict(list)
         self.names: dict[tuple[str, bytes], str] = {}
+        self.starts: dict[str, list[float]] = defaultdict(list)
         self.nodes: dict[str, CrowdNode] = {}
         self._number = 0
 
@@ -278,6 +285,31 @@
                 return one.how
         return ""
 
+    def named_limit(self, target: CrowdTarget) -> float | None:
+        """Return the limit that a target names in its responses now, in requests a second."""
+        now = self.world.now - FIRST_S
+        for one in self.load.limits:
+            named = target.name in one.targets or (
+                not one.targets and one.service == target.service
+            )
+            if named and one.begin <= now < one.end:
+                return one.rate_per_s
+        return None
+
+    def most_starts(self, target: str, begin: float, end: float, window_s: float) -> int:
+        """Return the most requests that reached a target in any window.
+
+        Args:
+            target: Name of the target.
+            begin: Begin of the time in which they are counted, in seconds since the first request.
+            end: End of that time.
+            window_s: Length of the windows in seconds.
+        """
+        times = [at for at in self.starts[target] if begin <= at - FIRST_S < end]
+        return max(
+            (sum(since <= at < since + window_s for at in times) for since in times), default=0
+        )
+
     def restart(self, target: CrowdTarget) -> None:
         """Restart a crashed target under a new name, and configure it on all nodes."""
         target.start()
--- a/tests/crowd_target.py
+++ b/tests/crowd_target.py
@@ -7,6 +7,7 @@
 from roadpass.errors import TargetRefusedError
 from roadpass.outcome import Answered
 from roadpass.target import TargetAnswer, TargetClient, TargetLostError, TargetTimeoutError
+from roadpass.target_notice import TargetNotice
 
 if TYPE_CHECKING:
     from tests.crowd import Crowd, CrowdNode
@@ -76,6 +77,15 @@
         if self.refuses_connections():
             raise TargetRefusedError("No connection.") from ConnectionRefusedError()
         crowd.arrivals[self._target.service, options["request_id"]].append(crowd.world.now)
+        crowd.starts[self._target.name].append(crowd.world.now)
+        started = crowd.world.now
+        answer = self._answer(path, body, until, options)
+        options["on_notice"](TargetNotice(crowd.named_limit(self._target)), started)
+        return answer
+
+    def _answer(self, path: str, body: bytes, until: float, options: Any) -> TargetAnswer:
+        """Return the response that the faults of the target allow."""
+        crowd = self._crowd
         match crowd.draw_fault(self._target):
             case "reset":
                 crowd.sleep(RESET_S)
--- a/tests/load.py
+++ b/tests/load.py
@@ -64,6 +64,24 @@
     targets: frozenset[str] = frozenset()
 
 
+class TargetLimit(NamedTuple):
+    """A limit that targets name in their responses for a time.
+
+    Args:
+        begin: Begin, in seconds since the first request.
+        end: End, in seconds since the first request.
+        rate_per_s: Requests a second that each of them names.
+        service: Service whose targets all name it, if `targets` is empty.
+        targets: Names of the targets.
+    """
+
+    begin: float
+    end: float
+    rate_per_s: float
+    service: str = ""
+    targets: frozenset[str] = frozenset()
+
+
 class Load(NamedTuple):
     """A load: requests, targets and faults.
 
@@ -78,6 +96,7 @@
         partition: Begin and end, in seconds, of a partition between all data halls.
         crash_records_lost: Begin and end, in seconds, of the time in which the nodes lose their
             crash records, one after the other, as on a restart.
+        limits: Limits that targets name.
     """
 
     kinds: dict[str, Kind]
@@ -89,6 +108,7 @@
     halls: int = 1
     partition: tuple[float, float] = (0.0, 0.0)
     crash_records_lost: tuple[float, float] = (0.0, 0.0)
+    limits: tuple[TargetLimit, ...] = ()
 
 
 class RequestResult(NamedTuple):
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -7,7 +7,7 @@
 
 import random
 
-from tests.load import Kind, Load, TargetFault
+from tests.load import Kind, Load, TargetFault, TargetLimit
 
 LAB_KINDS = {
     "browse": Kind("shop", 220.0, 800, 1500, True, 8.5),
@@ -141,3 +141,22 @@
     del seed
     kinds = {**LAB_KINDS, "crashing": CRASHING, **others}
     return Load(kinds, LAB_TARGETS, seconds=10.0, slack=64.0, halls=4)
+
+
+LIMITED_S = (4.0, 16.0)
+"""Begin and end of the time in which targets name limits, in seconds."""
+
+
+def limited_by_some(_: int) -> Load:
+    """Two of sixteen targets name limits far below what they get; the others have room for it."""
+    limits = (
+        TargetLimit(*LIMITED_S, 1.1, targets=frozenset({"opac-0"})),
+        TargetLimit(*LIMITED_S, 0.2, targets=frozenset({"opac-1"})),
+    )
+    return Load(KINDS, TARGETS, seconds=20.0, slack=SLACK, halls=2, limits=limits)
+
+
+def limited_by_all(_: int) -> Load:
+    """All targets of a service name limits, whose sum is less than half of its requests."""
+    limits = (TargetLimit(*LIMITED_S, 1.0, service="opac"),)
+    return Load(KINDS, TARGETS, seconds=20.0, slack=SLACK, halls=2, limits=limits)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -177,7 +177,7 @@
 def test_short_request_is_judged_by_its_own_wait() -> None:
     """Only short requests are ahead of it, and its own latency decides about its deadline."""
     one, _ = overloaded()
-    assert one.expected_wait_ms("members", 2.0) < one.expected_wait_ms("members", 10.0)
+    assert one.expected_wait(0.0, "members", 2.0) < one.expected_wait(0.0, "members", 10.0)
     late = one.offer(0.0, "members", "x", 0.008, retry=False)
     in_time = one.offer(0.0, "members", "y", 0.008, retry=False, typical_ms=2.0)
     assert isinstance(late, Refused)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,15 +12,24 @@
 from roadpass import clock
 from roadpass.audit import AuditTrail
 from roadpass.gossip import Gossip
-from roadpass.gossip_messages import Begin, Confirmed, CrashUpdate, Events, Seed
+from roadpass.gossip_messages import (
+    Begin,
+    Confirmed,
+    CrashUpdate,
+    Events,
+    NoticeUpdate,
+    Seed,
+)
 from roadpass.member import Member, MemberState
 from roadpass.message import check_gossip
 from roadpass.metric import Metrics
+from roadpass.notice_table import NoticeTable
 from roadpass.packing import pack, unpack
 from roadpass.position import Position
 from roadpass.quarantine import Quarantine
 from roadpass.settings import Ports, Settings
 from roadpass.source_update import PeerPosition
+from roadpass.target_notice import TargetNotice
 
 ADDRESS = "127.0.41.1"
 PORTS = Ports(8080, 8081, 8082, 8083)
@@ -34,6 +43,7 @@
     nodes: list[str],
     *,
     quarantine: Quarantine | None = None,
+    notices: NoticeTable | None = None,
     address: str = ADDRESS,
     on_peer_position: Callable[[PeerPosition], None] | None = None,
 ) -> ActorRef[Gossip]:
@@ -48,7 +58,14 @@
         on_peer_position=on_peer_position,
     )
     return Gossip.start(
-        config, own, events, AuditTrail(), metrics, random.Random(1), quarantine or Quarantine()
+        config,
+        own,
+        events,
+        AuditTrail(),
+        metrics,
+        random.Random(1),
+        quarantine or Quarantine(),
+        notices or NoticeTable(),
     )
 
 
@@ -87,6 +104,9 @@
         pack({**good, "crashes": [["work", -1.0, [["end", "x"]]]]}),
         pack({**good, "crashes": [["work", -1.0, [["end", 0.1]] * 4]]}),
         pack({**good, "crashes": [["", -1.0, []]]}),
+        pack({**good, "notices": [["t", "x", False, 0.0]]}),
+        pack({**good, "notices": [["t", 1.0, 1, 0.0]]}),
+        pack({**good, "notices": [["t", 1.0, False, 0.0]] * 17}),
         datagram("vm-2")[:-7],
     ]
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
@@ -121,6 +141,29 @@
     ref.stop()
 
 
+def test_statements_of_targets_are_sent_and_received() -> None:
+    """A new one is sent at once; a received one counts like those heard here."""
+    notices = NoticeTable()
+    notices.configure(clock.now(), {"t", "u"})
+    ref = start(Metrics(), [], notices=notices, address="127.0.41.5")
+    notices.on_change = lambda: ref.tell(NoticeUpdate())
+    ref.tell(Begin())
+    ref.proxy().agreeing_peers.get()  # returns once the socket is bound and read
+    peer = Member("vm-9", 1, MemberState.ALIVE, "127.0.41.11", 8081, 8082, "hall", "region")
+    ref.tell(Seed((peer,), frozenset()))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((peer.address, peer.gossip_port))
+        sock.settimeout(LIMIT_S)
+        notices.hear(clock.now(), "t", TargetNotice(2.0), clock.now())
+        received = (unpack(sock.recv(2048)).get("notices", []) for _ in range(DATAGRAMS))
+        assert next(filter(None, received), [[]])[0][:3] == ["t", 2.0, False]
+        row = ["u", None, True, 0.0]
+        content = pack({**unpack(datagram("vm-9")), "notices": [row]})
+        sock.sendto(content, ("127.0.41.5", PORTS.gossip))
+        assert eventually(lambda: notices.is_leaving("u"))
+    ref.stop()
+
+
 def test_the_source_position_is_sent_and_received_with_its_era() -> None:
     """Nodes of earlier releases send no era, which means era 0."""
     positions: list[PeerPosition] = []
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -9,6 +9,8 @@
     UNREACHABLE_S,
     LoadTable,
 )
+from roadpass.message import LoadReport
+from roadpass.offer import Offer
 
 
 def test_the_back_off_from_an_unreachable_target_grows() -> None:
@@ -48,11 +50,11 @@
 def test_the_reply_of_a_full_target_is_reused_for_a_moment() -> None:
     """Longer if a probe costs bytes between data halls; the next answer ends it."""
     loads = LoadTable()
-    loads.cache_offer(0.0, "near", 0.0, 90.0, far=False, last=True)
-    loads.cache_offer(0.0, "far", 0.2, 200.0, far=True, last=True)
-    loads.cache_offer(0.0, "soon", 0.2, 10.0, far=True, last=True)
-    loads.cache_offer(0.0, "later", 0.2, 300.0, far=True, last=True)
-    loads.cache_offer(0.0, "sure", 0.1, 0.0, far=True, last=True)
+    loads.cache_offer(0.0, "near", Offer(0.0, 90.0, False), last=True)
+    loads.cache_offer(0.0, "far", Offer(0.2, 200.0, True), last=True)
+    loads.cache_offer(0.0, "soon", Offer(0.2, 10.0, True), last=True)
+    loads.cache_offer(0.0, "later", Offer(0.2, 300.0, True), last=True)
+    loads.cache_offer(0.0, "sure", Offer(0.1, 0.0, True), last=True)
     assert [name for name, _ in loads.cached_offers(OFFER_TTL_S / 2)] == [
         "near",
         "far",
@@ -60,11 +62,9 @@
         "later",
     ]
     assert [name for name, _ in loads.cached_offers(2 * OFFER_TTL_S)] == ["far", "soon", "later"]
-    assert [(name, cached.failure_risk) for name, cached in loads.cached_offers(0.25)] == [
-        ("later", 0.2)
-    ]
+    assert loads.cached_offers(0.25) == [("later", Offer(0.2, 300.0, True))]
     assert loads.cached_offers(FAR_OFFER_TTL_MAX_S) == []
-    loads.cache_offer(1.0, "near", 0.0, 90.0, far=False, last=True)
+    loads.cache_offer(1.0, "near", Offer(0.0, 90.0, False), last=True)
     loads.discard_offer("near")
     assert loads.cached_offers(1.0) == []
 
@@ -72,6 +72,26 @@
 def test_replies_of_removed_targets_are_dropped() -> None:
     """The table does not grow with replaced targets."""
     loads = LoadTable()
-    loads.cache_offer(0.0, "t", 0.0, 90.0, far=True, last=True)
+    loads.cache_offer(0.0, "t", Offer(0.0, 90.0, True), last=True)
     loads.keep_only({"other"})
     assert loads.cached_offers(0.0) == []
+
+
+def test_a_target_that_names_a_limit_counts_as_full_until_its_next_start() -> None:
+    """However few requests it runs; another one with a free slot is preferred."""
+    loads = LoadTable()
+    report = LoadReport(0, 0, 3, 0.0, 0.0, 20.0, 1, wait_ms=400.0)
+    loads.report(0.0, "limited", report, limited=True)
+    loads.report(0.0, "free", report, limited=False)
+    assert loads.load("limited", 0.39).utilization >= 1.0 > loads.load("free", 0.39).utilization
+    assert loads.load("limited", 0.41).utilization < 1.0
+
+
+def test_the_reply_of_a_near_target_with_a_limit_is_reused_until_its_next_start() -> None:
+    """A slot would be free sooner than the wait tells; a start is not."""
+    loads = LoadTable()
+    loads.cache_offer(0.0, "limited", Offer(0.0, 300.0, False, limited=True), last=True)
+    loads.cache_offer(0.0, "slow", Offer(0.0, 900.0, False, limited=True), last=True)
+    assert [name for name, _ in loads.cached_offers(0.29)] == ["limited", "slow"]
+    assert [name for name, _ in loads.cached_offers(0.31)] == ["slow"]
+    assert loads.cached_offers(FAR_OFFER_TTL_MAX_S) == []
--- a/tests/test_named_limit.py
+++ b/tests/test_named_limit.py
@@ -65,11 +65,9 @@
 
 
 def name_in_responses(target: TimedTarget, header: bytes) -> float:
-    """Let a target send a header from now on; return the time of its next request."""
-    known = set(target.received_at)
+    """Let a target send a header in all responses from now on; return the time."""
     target.headers = header + b"\r\n"
-    wait_until(lambda: bool(set(target.received_at) - known), 10.0)
-    return max(target.received_at.values())
+    return clock.now()
 
 
 def arrivals(target: TimedTarget, since: float, from_nodes: str) -> list[float]:
