Give no new work to a target whose responses say that it leaves

What callers saw: a target that said in all its answers that it leaves, while the source listed it as ready, got new requests until the source changed: 36 later than 2 s after its first such answer, and 11 in 2 s after its node was killed and started again. Requests that it still had when it ended were lost with it.

Cause: the same as of the limit: only the source's word that a target leaves counted, at each node as it reached it. The statement in the answers was dropped by the one process that sees them all.

The first such answer now counts like the source's word. The sidecar starts nothing new and returns what waits as not run; ingresses leave the target out as they do for the source's word, once they hear of it with a reply or by gossip. It is final for the incarnation: neither the source nor a later answer brings it back, and a restarted sidecar is told by those that know. Another incarnation is in service at once. The header goes on to callers as before.

--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -148,12 +148,14 @@
                 slack=service.target_repeats,
                 window_s=service.retry_window_s,
             )
-            self.leaving = target.leaving
+            self.leaving = target.leaving or self._notices.is_leaving(target.name)
         return True
 
     def apply_notice(self) -> None:
-        """Apply the limit that the target has named."""
+        """Apply what the target has stated about itself: its limit, or that it leaves."""
         self._slots.set_rate(clock.now(), self._notices.rate_per_s(self.target.name))
+        if self._notices.is_leaving(self.target.name):
+            self.leaving = True
 
     def report(self, revision: int, traffic_class: str = "", route: str = "") -> LoadReport:
         """Return the load report that goes with every response.
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -150,6 +150,8 @@
     def _statement(self, name: str) -> str:
         """Return what a target states about itself, empty for nothing."""
         notices = self._view.notices
+        if notices.is_leaving(name):
+            return "its responses say that it is leaving"
         rate_per_s = notices.rate_per_s(name)
         return "" if rate_per_s is None else f"it names a limit of {rate_per_s:g} requests/s"
 
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -98,8 +98,8 @@
         return 1 if node is not None and node.region == self._region else 2
 
     def is_leaving(self, target: Target) -> bool:
-        """Return whether a target is shutting down, by the source or the node beside it."""
-        if target.leaving:
+        """Return whether a target is shutting down, by the source, itself or the node beside it."""
+        if target.leaving or self.notices.is_leaving(target.name):
             return True
         node = self.nodes.get(target.vm)
         return node is not None and node.leaving
--- a/tests/test_limited_target.py
+++ b/tests/test_limited_target.py
@@ -271,6 +271,45 @@
     assert report.bad < 0.1
 
 
+# Guards against new work for a target that says in its responses that it leaves.
+def test_a_leaving_target_gets_nothing_new(stage: Stage) -> None:
+    """What waits is returned at once as not run, while what runs is answered."""
+    stage.target.hold.clear()
+    replies: list[Reply] = []
+    options = {"most_wait_ms": 2500.0}
+    threads = [
+        threading.Thread(target=lambda n=n: replies.append(stage.run(n, caller=f"c{n}", **options)))
+        for n in range(3)
+    ]
+    for thread in threads:
+        thread.start()
+    while len(stage.target.received) < 2 or stage.sidecar.in_flight < 3:
+        sleep(0.005)
+    stage.target.responses = [OK + LENGTH + LEAVING + BODY]
+    stage.sidecar.notices.merge(clock.now(), "i-1@1", [None, True, 0.0], "gossip")
+    while not replies:
+        sleep(0.005)
+    assert refused(replies[0]).reason is Reason.LEAVING
+    stage.target.hold.set()
+    for thread in threads:
+        thread.join()
+    assert sum(isinstance(reply.outcome, Answered) for reply in replies) == 2
+    stage.sidecar.configure(_fleet(1, slots=3))
+    assert refused(stage.run(9)).reason is Reason.LEAVING
+    assert len(stage.target.received) == 2
+
+
+def test_a_restarted_sidecar_is_told_that_its_target_leaves(stage: Stage) -> None:
+    """By the first ingress that knows; another incarnation is in service."""
+    stage.target.responses = [OK + LENGTH + LEAVING + BODY]
+    told = stage.run(1).notice
+    stage.restart()
+    assert refused(stage.run(2, notice=told)).reason is Reason.LEAVING
+    stage.target.responses = [OK + LENGTH + BODY]
+    stage.sidecar.configure(_fleet(2))
+    assert isinstance(stage.run(3, target="i-1@2").outcome, Answered)
+
+
 def test_older_nodes_are_sent_a_reason_that_they_know() -> None:
     """They read a message with an unknown reason as a broken connection."""
     message = Reply(NotRun(Reason.LIMITED, 400)).to_message()
