--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -3,7 +3,6 @@
 import threading
 
 from roadpass import clock
-from roadpass.admission import ExpectedWait
 from roadpass.breaker_log import BreakerLog
 from roadpass.circuit_breaker import CircuitBreaker
 from roadpass.dialect import OWN, Dialect
@@ -33,16 +32,10 @@
 from roadpass.shutdown import Shutdown
 from roadpass.slots import Slots
 from roadpass.start_limit import StartLimit
+from roadpass.target_admission import TargetAdmission
 
 MIN_START_MS = 2.0
 """Minimum time left, in milliseconds, to start an attempt."""
-MAX_WORSENING = 0.15
-"""Maximum rise of a target's failure probability during the wait of a request that cannot be
-retried: about the cost of sending it to another target."""
-BREAKER_RETRY_MS = 600
-"""Minimum retry-after of a tripped circuit breaker, in milliseconds. It is not shorter, since every
-ingress asks again and failure periods last seconds, and not longer, since the breaker recovers only
-through requests."""
 
 
 class LocalTarget:
@@ -104,6 +97,17 @@
         )
         self._guard = self._exchange.guard
         self._evidence = Evidence(service.false_ejections_per_target_week, clock.now())
+        self._admission = TargetAdmission(
+            slots=self._slots,
+            estimator=self._estimator,
+            breaker=self._breaker,
+            breaker_log=self._breaker_log,
+            shedding=self._shedding,
+            repeats=self._repeats,
+            evidence=self._evidence,
+            guard=self._guard,
+            lock=self._lock,
+        )
         self.leaving = target.leaving
         self.apply_notice()
 
@@ -168,8 +172,8 @@
         scores = self._evidence.scores
         now = clock.now()
         with self._lock:
-            bad = self._expected_cost(now)
-            wait = self._expected_wait(now, traffic_class, route)
+            bad = self._admission.expected_cost(now)
+            wait = self._admission.expected_wait(now, traffic_class, route)
         return LoadReport(
             in_flight=self._slots.in_use,
             queued=self._slots.waiting,
@@ -184,70 +188,12 @@
 
     def refusal(self, check: AdmissionCheck) -> NotRun | None:
         """Return why an attempt would be refused now, `None` if it would be accepted."""
-        refusal = self._new_work_refusal(check)
-        if refusal is not None:
-            return refusal
-        now = clock.now()
-        with self._lock:
-            wait = self._expected_wait(now, check.traffic_class, check.route)
-            bad = self._estimator.bad(now)
-            shed_cost = self._shedding.cost(now)
-            admits_as_trial = self._breaker.admits_as_trial(
-                now, trial=check.may_be_trial and check.spare
-            )
-        if wait.ms > (check.most_wait_ms if check.may_wait else 0.0):
-            return NotRun(wait.reason, int(wait.ms))
-        if shed_cost > check.most_bad or (bad > check.most_bad and not admits_as_trial):
-            return NotRun(Reason.DOUBTFUL, 0)
-        return None
-
-    def _expected_wait(self, now: float, traffic_class: str, route: str) -> ExpectedWait:
-        """Return the expected wait of a new request; one for a slot is longer if requests hang."""
-        typical_ms = self._estimator.latency(route).typical_ms if route else 0.0
-        wait = self._slots.expected_wait(now, traffic_class, typical_ms)
-        if wait.ms <= 0.0 or wait.reason is Reason.LIMITED:
-            return wait
-        stretched_ms = self._evidence.stretched_wait_ms(now, wait.ms, self._slots.service_ms)
-        return wait._replace(ms=stretched_ms)
-
-    def _expected_cost(self, now: float) -> float:
-        """Return the expected cost of sending a request here, relative to a lost request."""
-        bad = self._estimator.bad(now)
-        return bad + (1.0 - bad) * self._shedding.cost(now)
+        return self._admission.refusal(check)
 
     def _record_shedding(self, outcome: Outcome) -> None:
         with self._lock:
             self._shedding.record(clock.now(), outcome)
 
-    def _new_work_refusal(self, check: AdmissionCheck) -> NotRun | None:
-        """Return why the target gets no new request now, `None` if it may; ignores the queue."""
-        return (
-            self._breaker_refusal(check)
-            or self._guard.refusal_while_down()
-            or self._repeat_refusal(check)
-        )
-
-    def _repeat_refusal(self, check: AdmissionCheck) -> NotRun | None:
-        with self._lock:
-            allowed = not check.repeat or self._repeats.has_repeat_left(clock.now())
-        return None if allowed else NotRun(Reason.REPEATS_SPENT, RETRY_SOON_MS)
-
-    def _breaker_refusal(self, check: AdmissionCheck) -> NotRun | None:
-        if self.leaving:
-            return NotRun(Reason.LEAVING, RETRY_SOON_MS)
-        now = clock.now()
-        with self._lock:
-            admitted = self._breaker.admits(
-                now,
-                trial=check.may_be_trial and check.spare,
-                pressing=check.pressing,
-            )
-            wait_s = self._breaker.wait_s(now)
-        self._breaker_log.log_change(now)
-        if admitted:
-            return None
-        return NotRun(Reason.FAILING, max(BREAKER_RETRY_MS, int(wait_s * 1000.0)))
-
     def run(self, attempt: Attempt, deadline: float, watch: CallerWatch | None = None) -> Outcome:
         """Run one attempt: admit it, start it at most once, and wait for its outcome.
 
@@ -268,7 +214,9 @@
         started = False
         try:
             self._pause.settle()
-            unclaimed = self._worsened(attempt, bad) or self._claim(attempt, deadline, watch)
+            unclaimed = self._admission.worsened(attempt, bad) or self._claim(
+                attempt, deadline, watch
+            )
             if unclaimed is not None:
                 return unclaimed
             started = True
@@ -303,14 +251,6 @@
         with self._lock:
             self._evidence.forget_old(now)
 
-    def _worsened(self, attempt: Attempt, bad: float) -> NotRun | None:
-        """Refuse an attempt whose target became much more likely to fail while it waited."""
-        with self._lock:
-            now_bad = self._estimator.bad(clock.now())
-        if not attempt.last or attempt.pressing or now_bad < bad + MAX_WORSENING:
-            return None
-        return NotRun(Reason.DOUBTFUL, 0)
-
     def _claim(
         self, attempt: Attempt, deadline: float, watch: CallerWatch | None
     ) -> Outcome | None:
@@ -321,7 +261,9 @@
             return NotRun(Reason.EXPIRED, RETRY_SOON_MS)
         if now >= self._shutdown.last_start(attempt.usual_ms):  # reached late for lack of CPU time
             return NotRun(Reason.LEAVING, RETRY_SOON_MS)
-        refusal = self._new_work_refusal(AdmissionCheck.of(attempt)) or self._guard.refusal(attempt)
+        refusal = self._admission.new_work_refusal(
+            AdmissionCheck.of(attempt)
+        ) or self._guard.refusal(attempt)
         if refusal is not None:
             return refusal
         reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -18,6 +18,7 @@
     slots,
     stream,
     stream_server,
+    target_admission,
     target_chooser,
     transport,
 )
@@ -46,6 +47,7 @@
     sidecar: ("clock", "time"),
     slots: ("clock", "threading"),
     stream: ("clock", "select", "socket"),
+    target_admission: ("clock",),
     transport: ("clock",),
     request_state: ("clock",),
     request_log: ("clock",),
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -413,9 +413,9 @@
         assert reason(bench, attempt(number)) is None
     local = bench.sidecar.targets["t"]
     waits = attempt(30, last=True)
-    assert local._worsened(waits, 0.05) is None
+    assert local._admission.worsened(waits, 0.05) is None
     local._estimator.begin(clock.now() - 1.0, "r")
     local._estimator.begin(clock.now() - 1.0, "r")
-    assert local._worsened(waits, 0.05) == NotRun(Reason.DOUBTFUL, 0)
-    assert local._worsened(waits._replace(last=False), 0.05) is None
-    assert local._worsened(waits, 0.9) is None
+    assert local._admission.worsened(waits, 0.05) == NotRun(Reason.DOUBTFUL, 0)
+    assert local._admission.worsened(waits._replace(last=False), 0.05) is None
+    assert local._admission.worsened(waits, 0.9) is None
