Let the soak's targets name limits, and say that they leave

Checked from what targets received, by the process where each request began: no 4 s over one and a half times the limit and five more, from 3 s after the first answer with a limit, by nodes that were told half a second before; nothing new 2 s after a node was told that its target leaves. A node that was started anew has been told nothing; nothing else is excused.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
     *,
     ending: bool = False,
     restorations: bool = False,
+    limits: bool = False,
 ) -> list[Violation]:
     """Run one soak and print its violations and a summary.
 
@@ -30,7 +31,8 @@
     """
     folder = logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    history, faults = History(), plan(seed, seconds, processes, restorations=restorations)
+    history = History()
+    faults = plan(seed, seconds, processes, restorations=restorations, limits=limits)
     harness = Harness(folder, history, processes, net, seed, ending=ending)
     try:
         harness.run(faults, seconds)
@@ -70,6 +72,11 @@
     parser.add_argument(
         "--restorations", action="store_true", help="also restore the store from backups"
     )
+    parser.add_argument(
+        "--limits",
+        action="store_true",
+        help="also let targets name limits, and say that they leave",
+    )
     parser.add_argument("--logs", type=Path, help="folder for the logs, which are then always kept")
     return 1 if run_soak(**vars(parser.parse_args())) else 0
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -96,6 +96,9 @@
             connection.request(method, path, body, headers)
             response = connection.getresponse()
             request.status = response.status
+            request.answered_by = response.getheader("Server-Signature") or ""
+            request.told_limit = response.getheader("Server-Limit") is not None
+            request.told_leaving = response.getheader("Server-Leaving") is not None
             request.body_matches = response.read() == response_body(request_id, path)
         except TimeoutError:
             request.error = TIMED_OUT
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -19,6 +19,11 @@
     NodeProcess,
     Request,
 )
+from soak.limit_checker import (
+    lowest_limit,
+    requests_beyond_limits,
+    requests_to_leaving_targets,
+)
 from soak.target import POISON_PATH
 
 IN_FORCE_S, SETTLE_S = 2.0, 3.0
@@ -67,7 +72,7 @@
 def check(history: History) -> list[Violation]:
     """Return all violations by time."""
     violations = [*_exits(history), *_configurations(history), *_shares(history), *_poison(history)]
-    violations += [*_withdrawn_keys(history), *_quota(history)]
+    violations += [*_withdrawn_keys(history), *_quota(history), *_statements(history)]
     violations += [
         _violation(invariant, r)
         for r in history.requests.values()
@@ -229,6 +234,16 @@
             )
 
 
+def _statements(history: History) -> Iterator[Violation]:
+    """Check that targets get what their responses allow: limits, and nothing new while leaving."""
+    for late in requests_beyond_limits(history):
+        yield Violation(late.at, "limit", late.request.process.node, late.request.id, late.text)
+    for late in requests_to_leaving_targets(history):
+        yield Violation(
+            late.at, "leaving-named", late.request.process.node, late.request.id, late.text
+        )
+
+
 def _exits(history: History) -> Iterator[Violation]:
     """Check that a node exits only after SIGTERM, cleanly and within its grace period."""
     for process in history.node_processes:
@@ -338,7 +353,8 @@
     registered = (
         instance.service == service
         and instance.published_at <= since
-        and instance.draining_at > until
+        and min(instance.draining_at, instance.leaving_at) > until
+        and lowest_limit(instance, since, until) == math.inf
     )
     return registered and not _was_disturbed(
         history, since, until, instance.name, instance.node, STORE
--- a/soak/history.py
+++ b/soak/history.py
@@ -31,13 +31,27 @@
 
 @dataclass(eq=False)
 class Instance:
-    """One instance of a target; `draining_at` is when the store accepted its draining state."""
+    """One instance of a target.
+
+    Args:
+        draining_at: When the store accepted its draining state.
+        leaving_at: When it began to say in its responses that it leaves.
+        limits: The limits that it names in its responses, in requests a second, and since when; inf
+            for none.
+    """
 
     name: str
     service: str
     node: str
     published_at: float = inf
     draining_at: float = inf
+    leaving_at: float = inf
+    limits: list[tuple[float, float]] = field(default_factory=list)
+
+    @property
+    def limit_per_s(self) -> float:
+        """The limit that it names now, inf for none."""
+        return self.limits[-1][1] if self.limits else inf
 
 
 @dataclass(eq=False)
@@ -52,6 +66,7 @@
         key_forwarded: Whether the node forwarded the caller's key.
         finished_at: When the target's work ended, with or without a response.
         cancelled: Whether the sender closed the connection during that work.
+        named_limit: Whether the response named a limit.
     """
 
     at: float
@@ -61,6 +76,7 @@
     key_forwarded: bool = False
     finished_at: float = inf
     cancelled: bool = False
+    named_limit: bool = False
 
 
 @dataclass(eq=False)
@@ -69,7 +85,8 @@
 
     `body_matches` is set if the response body belongs to this request. `customer` is the owner of
     `key`, empty for an unknown key. `work_s` is how long its target works on it, 0 for the target's
-    default; `deadline_s` is the request's own deadline.
+    default; `deadline_s` is the request's own deadline. `answered_by` is the target instance whose
+    response the caller got; `told_limit` and `told_leaving` are what its headers said.
     """
 
     id: str
@@ -87,6 +104,9 @@
     key: str = ""
     work_s: float = 0.0
     deadline_s: float = inf
+    answered_by: str = ""
+    told_limit: bool = False
+    told_leaving: bool = False
 
 
 class ConfigWrite(NamedTuple):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -50,8 +50,23 @@
     variant: int
 
 
+LIMIT, LIMIT_CHANGES, LEAVE = "limit", "limit-changes", "leave"
+"""Statements of targets in their responses, which only runs with `limits` have."""
+LIMITED_SHARE, LEAVING_SHARE = 0.7, 0.4
+"""Shares of the nodes whose targets name a limit, and say that they leave."""
+LIMIT_MIN_S = 6.0
+"""Shortest time for which a target names a limit: the limit binds after three seconds."""
+LEAVE_S = 6.0
+"""Seconds from the statement of a target that it leaves to its end."""
+
+
 def plan(
-    seed: int, seconds: float, processes: int, *, restorations: bool = False
+    seed: int,
+    seconds: float,
+    processes: int,
+    *,
+    restorations: bool = False,
+    limits: bool = False,
 ) -> list[PlannedFault]:
     """Return the faults of a run by time; each group affects at most half of the nodes at once.
 
@@ -79,6 +94,24 @@
             fault for fault in faults if seed % 2 or fault.fault not in FAULT_GROUPS[0].faults
         ]
         faults = sorted([*faults, *_restores(seed, at)])
+    if limits:
+        faults = sorted([*faults, *_statements(seed, seconds, processes)])
+    return faults
+
+
+def _statements(seed: int, seconds: float, processes: int) -> list[PlannedFault]:
+    """Return the statements of targets, drawn apart from the other faults."""
+    rng = random.Random(f"{LIMIT} {seed}")
+    faults: list[PlannedFault] = []
+    for node in range(processes):
+        at, variant = rng.uniform(FIRST_FAULT_S, seconds / 3.0), rng.randrange(1000)
+        if rng.random() < LIMITED_SHARE:
+            duration_s = rng.uniform(LIMIT_MIN_S, seconds)
+            how = rng.choice((LIMIT, LIMIT_CHANGES))
+            faults.append(PlannedFault(at, how, node, duration_s, variant))
+        if rng.random() < LEAVING_SHARE:
+            at = rng.uniform(FIRST_FAULT_S, seconds - LEAVE_S)
+            faults.append(PlannedFault(at, LEAVE, node, LEAVE_S, variant))
     return faults
 
 
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -55,6 +55,8 @@
 """Ages of the backups from which the store is restored, and the delays until lost writes are
 repeated. Without delay they are repeated before the store answers, so that it may be back at its
 earlier revision; otherwise later."""
+LIMITS_PER_S = (0.5, 3.0, 0.2, 1.1)
+"""Limits that targets name, in requests a second."""
 RESTART_DELAY_S = 2.0
 """Seconds from a crash by the poison request to the next start of the target."""
 
@@ -136,7 +138,8 @@
         self._log.write(
             f"{clock.now():.3f} {planned.fault} {node.name} {planned.duration_s:.2f} s\n"
         )
-        if target.down and planned.fault in ("drain", "crash"):
+        ends_target = planned.fault in ("drain", "crash", plan.LEAVE)
+        if ends_target and (target.down or target.instance.leaving_at < inf):
             return
         match planned.fault:
             case "term" | "term-repeated":
@@ -157,6 +160,13 @@
                 self._schedule(EXPIRY_DELAY_S, self._store.delete, _entry(target)[0])
                 target.restart()
                 self._schedule(EXPIRY_DELAY_S, self._publish, target)
+            case plan.LIMIT | plan.LIMIT_CHANGES:
+                self._name_limits(target, planned)
+            case plan.LEAVE if target.instance.draining_at == inf:
+                target.instance.leaving_at = clock.now()
+                self._schedule(planned.duration_s, self._end_leaving, target)
+            case plan.LEAVE:
+                pass
             case "move" | "move-twice":
                 for number, delay_s in enumerate(
                     MOVE_DELAYS_S if planned.fault == "move-twice" else (0.0,)
@@ -171,6 +181,30 @@
             case _:
                 self._inject(target.instance.name, partial(setattr, target, "fault"), planned)
 
+    def _name_limits(self, target: SoakTarget, planned: PlannedFault) -> None:
+        """Let a target name a limit for a time, which may change in between."""
+        first, instance = planned.variant % len(LIMITS_PER_S), target.instance
+        limits = [LIMITS_PER_S[first]]
+        if planned.fault == plan.LIMIT_CHANGES:
+            limits.append(LIMITS_PER_S[(first + 1) % len(LIMITS_PER_S)])
+
+        def set_limit(limit_per_s: float) -> None:
+            if target.instance is instance:
+                target.set_limit(limit_per_s)
+
+        for number, limit_per_s in enumerate([*limits, inf]):
+            delay_s = planned.duration_s * number / len(limits)
+            self._schedule(delay_s, set_limit, limit_per_s)
+
+    def _end_leaving(self, target: SoakTarget) -> None:
+        """End a target that has said that it leaves, and start it as another instance."""
+        if target.down:
+            return
+        self._store.delete(_entry(target)[0])
+        self._history.begin_disturbance(target.instance.name, "crash")
+        target.restart()
+        self._publish(target)
+
     def _schedule(self, delay_s: float, action: Callable[..., None], *args: object) -> None:
         self._scheduler.enter(delay_s, 1, action, args)
 
--- a/soak/target.py
+++ b/soak/target.py
@@ -20,6 +20,7 @@
 FAULT_SHARE = 0.6
 """Share of requests to which a fault applies: a faulty target still serves the others."""
 NOT_RUN = ("reset-early", "shed", "foreign")
+MISDIRECTED = 421
 PORT, WORK_S, SLOW_S, HANG_LIMIT_S = 8110, 0.004, (0.3, 1.2), 5.0
 LINGER_RESET = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
@@ -55,6 +56,10 @@
         for sock in self.connections.copy():
             _reset(sock)
 
+    def set_limit(self, limit_per_s: float) -> None:
+        """Name another limit in all responses from now on; inf for none."""
+        self.instance.limits.append((clock.now(), limit_per_s))
+
     def kill(self) -> None:
         """Behave like a killed process: reset all connections and accept no new ones."""
         with self._kill_lock:
@@ -107,7 +112,7 @@
         key_forwarded = "Authorization" in self.headers
         ran = fault not in NOT_RUN
         request.arrivals.append(Arrival(clock.now(), instance, ran, customer, key_forwarded))
-        arrival = request.arrivals[-1]
+        self._arrival = arrival = request.arrivals[-1]
         try:
             if POISON_PATH in self.path and ran:
                 self._kill_target(target, arrival)
@@ -134,7 +139,7 @@
             case "fail":
                 self._reply(500, body)
             case "foreign":
-                self._reply(421, b"another instance")
+                self._reply(MISDIRECTED, b"another instance")
             case "shed":
                 self._reply(503, b"shed", "Not-Executed: 1\r\nRetry-After: 1\r\n")
             case "extra" if target.rng.random() < 0.5:
@@ -169,8 +174,22 @@
     def _reply(self, status: int, body: bytes, headers: str = "", request_id: str = "") -> None:
         request_id = request_id or self.headers["Request-Id"]
         head = f"HTTP/1.1 {status} Status\r\nRequest-Id: {request_id}\r\n{headers}"
+        if status != MISDIRECTED:
+            head += self._statements()
         self.wfile.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
+    def _statements(self) -> str:
+        """Return the headers that say who responds, its limit, and that it leaves."""
+        instance = self._arrival.instance
+        limit_per_s = instance.limit_per_s
+        headers = f"Server-Signature: {instance.name}\r\n"
+        if limit_per_s < inf:
+            self._arrival.named_limit = True
+            headers += f"Server-Limit: {limit_per_s:g}\r\n"
+        if instance.leaving_at < inf:
+            headers += "Server-Leaving: 1\r\n"
+        return headers
+
 
 def is_readable(sock: socket.socket, seconds: float) -> bool:
     """Wait for data or the end of a connection; `poll` takes descriptors that `select` refuses."""
