Pass on the wait in fractions of a second that a target names

Found on the search for other words of a target that are dropped. Callers that were refused because all targets shed were told the wrong time. Two of seven cases of the new test failed before.

--- a/roadpass/exchange.py
+++ b/roadpass/exchange.py
@@ -1,5 +1,7 @@
 """Sends an attempt to one target and maps the result to an outcome."""
 
+import re
+
 from roadpass import clock
 from roadpass.crash_guard import CrashGuard
 from roadpass.decision import decided
@@ -31,6 +33,8 @@
 )
 from roadpass.target_notice import TargetNotice
 
+_SECONDS = re.compile(r"[0-9]{1,6}(?:\.[0-9]{1,6})?")
+
 
 class Exchange:
     """Sends admitted attempts to a target; thread-safe.
@@ -196,7 +200,8 @@
 
 
 def _retry_after_ms(headers: list[tuple[str, str]]) -> int:
+    """Return the wait that a target names in seconds, which may have fractions."""
     for name, value in headers:
-        if name.lower() == "retry-after" and value.isdigit():
-            return int(value) * 1000
+        if name.lower() == "retry-after" and _SECONDS.fullmatch(value):
+            return round(float(value) * 1000.0)
     return RETRY_SOON_MS
--- a/tests/test_limited_target.py
+++ b/tests/test_limited_target.py
@@ -14,7 +14,7 @@
 from roadpass.message import AdmissionCheck, Attempt, Reply, check
 from roadpass.metric import Metrics
 from roadpass.notice_table import NO_LIMIT
-from roadpass.outcome import Answered, NotRun, Reason
+from roadpass.outcome import RETRY_SOON_MS, Answered, NotRun, Reason
 from roadpass.pause import PauseWatch
 from roadpass.platform.dialect import PLATFORM
 from roadpass.route import Route
@@ -310,6 +310,27 @@
     assert isinstance(stage.run(3, target="i-1@2").outcome, Answered)
 
 
+# Guards against a target's own wait that is dropped because it is a fraction of a second.
+@pytest.mark.parametrize(
+    ("value", "retry_after_ms"),
+    [
+        (b"2", 2000),
+        (b"0.25", 250),
+        (b"1.5", 1500),
+        (b"soon", RETRY_SOON_MS),
+        (b"-1", RETRY_SOON_MS),
+        (b"1e9", RETRY_SOON_MS),
+        (b"Wed, 21 Oct 2015 07:28:00 GMT", RETRY_SOON_MS),
+    ],
+)
+def test_a_shed_request_carries_the_wait_that_its_target_names(
+    stage: Stage, value: bytes, retry_after_ms: int
+) -> None:
+    """Other values than seconds mean the default."""
+    stage.target.responses = [SHED + b"Retry-After: " + value + b"\r\n" + LENGTH + BODY]
+    assert refused(stage.run(1)) == NotRun(Reason.SHED, retry_after_ms)
+
+
 def test_older_nodes_are_sent_a_reason_that_they_know() -> None:
     """They read a message with an unknown reason as a broken connection."""
     message = Reply(NotRun(Reason.LIMITED, 400)).to_message()
