Name in the log the targets whose limits refused a request

A request can be refused by waits that targets told to other requests a moment before; then no attempt of its own names them, and the way from its id to the cause ended at the reason. The line of its end now has target and wait.

--- a/roadpass/request_log.py
+++ b/roadpass/request_log.py
@@ -4,7 +4,7 @@
 from roadpass.decision import decided
 from roadpass.fleet import Target
 from roadpass.message import Attempt, Reply
-from roadpass.outcome import Answered, NotRun, Outcome, Unknown
+from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.request import Request
 from roadpass.request_state import RequestState
 
@@ -87,9 +87,22 @@
         has_repeat=has_repeat,
         ms=round((clock.now() - started) * 1000.0, 1),
         left_ms=round((state.deadline - clock.now()) * 1000.0, 1),
+        limit_waits=_limit_waits(state, outcome),
     )
 
 
+def _limit_waits(state: RequestState, outcome: Outcome) -> dict[str, int] | None:
+    """Return the waits in ms that targets told because of their limits, for a refusal by these.
+
+    Some of these targets may have told it to other requests, so that no attempt names them.
+    """
+    match outcome:
+        case NotRun(reason=Reason.LIMITED):
+            return {name: round(one.wait_ms) for name, one in state.offers.items() if one.limited}
+        case _:
+            return None
+
+
 def _wait_ms(outcome: Outcome) -> int | None:
     match outcome:
         case NotRun(retry_after_ms=wait_ms):
