Apply the latest limit of a target, however its changes cross

Found by reading: two threads that hear the begin and the end of a limit each read it and then apply it. If the reader of the begin was slower, the limit stayed although the table had none, until the target named one again: a target that is well again would have been kept at its old limit. The new test brings the crossing about and failed before. Reading and applying are one step now. The table of limits is also no longer walked while a configuration may add to it.

The line of an attempt no longer shows the end of a limit as a limit of -1.

--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -71,6 +71,7 @@
         self.target = target
         self._service = service
         self._notices = notices
+        self._notice_lock = threading.Lock()
         self._shutdown = shutdown
         self._fences = fences
         self._pause = pause
@@ -157,7 +158,8 @@
 
     def apply_notice(self) -> None:
         """Apply what the target has stated about itself: its limit, or that it leaves."""
-        self._slots.set_rate(clock.now(), self._notices.rate_per_s(self.target.name))
+        with self._notice_lock:  # of two threads the later one applies the latest limit
+            self._slots.set_rate(clock.now(), self._notices.rate_per_s(self.target.name))
         if self._notices.is_leaving(self.target.name):
             self.leaving = True
 
--- a/roadpass/request_log.py
+++ b/roadpass/request_log.py
@@ -36,7 +36,7 @@
         bad=reply.load.bad if reply.load is not None else None,
         wait_ms=_wait_ms(reply.outcome),
         most_wait_ms=round(attempt.most_wait_ms),
-        limit_per_s=reply.notice[0] if reply.notice is not None else None,
+        limit_per_s=_limit_per_s(reply),
         outcome=_name(reply.outcome),
     )
 
@@ -91,6 +91,12 @@
     )
 
 
+def _limit_per_s(reply: Reply) -> float | None:
+    """Return the limit that the target names, `None` for none."""
+    named = reply.notice[0] if reply.notice is not None else None
+    return None if named is None or named < 0.0 else float(named)
+
+
 def _limit_waits(state: RequestState, outcome: Outcome) -> dict[str, int] | None:
     """Return the waits in ms that targets told because of their limits, for a refusal by these.
 
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -140,9 +140,9 @@
         now = clock.now()
         self._fences.expire(now)
         self._notices.expire(now)
-        for name in [name for name in self._start_limits if name not in self._targets]:
-            if self._notices.rate_per_s(name) is None:
-                del self._start_limits[name]
+        for name in list(self._start_limits):
+            if name not in self._targets and self._notices.rate_per_s(name) is None:
+                self._start_limits.pop(name, None)
 
     def check(self, check: AdmissionCheck) -> Message:
         """Return whether an attempt would be accepted, without running it."""
--- a/tests/test_limited_target.py
+++ b/tests/test_limited_target.py
@@ -13,13 +13,14 @@
 from roadpass.fleet import Fleet
 from roadpass.message import AdmissionCheck, Attempt, Reply, check
 from roadpass.metric import Metrics
-from roadpass.notice_table import NO_LIMIT
+from roadpass.notice_table import NO_LIMIT, NoticeTable
 from roadpass.outcome import RETRY_SOON_MS, Answered, NotRun, Reason
 from roadpass.pause import PauseWatch
 from roadpass.platform.dialect import PLATFORM
 from roadpass.route import Route
 from roadpass.sidecar import Sidecar
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
+from roadpass.target_notice import TargetNotice
 
 IP, PORT = "127.0.47.1", 8110
 OK, SHED = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
@@ -81,7 +82,7 @@
         self.metrics = Metrics()
         self.restart()
 
-    def restart(self) -> None:
+    def restart(self, notices: NoticeTable | None = None) -> None:
         """Start the sidecar anew, without its memory."""
         self.sidecar = Sidecar(
             IP,
@@ -90,6 +91,7 @@
             pull=dict,
             behind=lambda vm, revision: None,
             dialect=PLATFORM,
+            notices=notices,
             metrics=self.metrics,
         )
         self.sidecar.configure(_fleet(1))
@@ -261,6 +263,35 @@
     assert isinstance(stage.run(3, target="i-1@2").outcome, Answered)
 
 
+class Interleaved(NoticeTable):
+    """Ends a limit in another thread while the first reader of that limit is about to apply it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ends: list[threading.Thread] = []
+
+    def rate_per_s(self, target: str) -> float | None:
+        rate_per_s = super().rate_per_s(target)
+        if rate_per_s is not None and not self.ends:
+            now = clock.now()
+            end = threading.Thread(target=self.hear, args=(now, target, TargetNotice(), now))
+            self.ends.append(end)
+            end.start()
+            end.join(0.3)
+        return rate_per_s
+
+
+# Guards against a limit that stays for ever, as two threads apply its begin and its end at once.
+def test_a_limit_that_ends_while_it_is_applied_ends(stage: Stage) -> None:
+    """The last change applies, whichever thread is faster."""
+    notices = Interleaved()
+    stage.restart(notices)
+    notices.hear(clock.now(), "i-1@1", TargetNotice(2.0), clock.now())
+    notices.ends[0].join()
+    for number in range(4):
+        assert isinstance(stage.run(number).outcome, Answered)
+
+
 def test_a_limit_is_no_evidence_against_its_target(stage: Stage) -> None:
     """Refusals by it neither raise its scores nor trip its circuit breaker."""
     stage.target.responses = [OK + LENGTH + LIMIT + BODY]
