--- a/tests/test_crowd_limits.py
+++ b/tests/test_crowd_limits.py
@@ -32,6 +32,15 @@
     assert mean(crowds, "served", "hold", between=LIMITED_S) >= 0.98
 
 
+# Guards against limits that each part of a fleet spends for itself.
+def test_a_partition_does_not_multiply_a_limit() -> None:
+    """All requests to a target pass the one node beside it, on whichever side that is."""
+    for crowd in play(lambda seed: limited_by_some(seed)._replace(partition=(8.0, 14.0))):
+        for limit in crowd.load.limits:
+            (target,) = limit.targets
+            assert crowd.most_starts(target, *BOUND_S, WINDOW_S) <= tolerated(limit.rate_per_s)
+
+
 # Guards against a service whose limits are spent on retries, or not used at all.
 def test_a_service_with_limits_everywhere_is_used_up_to_them() -> None:
     """What is beyond the limits is refused at once as not run, and spends no repeat."""
--- a/tests/test_named_limit.py
+++ b/tests/test_named_limit.py
@@ -1,5 +1,6 @@
 """Whole nodes before targets that name a limit in their responses, or that they leave."""
 
+import http.client
 import itertools
 import threading
 from collections.abc import Iterator
@@ -8,7 +9,7 @@
 import pytest
 
 from roadpass import clock
-from tests.stopping import NodeProcesses, TimedTarget, wait_until
+from tests.stopping import PORTS, NodeProcesses, TimedTarget, wait_until
 
 NET = 46
 NODES = 3
@@ -86,6 +87,15 @@
     return TOLERANCE * WINDOW_S * limit_per_s + EXCESS_REQUESTS
 
 
+def page(nodes: NodeProcesses, node: int, path: str) -> str:
+    """Return a page of a node's administration API."""
+    connection = http.client.HTTPConnection(nodes.ips[node], PORTS["admin"], timeout=5.0)
+    connection.request("GET", path)
+    body = connection.getresponse().read().decode()
+    connection.close()
+    return body
+
+
 def sleep(seconds: float) -> None:
     """Wait, by the clock that the nodes use."""
     until = clock.now() + seconds
@@ -106,6 +116,22 @@
     assert load.statuses.count(200) == len(load.statuses)
 
 
+# Guards against refusals whose cause an operator cannot find.
+def test_operators_see_which_target_names_a_limit(nodes: NodeProcesses) -> None:
+    """In the log with the request, in the metrics, and beside the states of the targets."""
+    load = Load(nodes)
+    name_in_responses(nodes.targets[0], b"Server-Limit: %.1f" % LIMIT_PER_S)
+    sleep(2.0)
+    load.stop()
+    (line,) = [line for line in nodes.log(0) if line.get("what") == "limit-named"]
+    assert (line["rate_per_s"], line["source"]) == (LIMIT_PER_S, "response")
+    assert line["request"] in nodes.targets[0].received_at
+    gauge = f'roadpass_target_limit_per_s{{target="{line["target"]}"}} {LIMIT_PER_S}'
+    assert all(gauge in page(nodes, node, "/metrics") for node in range(NODES))
+    assert "roadpass_limit_refusals_total" in page(nodes, 0, "/metrics")
+    assert "it names a limit of 0.5 requests/s" in page(nodes, 1, "/targets")
+
+
 # Guards against a limit that is forgotten with the process that kept it, while others know it.
 def test_a_limit_outlives_the_node_beside_its_target(nodes: NodeProcesses) -> None:
     """Those that were told of the limit tell the new process before it starts their requests."""
@@ -132,6 +158,7 @@
     load.stop()
     assert arrivals(target, named_at + DRAIN_S, "012") == []
     assert load.statuses.count(200) == len(load.statuses)
+    assert "its responses say that it is leaving" in page(nodes, 1, "/targets")
 
 
 # Guards against a leaving target that comes back because the node beside it has started anew.
