Add the switches of load sharing, and the fields that its parts send

Nothing in a fleet's configuration said which are called for.

Change: `Sharing` names a switch for each part. Documents set it; for the users' store the adapter derives it from the terms in the settings and from routes of kind upload. Routes know whether they are uploads, and nodes pass that on in a field of its own, since older nodes reject longer rows.

No decision reads a switch yet: behaviour is unchanged.

--- a/roadpass/_generated/document_types.py
+++ b/roadpass/_generated/document_types.py
@@ -11,6 +11,9 @@
     services: dict[str, "_DocumentServicesAdditionalproperties"]
     targets: dict[str, "_DocumentTargetsAdditionalproperties"]
     routes: dict[str, "_DocumentRoutesAdditionalproperties"]
+    sharing: "_DocumentSharing"
+    r""" Ways of sharing capacity under load; all are off unless set. """
+
     customer_salt: str
     r"""
     Under which the digests of all customers' keys were made, in hexadecimal.
@@ -47,6 +50,11 @@
 
 
 
+_DOCUMENT_ROUTES_ADDITIONALPROPERTIES_UPLOAD_DEFAULT = False
+r""" Default value of the field path 'document routes additionalProperties upload' """
+
+
+
 _DOCUMENT_SELECTORS_ITEM_SPILL_DEFAULT = False
 r""" Default value of the field path 'document selectors item spill' """
 
@@ -161,6 +169,10 @@
     # | 
     # | default: False
     'public': bool,
+    # | Whether its requests have large bodies; they are never repeated.
+    # | 
+    # | default: False
+    'upload': bool,
 }, total=False)
 
 
@@ -337,6 +349,19 @@
 
 
 
+class _DocumentSharing(TypedDict, total=False):
+    r""" Ways of sharing capacity under load; all are off unless set. """
+
+    room: bool
+    queue: bool
+    fair_shares: bool
+    parents: bool
+    fleet_repeats: bool
+    streamed_bodies: bool
+    vm_sizes: bool
+    warm_up: bool
+
+
 class _DocumentTargetsAdditionalproperties(TypedDict, total=False):
     service: Required[str]
     r""" Required property """
--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -167,6 +167,16 @@
     maxItems: 3
     """
 
+    slot: "_SlotNumber"
+    r"""
+    A slot that the sidecar holds for this ingress.
+
+    minimum: 0
+    """
+
+    parent_repeat: "_ParentRepeat"
+    r""" Whether a repeated request makes this call, so that it counts as a repeat. """
+
 
 
 class CatchUp(TypedDict, total=False):
@@ -235,6 +245,24 @@
     maxItems: 3
     """
 
+    slot: "_SlotNumber"
+    r"""
+    A slot that the sidecar holds for this ingress.
+
+    minimum: 0
+    """
+
+    parent_repeat: "_ParentRepeat"
+    r""" Whether a repeated request makes this call, so that it counts as a repeat. """
+
+    wait: tuple["_CheckWait0", "_CheckWait1", int | float]
+    r"""
+    Place in the waiting order: rank of the class, standing, milliseconds to the latest useful start
+
+    minItems: 3
+    maxItems: 3
+    """
+
 
 
 Crash = tuple["_Crash0", int | float, "_Crash2"]
@@ -300,6 +328,47 @@
     news: Required[list["Rumor"]]
     r""" Required property """
 
+    room: list["Room"]
+    r""" maxItems: 64 """
+
+    waiting: list["Waiting"]
+    r""" maxItems: 64 """
+
+    slots: list["Slot"]
+    r""" maxItems: 64 """
+
+    returned: list["ReturnedSlot"]
+    r""" maxItems: 64 """
+
+    demand: list["Demand"]
+    r""" maxItems: 64 """
+
+    shares: list["Share"]
+    r""" maxItems: 64 """
+
+    loans: list["Loan"]
+    r""" maxItems: 64 """
+
+    size: int | float
+    r"""
+    Processor cores that the sender may use; 0 or left out if unknown.
+
+    minimum: 0
+    maximum: 4096
+    """
+
+
+
+Demand = tuple["_Demand0", "_Demand1", "_Demand2", "_Demand3", "_Demand4"]
+r"""
+demand.
+
+service, traffic class, customer, running and waiting requests of it at the sender
+
+minItems: 5
+maxItems: 5
+"""
+
 
 
 class Fence(TypedDict, total=False):
@@ -454,6 +523,18 @@
     wait_ms: int | float
 
 
+Loan = tuple["_Loan0", "_Loan1", "_Loan2", "_Loan3"]
+r"""
+loan.
+
+service, kind of the message, number of the loan, repeats
+
+minItems: 4
+maxItems: 4
+"""
+
+
+
 Message = Union["Hello", "Attempt", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Keep", "Kept", "Recall", "Recalled", "Pull", "Revision", "CatchUp", "News", "Datagram"]
 r"""
 message.
@@ -515,6 +596,9 @@
     config: list[Any]
     r""" version, rows of routes, rows of services, limits of callers """
 
+    uploads: list[str]
+    r""" Names of the routes with large bodies. """
+
     targets: Required[list["TargetRow"]]
     r""" Required property """
 
@@ -631,6 +715,18 @@
 
 
 
+ReturnedSlot = tuple["_ReturnedSlot0", "_ReturnedSlot1"]
+r"""
+returned slot.
+
+target, number of a slot that the sender does not need
+
+minItems: 2
+maxItems: 2
+"""
+
+
+
 class Revision(TypedDict, total=False):
     r""" revision. """
 
@@ -645,6 +741,18 @@
 
 
 
+Room = tuple["_Room0", "_Room1", "_Room2", "_Room3", "_Room4", "_Room5"]
+r"""
+room.
+
+target, free slots, queued requests, mean service time in ms, expected cost of sending here from 0 to 1, age in ms
+
+minItems: 6
+maxItems: 6
+"""
+
+
+
 Rumor = tuple[str, int, "_Rumor2", str, int, int, str, str]
 r"""
 rumor.
@@ -657,6 +765,30 @@
 
 
 
+Share = tuple["_Share0", "_Share1", "_Share2", "_Share3"]
+r"""
+share.
+
+service, traffic class, customer, slots that the receiver may use for it
+
+minItems: 4
+maxItems: 4
+"""
+
+
+
+Slot = tuple["_Slot0", "_Slot1", "_Slot2"]
+r"""
+slot.
+
+target, number of the slot that is held for the receiver, ms for which it is held
+
+minItems: 3
+maxItems: 3
+"""
+
+
+
 TargetNotice = tuple["_TargetNotice0", int | float | None, bool, int | float]
 r"""
 target notice.
@@ -730,6 +862,18 @@
 
 
 
+Waiting = tuple["_Waiting0", "_Waiting1", "_Waiting2", "_Waiting3", int | float]
+r"""
+waiting.
+
+service, waiting requests at the sender; of the first: rank of its class, standing, ms to its latest useful start
+
+minItems: 5
+maxItems: 5
+"""
+
+
+
 _Allowance0 = str
 r"""
 minLength: 1
@@ -751,6 +895,16 @@
 
 
 
+_CheckWait0 = int
+r""" minimum: 0 """
+
+
+
+_CheckWait1 = int
+r""" minimum: 0 """
+
+
+
 _Crash0 = str
 r"""
 minLength: 1
@@ -793,6 +947,37 @@
 
 
 
+_Demand0 = str
+r"""
+minLength: 1
+maxLength: 200
+"""
+
+
+
+_Demand1 = str
+r""" maxLength: 200 """
+
+
+
+_Demand2 = str
+r"""
+minLength: 1
+maxLength: 200
+"""
+
+
+
+_Demand3 = int
+r""" minimum: 0 """
+
+
+
+_Demand4 = int
+r""" minimum: 0 """
+
+
+
 _Era = int
 r"""
 Era of the source that a revision is of, 0 if left out.
@@ -830,6 +1015,52 @@
 
 
 
+_Loan0 = str
+r"""
+minLength: 1
+maxLength: 200
+"""
+
+
+
+_Loan1 = Literal['spare'] | Literal['request'] | Literal['grant']
+_LOAN1_SPARE: Literal['spare'] = "spare"
+r"""The values for the '_Loan1' enum"""
+_LOAN1_REQUEST: Literal['request'] = "request"
+r"""The values for the '_Loan1' enum"""
+_LOAN1_GRANT: Literal['grant'] = "grant"
+r"""The values for the '_Loan1' enum"""
+
+
+
+_Loan2 = int
+r""" minimum: 0 """
+
+
+
+_Loan3 = int
+r""" minimum: 0 """
+
+
+
+_ParentRepeat = bool
+r""" Whether a repeated request makes this call, so that it counts as a repeat. """
+
+
+
+_ReturnedSlot0 = str
+r"""
+minLength: 1
+maxLength: 256
+"""
+
+
+
+_ReturnedSlot1 = int
+r""" minimum: 0 """
+
+
+
 class _RevisionDocumentsItem(TypedDict, total=False):
     hash: Required[str]
     r""" Required property """
@@ -851,6 +1082,42 @@
 
 
 
+_Room0 = str
+r"""
+minLength: 1
+maxLength: 256
+"""
+
+
+
+_Room1 = int
+r""" minimum: 0 """
+
+
+
+_Room2 = int
+r""" minimum: 0 """
+
+
+
+_Room3 = int | float
+r""" minimum: 0 """
+
+
+
+_Room4 = int | float
+r"""
+minimum: 0
+maximum: 1
+"""
+
+
+
+_Room5 = int | float
+r""" minimum: 0 """
+
+
+
 _Rumor2 = int
 r"""
 minimum: 0
@@ -859,6 +1126,59 @@
 
 
 
+_Share0 = str
+r"""
+minLength: 1
+maxLength: 200
+"""
+
+
+
+_Share1 = str
+r""" maxLength: 200 """
+
+
+
+_Share2 = str
+r"""
+minLength: 1
+maxLength: 200
+"""
+
+
+
+_Share3 = int | float
+r""" minimum: 0 """
+
+
+
+_Slot0 = str
+r"""
+minLength: 1
+maxLength: 256
+"""
+
+
+
+_Slot1 = int
+r""" minimum: 0 """
+
+
+
+_Slot2 = int | float
+r""" minimum: 0 """
+
+
+
+_SlotNumber = int
+r"""
+A slot that the sidecar holds for this ingress.
+
+minimum: 0
+"""
+
+
+
 _TargetNotice0 = str
 r"""
 minLength: 1
@@ -883,3 +1203,26 @@
 maxLength: 200
 """
 
+
+
+_Waiting0 = str
+r"""
+minLength: 1
+maxLength: 200
+"""
+
+
+
+_Waiting1 = int
+r""" minimum: 0 """
+
+
+
+_Waiting2 = int
+r""" minimum: 0 """
+
+
+
+_Waiting3 = int
+r""" minimum: 0 """
+
--- a/roadpass/_generated/settings_types.py
+++ b/roadpass/_generated/settings_types.py
@@ -62,6 +62,33 @@
     store: "_SettingsStore"
     r""" Read targets and configuration from the users' store instead of a manifest. """
 
+    memory_mb: int | float
+    r"""
+    Memory that this process may use in megabytes, 0 if unknown.
+
+    minimum: 0
+    maximum: 1048576
+    default: 0
+    """
+
+    cores: int | float
+    r"""
+    Processor cores of the VM; 0 if unknown.
+
+    minimum: 0
+    maximum: 4096
+    default: 0
+    """
+
+    cpu_share: int | float
+    r"""
+    Share of these cores that this process may use.
+
+    exclusiveMinimum: 0
+    maximum: 1
+    default: 1
+    """
+
     origin_service: str
     r"""
     Service of the target beside this node, at which its callers' requests begin.
@@ -142,6 +169,16 @@
 
 
 
+_SETTINGS_CORES_DEFAULT = 0
+r""" Default value of the field path 'settings cores' """
+
+
+
+_SETTINGS_CPU_SHARE_DEFAULT = 1
+r""" Default value of the field path 'settings cpu_share' """
+
+
+
 _SETTINGS_KEYS_DEFAULT: list[Any] = []
 r""" Default value of the field path 'settings keys' """
 
@@ -157,6 +194,11 @@
 
 
 
+_SETTINGS_MEMORY_MB_DEFAULT = 0
+r""" Default value of the field path 'settings memory_mb' """
+
+
+
 _SETTINGS_ORIGIN_SERVICE_DEFAULT = ''
 r""" Default value of the field path 'settings origin_service' """
 
@@ -267,6 +309,11 @@
 
 
 
+_SETTINGS_STORE_TERMS_DEFAULT: list[Any] = []
+r""" Default value of the field path 'settings store terms' """
+
+
+
 _SETTINGS_THREADS_DEFAULT = 48
 r""" Default value of the field path 'settings threads' """
 
@@ -478,6 +525,15 @@
     default: 0.1
     """
 
+    terms: list["_SettingsStoreTermsItem"]
+    r"""
+    Terms of the deployment, as the users name them; unknown ones are ignored.
+
+    maxItems: 64
+    default:
+      []
+    """
+
 
 
 _SettingsStoreInForceSOneof0 = int | float
@@ -529,3 +585,8 @@
 pattern: ^[0-9]+([.][0-9]+)?(ms|s)$
 """
 
+
+
+_SettingsStoreTermsItem = str
+r""" maxLength: 64 """
+
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -12,6 +12,7 @@
 from roadpass.offer import FAR_LOSS_PER_KB
 from roadpass.restored_entries import RestoredEntries
 from roadpass.settings import StoreSettings
+from roadpass.sharing import OFF, Sharing
 from roadpass.source import (
     Changes,
     ConfigPublished,
@@ -61,6 +62,7 @@
         retry_slack: Additional retries in each window, over the whole fleet.
         retry_window_s: Length of the window in seconds.
         far_loss_per_kb: Cost of a kilobyte sent to another data hall, as a share of a lost request.
+        sharing: Ways of sharing capacity that the settings call for.
     """
 
     floor_share: float = 0.7
@@ -68,11 +70,13 @@
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
     far_loss_per_kb: float = FAR_LOSS_PER_KB
+    sharing: Sharing = OFF
 
     @classmethod
-    def from_settings(cls, store: StoreSettings) -> "Policy":
-        """Return the policy in a node's store settings."""
-        return cls(*(getattr(store, name) for name in cls._fields))
+    def from_settings(cls, store: StoreSettings, sharing: Sharing) -> "Policy":
+        """Return the policy in a node's store settings, with the switches that these call for."""
+        shared = [name for name in cls._fields if name in store._fields]
+        return cls(**{name: getattr(store, name) for name in shared}, sharing=sharing)
 
 
 class Catalogue:
@@ -256,9 +260,16 @@
         revision=config.version,
         digest=str(config.version),
         customers=config.customers,
+        sharing=_sharing(config, policy),
     )
 
 
+def _sharing(config: PublishedConfig, policy: Policy) -> Sharing:
+    """Return what settings and configuration call for; shares need customers to share among."""
+    sharing = policy.sharing.union(config.sharing)
+    return sharing._replace(fair_shares=sharing.fair_shares and bool(config.customers))
+
+
 def _target(entry: TargetEntry, service: PublishedService) -> Target:
     return Target(
         name=entry.name,
--- a/roadpass/fleet.py
+++ b/roadpass/fleet.py
@@ -17,6 +17,7 @@
 from roadpass.retry import BURST, WINDOW_S
 from roadpass.route import Route, RouteTable
 from roadpass.selector import Labelled, Selector, known_zone, select
+from roadpass.sharing import OFF, Sharing
 
 DEFAULT_CLASS = "default"
 _NAMED_SECTIONS = ("services", "targets", "routes", "customers")
@@ -153,6 +154,7 @@
         revision: Number of the revision, 0 for none.
         digest: Hash of the revision's manifest.
         customers: Customers whose API keys callers present; if empty, no key is needed.
+        sharing: Ways of sharing capacity under load that are in force.
 
     Attributes:
         size: Number of VMs that run targets.
@@ -168,8 +170,10 @@
         revision: int = 0,
         digest: str = "",
         customers: Customers | None = None,
+        sharing: Sharing = OFF,
     ) -> None:
         self.customers = customers or Customers()
+        self.sharing = sharing
         self.revision = revision
         self.digest = digest
         self.services = services
@@ -204,6 +208,7 @@
         merged: dict[str, Any] = {name: {} for name in _NAMED_SECTIONS} | {
             "selectors": [],
             "salts": set(),
+            "sharing": {},
         }
         problems: list[str] = []
         for name, text in texts:
@@ -229,6 +234,7 @@
             revision=revision,
             digest=digest,
             customers=customers,
+            sharing=Sharing.from_config(merged["sharing"]),
         )
 
     def find_route(self, host: str, path: str, method: str) -> Route | None:
@@ -301,6 +307,8 @@
                 problems.append(f"{name}: $.{part}.{key}: is defined in another document too")
             merged[part][key] = entry
     merged["selectors"] += value.get("selectors", [])
+    for switch, on in value.get("sharing", {}).items():
+        merged["sharing"][switch] = on or merged["sharing"].get(switch, False)
     if "customer_salt" in value:
         merged["salts"].add(value["customer_salt"])
     if len(merged["salts"]) > 1:
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -30,6 +30,7 @@
 from roadpass.peer_pool import PeerPool
 from roadpass.platform.dialect import PLATFORM
 from roadpass.platform.store import StoreClient
+from roadpass.platform.terms import sharing_of
 from roadpass.quota import QuotaPolicy
 from roadpass.quota_coordinator import QuotaCoordinator, Quotas
 from roadpass.reader import Puller, Reader, ReaderEvents, Status
@@ -176,7 +177,7 @@
         self._router.store_reader = self._start(
             StoreReader,
             StoreClient(store.address, self.metrics),
-            Catalogue(Policy.from_settings(store)),
+            Catalogue(Policy.from_settings(store, sharing_of(store.terms))),
             self._journal,
             StoreEvents(
                 on_fleet=self._router.on_published,
@@ -220,7 +221,8 @@
         applied = own._replace(stop_limit_s=settings.stop_limit_s, log_level=settings.log_level)
         if own.store is not None and settings.store is not None:
             applied = applied._replace(store=settings.store._replace(address=own.store.address))
-            self._router.store_reader.tell(Policy.from_settings(settings.store))
+            store = settings.store
+            self._router.store_reader.tell(Policy.from_settings(store, sharing_of(store.terms)))
             self._quotas.set_policy(settings.store.quota_policy)
         self._settings = applied
         pending = [
--- a/roadpass/platform/decode.py
+++ b/roadpass/platform/decode.py
@@ -19,6 +19,7 @@
 from roadpass.errors import CustomerError, PlatformError
 from roadpass.platform._generated import check_entry
 from roadpass.route import Part, Route
+from roadpass.sharing import sharing_of_routes
 from roadpass.source import (
     Change,
     ConfigPublished,
@@ -70,9 +71,10 @@
     """
     try:
         limits = value["Limits"]
+        routes = tuple(_route(row) for row in _rows(value["Routes"]))
         return PublishedConfig(
             version=int(value["Version"]),
-            routes=tuple(_route(row) for row in _rows(value["Routes"])),
+            routes=routes,
             services={row["Name"]: _service(row) for row in _rows(value["Services"])},
             limits=CallerLimits(
                 max_header_bytes=int(limits["MaxHeaderBytes"]),
@@ -81,6 +83,7 @@
                 idle_timeout_s=seconds(limits["IdleTimeout"]),
             ),
             customers=_customers(value.get("Tenants")),
+            sharing=sharing_of_routes(routes),
         )
     except _PARSE_ERRORS as error:
         raise PlatformError(f"The configuration is invalid: {error!r}.") from error
@@ -156,6 +159,7 @@
         max_attempts=int(row["MaxAttempts"]) if "MaxAttempts" in row else None,
         target_latency_ms=int(seconds(latency) * 1000.0) if latency is not None else None,
         public=bool(row.get("Public", False)),
+        upload=row["Kind"] == "upload",
     )
 
 
--- a/roadpass/route.py
+++ b/roadpass/route.py
@@ -24,6 +24,7 @@
         max_attempts: Most targets that one request may be sent to, `None` for no limit.
         target_latency_ms: Latency objective, `None` if none is configured.
         public: Whether its requests need no API key even if customers are configured.
+        upload: Whether its requests have large bodies; they are never repeated.
     """
 
     name: str
@@ -39,6 +40,7 @@
     max_attempts: int | None = None
     target_latency_ms: int | None = None
     public: bool = False
+    upload: bool = False
 
     @property
     def parts(self) -> tuple[Part, ...]:
@@ -62,6 +64,7 @@
             max_attempts=value.get("max_attempts"),
             target_latency_ms=value.get("target_latency_ms"),
             public=value.get("public", False),
+            upload=value.get("upload", False),
         )
 
 
--- a/roadpass/settings.py
+++ b/roadpass/settings.py
@@ -32,6 +32,7 @@
         quota_window_s: Length in seconds of the windows in which customers' limits apply.
         quota_over: Tolerated excess as a share of the limit.
         quota_slack: Requests per window that are tolerated in addition.
+        terms: Terms of the deployment as the users name them; the platform adapter translates them.
     """
 
     address: str
@@ -44,6 +45,7 @@
     quota_window_s: float = WINDOW_S
     quota_over: float = 0.0
     quota_slack: float = 0.0
+    terms: tuple[str, ...] = ()
 
     @property
     def quota_policy(self) -> QuotaPolicy:
@@ -52,7 +54,12 @@
 
 
 class Settings(NamedTuple):
-    """Validated settings; times are in seconds."""
+    """Validated settings; times are in seconds.
+
+    Args:
+        memory_mb: Memory that this process may use in megabytes, 0 if unknown.
+        cores: Processor cores that this process may use, 0 if unknown.
+    """
 
     vm: str
     hall: str
@@ -72,6 +79,8 @@
     log_format: str = "text"
     store: StoreSettings | None = None
     origin_service: str = ""
+    memory_mb: float = 0.0
+    cores: float = 0.0
 
     @classmethod
     def from_config(cls, path: Path) -> "Settings":
@@ -118,6 +127,8 @@
             log_format=log.get("format", "text"),
             store=_store(store) if store else None,
             origin_service=str(value.get("origin_service", "")),
+            memory_mb=float(value.get("memory_mb", 0.0)),
+            cores=float(value.get("cores", 0.0)) * float(value.get("cpu_share", 1.0)),
         )
 
 
@@ -147,7 +158,8 @@
 
 def _store(value: Mapping[str, Any]) -> StoreSettings:
     times = {name: _seconds(value[name]) for name in _TIMES if name in value}
-    return StoreSettings(**{**value, **times})
+    terms = tuple(value.get("terms", ()))
+    return StoreSettings(**{**value, **times, "terms": terms})
 
 
 def _address(text: str) -> tuple[str, int]:
--- a/roadpass/source_update.py
+++ b/roadpass/source_update.py
@@ -1,5 +1,6 @@
 """Source updates between nodes: the wire format of `Changes`, and fetching updates from a peer."""
 
+from collections.abc import Collection
 from typing import Any, NamedTuple
 
 from roadpass import clock
@@ -11,6 +12,7 @@
 from roadpass.peer_pool import Address, PeerPool
 from roadpass.position import Position
 from roadpass.route import Part, Route
+from roadpass.sharing import sharing_of_routes
 from roadpass.source import (
     Change,
     Changes,
@@ -74,7 +76,8 @@
         """
         changes: list[Change] = []
         if "config" in message:
-            changes.append(ConfigPublished(_read_config(message["config"])))
+            uploads = frozenset(message.get("uploads", ()))
+            changes.append(ConfigPublished(_read_config(message["config"], uploads)))
         changes += [TargetPublished(TargetEntry(*row)) for row in message["targets"]]
         changes += [TargetWithdrawn(instance) for instance in message["withdrawn"]]
         away_age_s = message.get("away_age_s")
@@ -100,6 +103,9 @@
             match change:
                 case ConfigPublished(config=config):
                     message["config"] = _config_row(config)
+                    uploads = [route.name for route in config.routes if route.upload]
+                    if uploads:
+                        message["uploads"] = uploads
                 case TargetPublished(entry=entry):
                     message["targets"].append(_entry_row(entry))
                 case TargetWithdrawn(instance=instance):
@@ -139,7 +145,7 @@
             sorted(route.methods),
             *route[4:9],
             [list(p) for p in route.split],
-            *route[10:],
+            *route[10:-1],  # older nodes cannot read `upload`, which is sent separately
         ]
         for route in config.routes
     ]
@@ -150,16 +156,19 @@
     return row
 
 
-def _read_config(row: Any) -> PublishedConfig:
+def _read_config(row: Any, uploads: Collection[str]) -> PublishedConfig:
     try:
         version, routes, services, limits, *more = row
         known = [PublishedService(*row) for row in services]
+        read = [_route(row) for row in routes]
+        routes = tuple(route._replace(upload=route.name in uploads) for route in read)
         return PublishedConfig(
             version=version,
-            routes=tuple(_route(row) for row in routes),
+            routes=routes,
             services={service.name: service for service in known},
             limits=CallerLimits(*limits),
             customers=Customers.from_rows(*more[0]) if more else Customers(),
+            sharing=sharing_of_routes(routes),
         )
     except CustomerError as error:
         raise FrameError(str(error)) from error
@@ -169,4 +178,4 @@
 
 def _route(row: list[Any]) -> Route:
     split = tuple(Part(*part) for part in row[9])
-    return Route._make([*row[:3], frozenset(row[3]), *row[4:9], split, *row[10:]])
+    return Route(*row[:3], frozenset(row[3]), *row[4:9], split, *row[10:])
