--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -596,8 +596,8 @@
     config: list[Any]
     r""" version, rows of routes, rows of services, limits of callers """
 
-    uploads: list[str]
-    r""" Names of the routes with large bodies. """
+    uploads: list["_NewsUploadsItem"]
+    r""" Places of the routes with large bodies among the rows, from 0. """
 
     targets: Required[list["TargetRow"]]
     r""" Required property """
@@ -1043,6 +1043,11 @@
 
 
 
+_NewsUploadsItem = int
+r""" minimum: 0 """
+
+
+
 _ParentRepeat = bool
 r""" Whether a repeated request makes this call, so that it counts as a repeat. """
 
--- a/roadpass/platform/decode.py
+++ b/roadpass/platform/decode.py
@@ -19,7 +19,6 @@
 from roadpass.errors import CustomerError, PlatformError
 from roadpass.platform._generated import check_entry
 from roadpass.route import Part, Route
-from roadpass.sharing import sharing_of_routes
 from roadpass.source import (
     Change,
     ConfigPublished,
@@ -71,10 +70,9 @@
     """
     try:
         limits = value["Limits"]
-        routes = tuple(_route(row) for row in _rows(value["Routes"]))
         return PublishedConfig(
             version=int(value["Version"]),
-            routes=routes,
+            routes=tuple(_route(row) for row in _rows(value["Routes"])),
             services={row["Name"]: _service(row) for row in _rows(value["Services"])},
             limits=CallerLimits(
                 max_header_bytes=int(limits["MaxHeaderBytes"]),
@@ -83,7 +81,6 @@
                 idle_timeout_s=seconds(limits["IdleTimeout"]),
             ),
             customers=_customers(value.get("Tenants")),
-            sharing=sharing_of_routes(routes),
         )
     except _PARSE_ERRORS as error:
         raise PlatformError(f"The configuration is invalid: {error!r}.") from error
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -12,7 +12,7 @@
 from roadpass.errors import PlatformError
 from roadpass.position import Position
 from roadpass.route import Route
-from roadpass.sharing import OFF, Sharing
+from roadpass.sharing import Sharing, sharing_of_routes
 
 
 class PublishedService(NamedTuple):
@@ -34,7 +34,6 @@
         routes: Their `traffic_class` is a priority as text that sorts the most important first.
         limits: Limits on requests of callers.
         customers: Customers whose API keys callers present; if empty, no key is needed.
-        sharing: Ways of sharing capacity that its content calls for.
     """
 
     version: int
@@ -42,7 +41,11 @@
     services: Mapping[str, PublishedService]
     limits: CallerLimits
     customers: Customers = Customers()
-    sharing: Sharing = OFF
+
+    @property
+    def sharing(self) -> Sharing:
+        """Ways of sharing capacity that its content calls for."""
+        return sharing_of_routes(self.routes)
 
 
 class TargetEntry(NamedTuple):
--- a/roadpass/source_update.py
+++ b/roadpass/source_update.py
@@ -12,7 +12,6 @@
 from roadpass.peer_pool import Address, PeerPool
 from roadpass.position import Position
 from roadpass.route import Part, Route
-from roadpass.sharing import sharing_of_routes
 from roadpass.source import (
     Change,
     Changes,
@@ -103,7 +102,7 @@
             match change:
                 case ConfigPublished(config=config):
                     message["config"] = _config_row(config)
-                    uploads = [route.name for route in config.routes if route.upload]
+                    uploads = [i for i, route in enumerate(config.routes) if route.upload]
                     if uploads:
                         message["uploads"] = uploads
                 case TargetPublished(entry=entry):
@@ -156,19 +155,16 @@
     return row
 
 
-def _read_config(row: Any, uploads: Collection[str]) -> PublishedConfig:
+def _read_config(row: Any, uploads: Collection[int]) -> PublishedConfig:
     try:
         version, routes, services, limits, *more = row
         known = [PublishedService(*row) for row in services]
-        read = [_route(row) for row in routes]
-        routes = tuple(route._replace(upload=route.name in uploads) for route in read)
         return PublishedConfig(
             version=version,
-            routes=routes,
+            routes=tuple(_route(row, upload=i in uploads) for i, row in enumerate(routes)),
             services={service.name: service for service in known},
             limits=CallerLimits(*limits),
             customers=Customers.from_rows(*more[0]) if more else Customers(),
-            sharing=sharing_of_routes(routes),
         )
     except CustomerError as error:
         raise FrameError(str(error)) from error
@@ -176,6 +172,6 @@
         raise FrameError(f"The configuration cannot be read: {error!r}.") from error
 
 
-def _route(row: list[Any]) -> Route:
+def _route(row: list[Any], *, upload: bool) -> Route:
     split = tuple(Part(*part) for part in row[9])
-    return Route(*row[:3], frozenset(row[3]), *row[4:9], split, *row[10:])
+    return Route._make([*row[:3], frozenset(row[3]), *row[4:9], split, *row[10:], upload])
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -8,7 +8,7 @@
 from roadpass.platform.terms import sharing_of
 from roadpass.position import Position
 from roadpass.route import Route
-from roadpass.sharing import OFF, UNDER_PRESSURE, Sharing, sharing_of_routes
+from roadpass.sharing import OFF, UNDER_PRESSURE, Sharing
 from roadpass.source import (
     Changes,
     ConfigPublished,
@@ -35,7 +35,6 @@
         {"desk": PublishedService("desk", 100)},
         NO_LIMITS,
         customers or Customers(),
-        sharing_of_routes(routes),
     )
 
 
