Let the soak send uploads to nodes that share capacity under pressure

Cause: no run of the soak switched the new parts on, and no caller sent bodies of more than 3 KB or broke one off.

Two new invariants: a target gets exactly the bytes that were sent, and never a broken body as a whole one.

Before: not covered.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
     ending: bool = False,
     restorations: bool = False,
     limits: bool = False,
+    pressure: bool = False,
 ) -> list[Violation]:
     """Run one soak and print its violations and a summary.
 
@@ -33,7 +34,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     history = History()
     faults = plan(seed, seconds, processes, restorations=restorations, limits=limits)
-    harness = Harness(folder, history, processes, net, seed, ending=ending)
+    harness = Harness(folder, history, processes, net, seed, ending=ending, pressure=pressure)
     try:
         harness.run(faults, seconds)
     finally:
@@ -77,6 +78,11 @@
         action="store_true",
         help="also let targets name limits, and say that they leave",
     )
+    parser.add_argument(
+        "--pressure",
+        action="store_true",
+        help="also send uploads, to nodes that share capacity under pressure",
+    )
     parser.add_argument("--logs", type=Path, help="folder for the logs, which are then always kept")
     return 1 if run_soak(**vars(parser.parse_args())) else 0
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -94,12 +94,7 @@
         self._history.requests[request_id] = request
         try:
             connection.request(method, path, body, headers)
-            response = connection.getresponse()
-            request.status = response.status
-            request.answered_by = response.getheader("Server-Signature") or ""
-            request.told_limit = response.getheader("Server-Limit") is not None
-            request.told_leaving = response.getheader("Server-Leaving") is not None
-            request.body_matches = response.read() == response_body(request_id, path)
+            self._read_response(connection, request)
         except TimeoutError:
             request.error = TIMED_OUT
         except (OSError, http.client.IncompleteRead):
@@ -109,6 +104,15 @@
         request.ended_at = clock.now()
         return not request.error and bool(connection.sock)
 
+    @staticmethod
+    def _read_response(connection: http.client.HTTPConnection, request: Request) -> None:
+        response = connection.getresponse()
+        request.status = response.status
+        request.answered_by = response.getheader("Server-Signature") or ""
+        request.told_limit = response.getheader("Server-Limit") is not None
+        request.told_leaving = response.getheader("Server-Leaving") is not None
+        request.body_matches = response.read() == response_body(request.id, request.path)
+
     def _choose_key(self) -> tuple[str, str]:
         """Return the customer, empty for an unknown key, and the key of the next request."""
         drawn = self._key_rng.random()
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from soak.body import changed_body
 from soak.customer import BURST, EXCESS_REQUESTS, EXCESS_SHARE, LIMITED, RATE_PER_S, rotating_key
 from soak.customer import WINDOW_S as QUOTA_WINDOW_S
 from soak.history import (
@@ -99,6 +100,7 @@
         yield "answer"
     if not error and request.status not in _expected_statuses(history, request):
         yield "answer"
+    yield from changed_body(request)
     if any(a.key_forwarded or a.customer != request.customer for a in request.arrivals):
         yield "customer"
     if runs > 1 and not request.repeatable:
--- a/soak/history.py
+++ b/soak/history.py
@@ -67,6 +67,7 @@
         finished_at: When the target's work ended, with or without a response.
         cancelled: Whether the sender closed the connection during that work.
         named_limit: Whether the response named a limit.
+        body_bytes: The body of an upload, `None` for other requests.
     """
 
     at: float
@@ -77,6 +78,7 @@
     finished_at: float = inf
     cancelled: bool = False
     named_limit: bool = False
+    body_bytes: bytes | None = None
 
 
 @dataclass(eq=False)
@@ -87,6 +89,7 @@
     `key`, empty for an unknown key. `work_s` is how long its target works on it, 0 for the target's
     default; `deadline_s` is the request's own deadline. `answered_by` is the target instance whose
     response the caller got; `told_limit` and `told_leaving` are what its headers said.
+    `body_bytes` is the body of an upload.
     """
 
     id: str
@@ -107,6 +110,7 @@
     answered_by: str = ""
     told_limit: bool = False
     told_leaving: bool = False
+    body_bytes: bytes = b""
 
 
 class ConfigWrite(NamedTuple):
--- a/soak/node.py
+++ b/soak/node.py
@@ -28,13 +28,21 @@
     node serves.
     """
 
-    def __init__(self, target: SoakTarget, folder: Path, store: str, history: History) -> None:
+    def __init__(
+        self,
+        target: SoakTarget,
+        folder: Path,
+        store: str,
+        history: History,
+        *,
+        pressure: bool = False,
+    ) -> None:
         self.name = name = target.instance.node
         self.restarts = True
         self._ip = ip = target.ip
         self._history = history
         self._settings = folder / f"{name}.jsonc"
-        self._settings.write_text(json.dumps(_settings(ip, store)))
+        self._settings.write_text(json.dumps(_settings(ip, store, pressure=pressure)))
         self._log = (folder / f"{name}.log").open("ab")
         self.downtime: Disturbance | None = None
         self._start()
@@ -97,13 +105,15 @@
         self._popen = subprocess.Popen(command, stdout=self._log, stderr=subprocess.STDOUT)
 
 
-def _settings(ip: str, store: str) -> dict[str, object]:
-    store_settings = {
+def _settings(ip: str, store: str, *, pressure: bool) -> dict[str, object]:
+    store_settings: dict[str, object] = {
         "address": store,
         "floor_share": MIN_SHARE,
         "retry_ratio": 0.2,
         "retry_slack": 10,
     }
+    if pressure:
+        store_settings["terms"] = ["pressure"]
     return {
         **{"vm": ip, "address": ip, "hall": "h", "region": "r", "origin_service": "soak"},
         **{"ports": PORTS, "store": store_settings, "stop_limit_s": GRACE_S, "log": LOG},
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -24,6 +24,7 @@
 from soak.plan import PlannedFault
 from soak.store import FaultyStore
 from soak.target import SoakTarget
+from soak.upload import BODY_BYTES, UPLOAD_ROUTES, UploadCaller
 from stand_ins.store import config, entry, store_server
 
 SERVICES, OVERLOADED = ("red", "blue"), "green"
@@ -34,6 +35,8 @@
 CALLERS, TICK_S, STORE_PORT = 12, 0.03, 8104
 LONG_ROUTE_CALLERS = 2
 """Callers of long routes for each target."""
+UPLOAD_CALLERS = 6
+"""Callers of the upload route, in runs whose nodes share capacity under pressure."""
 LONG_TIMEOUT = f"{LONG_DEADLINE_S + 5.0:g}s"
 OBJECTIVES = {"e": "12s", "f": "12s", "g": "4s", "h": "4s"}
 """Latency objectives of long routes. Requests queue for a slot for a share of them: longer than a
@@ -73,6 +76,7 @@
         seed: int,
         *,
         ending: bool = False,
+        pressure: bool = False,
     ) -> None:
         self._history = history
         self._log = (folder / "faults.log").open("w", buffering=1)
@@ -80,7 +84,7 @@
         self._store = FaultyStore()
         self._server = store_server((f"127.0.{net}.250", STORE_PORT), self._store)
         self._server.start_thread()
-        self._routes = ROUTES | LONG_ROUTES
+        self._routes = ROUTES | LONG_ROUTES | (UPLOAD_ROUTES if pressure else {})
         self._services = dict.fromkeys(self._routes, "blue") | {"b": "red", "g": "red"}
         self._services |= {"e": OVERLOADED, "f": OVERLOADED}
         self._movable_routes = [
@@ -94,12 +98,18 @@
             self._targets[-1].on_crash = self._on_crash
             self._publish(self._targets[-1])
         store = f"127.0.{net}.250:{STORE_PORT}"
-        self._nodes = [SoakNode(target, folder, store, history) for target in self._targets]
+        self._nodes = [
+            SoakNode(target, folder, store, history, pressure=pressure) for target in self._targets
+        ]
         self._callers = [Caller(f"c{n}", history, self._nodes, seed) for n in range(CALLERS)]
         long_route_callers = range(LONG_ROUTE_CALLERS * processes)
         self._callers += [
             LongRouteCaller(f"p{n}", history, self._nodes, seed) for n in long_route_callers
         ]
+        if pressure:
+            self._callers += [
+                UploadCaller(f"u{n}", history, self._nodes, seed) for n in range(UPLOAD_CALLERS)
+            ]
         if ending:
             self._callers.append(PoisonCaller("e", history, self._nodes, seed))
 
@@ -244,10 +254,11 @@
         self._services[route] = SERVICES[self._services[route] == SERVICES[0]]
         version = len(self._history.configurations) + 1
         services, methods = self._services, self._routes.items()
-        rows = [[r, HOST, f"/{r}/", KIND_BY_METHOD[m], services[r], None] for r, m in methods]
+        rows = [[r, HOST, f"/{r}/", _kind(r, m), services[r], None] for r, m in methods]
         written = ConfigWrite(clock.now(), version, dict(self._services))
         self._history.configurations.append(written)
         value = config(version, rows, (*SERVICES, OVERLOADED), customer.rows(version))
+        value["Limits"]["MaxBodyBytes"] = 2 * BODY_BYTES[1]
         columns = value["Routes"]["Columns"]
         for row in value["Routes"]["Rows"]:
             if row[0] in LONG_ROUTES:
@@ -265,6 +276,10 @@
             time.sleep(TICK_S)
 
 
+def _kind(route: str, method: str) -> str:
+    return "upload" if route in UPLOAD_ROUTES else KIND_BY_METHOD[method]
+
+
 def _service(number: int) -> str:
     """Return the service of a node's target."""
     return OVERLOADED if number % 4 == 3 else SERVICES[number % 2]
--- a/soak/target.py
+++ b/soak/target.py
@@ -96,12 +96,13 @@
     def do_GET(self) -> None:
         self.server.connections.add(self.connection)
         length = int(self.headers.get("Content-Length", "0"))
-        if len(self.rfile.read(length)) == length:
-            self._handle_request(self.server)
+        body = self.rfile.read(length)
+        if len(body) == length:
+            self._handle_request(self.server, body)
 
     do_POST = do_GET
 
-    def _handle_request(self, target: SoakTarget) -> None:
+    def _handle_request(self, target: SoakTarget, body: bytes) -> None:
         """Record the arrival of a request and serve it as the fault requires."""
         fault = target.fault if target.rng.random() < FAULT_SHARE else ""
         instance = target.instance
@@ -113,6 +114,7 @@
         ran = fault not in NOT_RUN
         request.arrivals.append(Arrival(clock.now(), instance, ran, customer, key_forwarded))
         self._arrival = arrival = request.arrivals[-1]
+        arrival.body_bytes = body if request.body_bytes else None
         try:
             if POISON_PATH in self.path and ran:
                 self._kill_target(target, arrival)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from soak.__main__ import run_soak
+from soak.body import BROKEN_OFF
 from soak.checker import (
     CUT_FROM_S,
     GRACE_S,
@@ -38,10 +39,11 @@
 from soak.target import POISON_PATH
 
 SHORT, NET = (1, 8.0, 4), 61
-PLAIN = {"ending": False, "restorations": False, "limits": False}
+PLAIN = {"ending": False, "restorations": False, "limits": False, "pressure": False}
 POISON_RUN = (501, 12.0, 6, PLAIN | {"ending": True})
 RESTORE_RUN = (1002, 15.0, 5, PLAIN | {"restorations": True})
 LIMIT_RUN = (2, 15.0, 5, PLAIN | {"limits": True})
+PRESSURE_RUN = (3, 15.0, 5, PLAIN | {"pressure": True})
 REPLACED = "replaced"
 Violations = list[Violation]
 
@@ -68,6 +70,12 @@
         self.requests[request.id] = request
         return request
 
+    def upload(self, sent: bytes, received: bytes) -> Request:
+        """Add an upload of which the target received other bytes, or the same."""
+        request = self.add(11.0)
+        request.body_bytes, request.arrivals[0].body_bytes = sent, received
+        return request
+
     def move(self, at: float) -> "SampleHistory":
         """Move the route to the other service in a second configuration."""
         self.configurations.append(ConfigWrite(at, 2, {"b": "blue"}))
@@ -177,6 +185,8 @@
             history.crash_targets(10.0 - SETTLE_S - SLACK_S), "path", f"/b{POISON_PATH}"
         ),
     ),
+    ("body", lambda history: history.upload(b"sent", b"changed")),
+    ("body broken off", lambda history: setattr(history.upload(b"s", b"s"), "error", BROKEN_OFF)),
     ("limit", lambda history: history.name_limit(9 + EXCESS_REQUESTS)),
     ("leaving-named", lambda history: history.leave(DRAIN_S + 0.1)),
     (
@@ -186,6 +196,7 @@
 )
 ALLOWED: tuple[Callable[[SampleHistory], object], ...] = (
     lambda history: None,
+    lambda history: history.upload(b"sent", b"sent"),
     lambda history: history.add_cut_request(50.0, 0.0),
     lambda history: history.name_limit(3 + EXCESS_REQUESTS),
     lambda history: history.name_limit(9 + EXCESS_REQUESTS, told_s=19.0),
@@ -267,14 +278,15 @@
     assert others == plan(*SHORT)
 
 
-RUNS = [*((*run, PLAIN) for run in (SHORT, *REGRESSIONS)), POISON_RUN, RESTORE_RUN, LIMIT_RUN]
+RUNS = [*((*run, PLAIN) for run in (SHORT, *REGRESSIONS)), POISON_RUN, RESTORE_RUN]
+RUNS += [LIMIT_RUN, PRESSURE_RUN]
 
 
 @pytest.fixture(scope="module", params=RUNS, ids=lambda run: f"seed{run[0]}-{run[2]}")
 def violations(
     request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
 ) -> Violations:
-    """Run a short soak, seeds of past faults, a poison request, restorations, and limits."""
+    """Run a short soak, seeds of past faults, a poison request, restorations, limits, pressure."""
     seed, seconds, processes, options = request.param
     logs = tmp_path_factory.mktemp(f"seed{seed}")
     return run_soak(seed, seconds, processes, net=NET, logs=logs, **options)
