Report the free capacity of targets, and choose targets by it

Cause: with half the slots busy, 7 of 10 first probes were refused on the users' copies, half of them by the circuit breaker; no node knew the free capacity of a service.

Change: with sharing.room on, sidecars report free slots, waiting requests and risk to their data hall; the first node of a data hall relays changes to the others. The first probe goes to the cheapest target with a free slot, and its check accepts the risk that the choice has weighed. Attempt lines tell the report that the choice rested on, and the load before the reply instead of after it.

--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -150,6 +150,18 @@
         """Number of slots in use."""
         return self._in_use
 
+    @property
+    def free(self) -> int:
+        """Number of slots that new requests of the least important class would get now."""
+        if self.waiting:
+            return 0
+        kept_free = sum(
+            max(0.0, state.reserved * self._slots - state.in_use)
+            for name, state in self._classes.items()
+            if name != self._last_class
+        )
+        return max(0, self._slots - self._in_use - int(kept_free))
+
     @property
     def waiting(self) -> int:
         """Number of queued requests."""
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -269,10 +269,10 @@
         started = clock.now()
         attempt = self._next_attempt(state, attempt_id, target, started)
         pending = Pending.of(attempt, state.service.name, target.vm, started, state.deadline)
+        used = self._loads.load(target.name, started).utilization
         reply = self._send(state, target, attempt, pending)
         last = state.is_last_attempt(self._has_repeat(state))
         self._learning.record(clock.now(), state, target, reply, pending, started, last=last)
-        used = self._loads.load(target.name, started).utilization
         log_attempt(state, target, attempt, reply, started, used)
         return reply.outcome
 
@@ -298,7 +298,9 @@
         """Send an attempt, and count it as in flight until its end."""
         self.pending[attempt.id] = pending
         state.attempt_id = attempt.id
+        began = clock.now()
         self._loads.begin(target.name)
+        self._view.room.begin(began, target.name)
         latency_ms: float | None = None
         try:
             reply = self._transport.send(target, attempt, state.request.watch)
@@ -310,6 +312,7 @@
             return reply
         finally:
             del self.pending[attempt.id]
+            self._view.room.end(target.name, began)
             self._loads.end(target.name, latency_ms, overdue=pending.times_overdue > 0)
 
     def _late_everywhere(self, state: RequestState) -> NotRun:
--- a/roadpass/event_router.py
+++ b/roadpass/event_router.py
@@ -8,6 +8,7 @@
 
 from roadpass import clock
 from roadpass.audit import AuditTrail, Kind
+from roadpass.capacity_messages import CapacityMessage
 from roadpass.configuration import RevisionOffer, Store
 from roadpass.errors import StreamError
 from roadpass.failure_detector import Scores
@@ -135,6 +136,13 @@
         """Send quota reports or allowances to another node."""
         self.gossip.tell(message)
 
+    def send_capacity(self, message: CapacityMessage) -> None:
+        """Send rows on the capacity of targets to other nodes."""
+        try:
+            self.gossip.tell(message)
+        except pykka.ActorDeadError:  # the node stops; the rows would lapse soon anyway
+            _log.debug("capacity not announced to other nodes: gossip has stopped")
+
     def on_node(self, node: PeerNode) -> None:
         """Update a node, the readers of the platform and this node's rank among the readers."""
         self._view.nodes[node.vm] = node
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -14,6 +14,7 @@
 from roadpass._generated.message_types import Datagram
 from roadpass._ticker import Ticker
 from roadpass.audit import AuditTrail, Kind
+from roadpass.capacity_messages import CapacityMessage, capacity_fields
 from roadpass.datagram import seal, unseal
 from roadpass.errors import FrameError
 from roadpass.gossip_messages import (
@@ -165,6 +166,8 @@
                 self._records_changed = True
             case QuotaMessage():
                 self._send_quota(message)
+            case CapacityMessage():
+                self._send_capacity(message)
             case PublishHint(target=target, scores=scores):
                 if self._hints.report(clock.now(), target, scores):
                     self._announce()
@@ -202,6 +205,11 @@
             _log.debug("datagram dropped: %s", error)
 
     def _process_datagram(self, message: Datagram) -> None:
+        fields = capacity_fields(message)
+        if fields:
+            self._events.on_capacity(message["sender"], fields)
+            if not message["news"]:
+                return
         now = clock.now()
         answers = self._members.receive(
             now,
@@ -293,6 +301,15 @@
             to = (member.address, member.gossip_port)
             self._send(Send(to, "announce", 0), brief=True, extra=fields)
 
+    def _send_capacity(self, message: CapacityMessage) -> None:
+        """Send rows on the capacity of targets to some nodes, in one datagram sealed once."""
+        version = self._version if self._events.on_peer_position is None else NO_VERSION
+        content = seal(message.datagram(self._settings.vm, version), self._settings.keys)
+        for vm in message.vms:
+            member = self._members.get(vm)
+            if member is not None:
+                self._send_content((member.address, member.gossip_port), content, "capacity")
+
     def _publish(self) -> None:
         for member in self._members.changes():
             self._events.on_node(node_of(member))
@@ -315,16 +332,20 @@
         message = {**self._message(send), **(extra or {}), "news": rows}
         while len(content := seal(message, self._settings.keys)) > MAX_DATAGRAM and len(rows) > 1:
             rows.pop()
+        self._send_content(send.to, content, send.type)
+
+    def _send_content(self, to: tuple[str, int], content: bytes, kind: str) -> None:
+        """Send a sealed datagram, and count it."""
         try:
-            self._socket.sendto(content, send.to)
+            self._socket.sendto(content, to)
         except OSError as error:
             _log.debug("datagram not sent: %s", error)
             return
         self._metrics.count("gossip_sent")
         self._metrics.count("gossip_sent_bytes", len(content))
-        if self._members.hall_at(send.to) not in ("", self._settings.hall):
-            self._metrics.count(f"far_{send.type}s")
-            self._metrics.count(f"far_{send.type}_bytes", len(content))
+        if self._members.hall_at(to) not in ("", self._settings.hall):
+            self._metrics.count(f"far_{kind}s")
+            self._metrics.count(f"far_{kind}_bytes", len(content))
 
     def _member_rows(self, send: Send, *, brief: bool) -> list[Member]:
         if brief or send.rows:
--- a/roadpass/gossip_messages.py
+++ b/roadpass/gossip_messages.py
@@ -1,7 +1,7 @@
 """Messages that the gossip actor handles, and the callbacks it invokes on changes."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
 
 from roadpass.failure_detector import Scores
 from roadpass.member import Member
@@ -95,6 +95,7 @@
         on_peer_position: A peer reported its position in the source; `None` if this node follows no
             source.
         on_quota: A peer sent quota reports or allowances.
+        on_capacity: A peer sent rows on the capacity of targets; with its VM and the rows by field.
     """
 
     on_node: Callable[[PeerNode], None]
@@ -103,3 +104,4 @@
     on_leave: Callable[[], None]
     on_peer_position: Callable[[PeerPosition], None] | None = None
     on_quota: Callable[[QuotaMessage], None] = lambda message: None
+    on_capacity: Callable[[str, Mapping[str, Sequence[Any]]], None] = lambda sender, fields: None
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -28,6 +28,7 @@
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
 from roadpass.retry import RepeatAllowance
+from roadpass.room import RoomReport
 from roadpass.shedding import Shedding
 from roadpass.shutdown import Shutdown
 from roadpass.slots import Slots
@@ -188,6 +189,19 @@
             wait_ms=round(wait.ms),
         )
 
+    def room(self, queued: int = 0) -> RoomReport:
+        """Return the report on the target's free capacity.
+
+        Args:
+            queued: Requests that wait for a slot elsewhere and were announced here.
+        """
+        now = clock.now()
+        free = self._admission.free_slots(now)
+        with self._lock:
+            risk = self._admission.expected_cost(now)
+        waiting = self._slots.waiting + queued
+        return RoomReport(self.target.name, free, waiting, self._slots.service_ms, risk)
+
     def refusal(self, check: AdmissionCheck) -> NotRun | None:
         """Return why an attempt would be refused now, `None` if it would be accepted."""
         return self._admission.refusal(check)
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -224,6 +224,7 @@
             active.health.configure(fleet.services[name])
             active.dirty = True
         self._dispatcher.loads.keep_only(set(fleet.targets))
+        self._view.room.keep_only(set(fleet.targets))
         self._reasons = {n: why for n, why in self._reasons.items() if n in fleet.targets}
         self._on_tick(clock.now())
 
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -9,8 +9,11 @@
 import pykka
 
 from roadpass import __version__, clock
+from roadpass._ticker import Ticker
 from roadpass.admin import Admin
 from roadpass.audit import AuditTrail, Kind
+from roadpass.capacity_exchange import TICK_S as CAPACITY_TICK_S
+from roadpass.capacity_exchange import CapacityExchange
 from roadpass.catalogue import Catalogue, Policy
 from roadpass.configuration import Configuration, Store
 from roadpass.decision import decided
@@ -96,6 +99,15 @@
             metrics=self.metrics,
             quotas=self._quotas,
         )
+        self._capacity = CapacityExchange(
+            self._view,
+            self._sidecar,
+            self._router.send_capacity,
+            is_relay=lambda: self._router.reader_rank.rank == 0,
+            metrics=self.metrics,
+            rng=self._rng,
+        )
+        self._capacity_ticker = Ticker("capacity-tick", CAPACITY_TICK_S, self._capacity.tick)
         self._platform = Platform(settings.platform_url, self.metrics)
         self._platform_queried = threading.Event()
         self._actors: list[pykka.ActorRef[Any]] = []
@@ -127,6 +139,7 @@
             self._start_store_reader(self._settings.store)
         else:
             self._start_reader()
+        self._capacity_ticker.start()
         self._router.gossip.tell(Begin())
         self._start(Admin, self._settings, self._pages().handlers())
         self._ingress_proxy = self._start_ingress().proxy()
@@ -143,6 +156,7 @@
                 self.leave,
                 self._router.on_peer_position if self._settings.store else None,
                 self._router.on_quota,
+                self._capacity.receive,
             ),
             self.audit,
             self.metrics,
@@ -279,6 +293,7 @@
         """Stop all components without waiting for them."""
         for actor in reversed(self._actors):
             actor.stop(block=False)
+        self._capacity_ticker.stop()
         self._pause.stop()
         self._peers.close()
         self.audit.record(Kind.STOP, self._settings.vm, "stopped")
--- a/roadpass/request_log.py
+++ b/roadpass/request_log.py
@@ -20,8 +20,9 @@
         attempt: As it was sent.
         reply: Outcome of the attempt, with the load of its target.
         started: Clock seconds at which the attempt began.
-        used: Estimated share of the target's slots in use.
+        used: Estimated share of the target's slots in use when it was chosen.
     """
+    room = state.room
     decided(
         "dispatch",
         "attempt",
@@ -32,6 +33,10 @@
         target_vm=target.vm,
         revision=attempt.revision,
         used=round(used, 2),
+        room_age_s=round(room.age_ms / 1000.0, 3) if room is not None else None,
+        room_free=room.free if room is not None else None,
+        room_risk=round(room.risk, 3) if room is not None else None,
+        most_bad=round(attempt.most_bad, 3),
         ms=round((clock.now() - started) * 1000.0, 1),
         bad=reply.load.bad if reply.load is not None else None,
         wait_ms=_wait_ms(reply.outcome),
--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -10,6 +10,8 @@
 from roadpass.offer import FAR_OVERHEAD_KB, LATE_LOSS, Costs, Offer
 from roadpass.outcome import NotRun, Outcome, Reason
 from roadpass.request import Request
+from roadpass.room import RoomReport
+from roadpass.room_choice import RoomCosts, accepted_risk
 from roadpass.route import Route
 from roadpass.route_stats import RouteStats
 from roadpass.transport import FENCE_S
@@ -81,6 +83,8 @@
         accepted_wait_ms: Wait that this offer announced; the attempt may take longer by it.
         last_resort: Whether all targets have refused it and those that might still accept it are
             probed once more.
+        room: What is known of the target that the next attempt goes to, `None` if it was not chosen
+            by its free capacity.
         may_have_run: Latest outcome that does not prove that the request did not run.
         attempt_id: Id of the attempt that was sent last, empty before the first.
     """
@@ -105,6 +109,7 @@
     accepts_best: bool = False
     accepted_wait_ms: float = 0.0
     last_resort: bool = False
+    room: RoomReport | None = None
     may_have_run: Outcome | None = None
     attempt_id: str = ""
 
@@ -343,9 +348,20 @@
         """Return the highest failure risk of a target that the next attempt accepts."""
         if self.accepts_best or self.last_resort:
             return 1.0
+        known = accepted_risk(self.room) if self.room is not None else 0.0
         if self.is_last_attempt(has_repeat):
-            return LAST_MAX_RISK
-        return REPEATABLE_MAX_RISK if self.repeat_meets_objective else LATE_REPEAT_MAX_RISK
+            return max(known, LAST_MAX_RISK)
+        limit = REPEATABLE_MAX_RISK if self.repeat_meets_objective else LATE_REPEAT_MAX_RISK
+        return max(known, limit)
+
+    def room_costs(self, has_repeat: bool) -> RoomCosts:
+        """Return the costs by which targets with free slots are compared."""
+        return RoomCosts(
+            self._failure_cost(has_repeat),
+            self.far_cost,
+            float(self.route.target_latency_ms or 0),
+            may_be_trial=not self.is_last_attempt(has_repeat),
+        )
 
     def _costs(self, has_repeat: bool) -> Costs:
         return Costs(self._failure_cost(has_repeat), self.most_wait_ms(), self.far_cost)
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -75,6 +75,13 @@
         """Number of requests in the queue."""
         return self._admission.waiting
 
+    def free(self, now: float) -> int:
+        """Return the slots that new requests would get now; the caller must hold the lock."""
+        if self._leaving:
+            return 0
+        starts = 1 if self._starts.limited else self._admission.free
+        return min(self._admission.free, starts) if self._starts.wait_s(now) <= 0.0 else 0
+
     @property
     def limit(self) -> int:
         """Current limit of concurrent requests."""
--- a/roadpass/target_admission.py
+++ b/roadpass/target_admission.py
@@ -106,6 +106,22 @@
         bad = self._estimator.bad(now)
         return bad + (1.0 - bad) * self._shedding.cost(now)
 
+    def free_slots(self, now: float) -> int:
+        """Return the slots that new requests would get now, 0 if they are refused anyway.
+
+        While the circuit breaker is tripped, one slot counts if a trial may start.
+
+        Args:
+            now: Clock seconds.
+        """
+        if self._guard.refusal_while_down() is not None:
+            return 0
+        with self._lock:
+            free = self._slots.free(now)
+            if not self._breaker.tripped(now):
+                return free
+            return min(free, int(self._breaker.admits(now, trial=True)))
+
     def new_work_refusal(self, check: AdmissionCheck) -> NotRun | None:
         """Return why the target gets no new request now, `None` if it may; ignores the queue."""
         return (
--- a/roadpass/target_chooser.py
+++ b/roadpass/target_chooser.py
@@ -3,14 +3,17 @@
 import random
 import time
 
-from roadpass import clock
+from roadpass import clock, room_choice
 from roadpass.balance import Load, LoadOf, Picker
+from roadpass.decision import decided
 from roadpass.fleet import Target
 from roadpass.load_table import LoadTable
 from roadpass.message import Reply
 from roadpass.offer import Offer
 from roadpass.outcome import NotRun, Outcome, Reason
 from roadpass.request_state import RequestState
+from roadpass.room import RoomReport
+from roadpass.room_choice import RoomOption
 from roadpass.route import Route
 from roadpass.view import View
 
@@ -90,6 +93,8 @@
             case _:
                 self._loads.discard_offer(target.name)
         self._avoid(now, target.name, reply.outcome)
+        if self._view.fleet.sharing.room:
+            self._learn_room(now, target, reply)
 
     def _pick_name(
         self, now: float, state: RequestState, picker: Picker, load_of: LoadOf, has_repeat: bool
@@ -98,6 +103,11 @@
         if not picker.near:  # all targets are far, so the transfer cannot be saved
             state.far_cost = 0.0
         self._apply_cached_offers(state, picker, now)
+        state.room = None
+        if self._view.fleet.sharing.room:
+            name = self._pick_by_room(now, state, picker, has_repeat)
+            if name is not None:
+                return name
         unreachable = set() if state.last_resort else self._loads.unreachable(now)
         known = state.tried | state.offers.keys() | unreachable
         repeatable = state.route.repeatable
@@ -115,6 +125,59 @@
                 return name
         return state.accept_best(has_repeat)
 
+    def _pick_by_room(
+        self, now: float, state: RequestState, picker: Picker, has_repeat: bool
+    ) -> str | None:
+        """Pick a target that is known to have a free slot; those known to be full are offers."""
+        if state.last_resort or state.accepts_best:
+            return None
+        excluded = state.tried | state.offers.keys() | self._loads.avoided(now)
+        candidates = self._view.service(state.service.name).candidates
+        options = [
+            RoomOption(report, candidates[report.target].tier, candidates[report.target].weight)
+            for report in self._view.room.known(now, picker.names)
+            if report.target not in excluded
+            and (state.route.repeatable or not candidates[report.target].trial)
+        ]
+        chosen = room_choice.choose(options, state.room_costs(has_repeat), self._rng)
+        if chosen is not None:
+            state.room = chosen.report
+            return chosen.report.target
+        for option in options:
+            target = self._view.fleet.targets.get(option.report.target)
+            if target is not None and option.report.free == 0:
+                far = target.name in picker.far
+                offer = room_choice.full_offer(option.report, target.slots, far=far)
+                state.offers.setdefault(target.name, offer)
+        return None
+
+    def _learn_room(self, now: float, target: Target, reply: Reply) -> None:
+        """Learn the free capacity of a target from its reply, which is newer than any report."""
+        room = self._view.room
+        match reply.outcome:
+            case NotRun(reason=Reason.UNREACHABLE):
+                self._record_unreachable(now, target)
+                return
+            case _:
+                pass
+        if reply.load is None:
+            if isinstance(reply.outcome, NotRun):
+                room.take_free(now, target.name)
+            return
+        load, known = reply.load, room.get(now, target.name)
+        free = load.limit - load.in_flight if not load.queued and load.wait_ms <= 0.0 else 0
+        queued, service_ms = (known.queued, known.service_ms) if known else (load.queued, 0.0)
+        report = RoomReport(target.name, max(0, free), queued, service_ms, load.bad)
+        room.receive(now, report, idle=free >= target.slots)
+
+    def _record_unreachable(self, now: float, target: Target) -> None:
+        """Record an unreachable target; the second one of a data hall cuts the data hall off."""
+        hall = target.hall or ""
+        targets = self._view.fleet.targets.values()
+        names = [one.name for one in targets if hall and one.hall == hall]
+        if self._view.room.record_unreachable(now, target.name, hall, names):
+            decided("room", "hall-cut-off", hall=hall, target=target.name)
+
     def _apply_cached_offers(self, state: RequestState, picker: Picker, now: float) -> None:
         """Add as offers what targets without a free slot or likely to fail replied to others."""
         if state.accepts_best:
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -7,6 +7,7 @@
 from roadpass.caller_limits import CallerLimits
 from roadpass.fleet import Fleet, Target
 from roadpass.notice_table import NoticeTable
+from roadpass.room import RoomTable
 from roadpass.shutdown import Shutdown
 
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
@@ -83,12 +84,18 @@
         self.refusing = False
         self.shutdown = Shutdown()
         self.notices = NoticeTable()
+        self.room = RoomTable()
 
     @property
     def vm(self) -> str:
         """Name of this node's VM."""
         return self._vm
 
+    @property
+    def hall(self) -> str:
+        """Data hall of this node's VM."""
+        return self._hall
+
     def tier(self, target: Target) -> int:
         """Return the distance of a target: 0 same data hall, 1 same region, 2 elsewhere."""
         node = self.nodes.get(target.vm)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -11,18 +11,24 @@
 import random
 from collections import defaultdict
 from collections.abc import Iterable
+from functools import partial
 from typing import Any, NamedTuple, cast
 
 from roadpass.caller_limits import CallerLimits
+from roadpass.capacity_exchange import TICK_S as CAPACITY_TICK_S
+from roadpass.capacity_exchange import CapacityExchange
+from roadpass.capacity_messages import CapacityMessage
 from roadpass.catalogue import Policy, build_fleet
 from roadpass.dispatch import Dispatcher
 from roadpass.errors import ConnectError
 from roadpass.fingerprint import fingerprint
 from roadpass.fleet import Fleet
 from roadpass.message import Message
+from roadpass.metric import Metrics
 from roadpass.outcome import Outcome
 from roadpass.pause import PauseWatch
 from roadpass.peer_pool import Address, PeerPool
+from roadpass.reader import choose_readers
 from roadpass.request import Request
 from roadpass.route import Route
 from roadpass.sidecar import Sidecar
@@ -83,8 +89,7 @@
         peer = self._crowd.nodes.get(address[0])
         if peer is None or not self._crowd.reaches(self._node, peer):
             raise ConnectError("No such node.")
-        one_way_s = 0.0014 if peer.hall != self._node.hall else 0.0002
-        return _Stream(self._crowd, peer, one_way_s)
+        return _Stream(self._crowd, peer, one_way_s(self._node, peer))
 
     def exchange(self, address: Address, message: Message, **_: Any) -> Message:
         stream = self.acquire(address)
@@ -98,6 +103,11 @@
         """Do nothing: streams are not pooled."""
 
 
+def one_way_s(node: "CrowdNode", peer: "CrowdNode") -> float:
+    """Return the seconds that a message takes from one node to another."""
+    return 0.0014 if peer.hall != node.hall else 0.0002
+
+
 class CrowdNode:
     """A node with a real ingress, a real sidecar and one target."""
 
@@ -134,6 +144,17 @@
                 seed=crowd.rng.randrange(1 << 30),
             )
 
+            self.capacity = CapacityExchange(
+                self.view,
+                self.sidecar,
+                self._send_capacity,
+                is_relay=self._is_relay,
+                metrics=Metrics(),
+                rng=crowd.gossip_rng,
+            )
+        if any(fleet.sharing):
+            crowd.world.spawn(self.process, self._exchange_capacity)
+
     def configure(self, fleet: Fleet) -> None:
         """Apply a fleet, in which the node's own target may have restarted."""
         self.sidecar.configure(fleet)
@@ -167,6 +188,30 @@
         )
         return self._dispatcher.dispatch(request).outcome
 
+    def _exchange_capacity(self) -> None:
+        """Call the exchange as its ticker does, until the load ends."""
+        while self._crowd.world.now < self._crowd.end_at:
+            self.capacity.tick()
+            self._crowd.sleep(CAPACITY_TICK_S)
+
+    def _is_relay(self) -> bool:
+        near = [vm for vm, node in self._crowd.nodes.items() if node.hall == self.hall]
+        return choose_readers(near, 1) == [self.process.vm]
+
+    def _send_capacity(self, message: CapacityMessage) -> None:
+        """Deliver rows to other nodes after the latency of the link, unless they are lost."""
+        for vm in message.vms:
+            peer, crowd = self._crowd.nodes[vm], self._crowd
+            lost = crowd.gossip_rng.random() < crowd.load.datagrams_lost
+            if not lost and crowd.reaches(self, peer):
+                crowd.datagrams += 1
+                crowd.world.spawn(peer.process, partial(peer.receive, self, message))
+
+    def receive(self, sender: "CrowdNode", message: CapacityMessage) -> None:
+        """Process rows that another node sent."""
+        self._crowd.sleep(one_way_s(sender, self))
+        self.capacity.receive(sender.process.vm, message.fields)
+
     def _set_has_updates(self) -> None:
         self.has_updates = True
 
@@ -189,6 +234,8 @@
         names: Names of the kinds of requests, by path and body.
         crashed: Times at which a target crashed while running a request, by path and body.
         starts: Times at which requests reached each target.
+        end_at: Virtual time at which the last request has ended.
+        datagrams: Number of datagrams on capacity that were delivered.
     """
 
     def __init__(self, load: Load, seed: int) -> None:
@@ -197,6 +244,8 @@
         self.gossip_rng = random.Random(seed)
         self.world = World()
         self.world.now = FIRST_S
+        self.end_at = FIRST_S + load.seconds + max(k.timeout_ms for k in load.kinds.values()) / 1e3
+        self.datagrams = 0
         self.results: list[RequestResult] = []
         self.arrivals: dict[tuple[str, str], list[float]] = defaultdict(list)
         self.called_by_repeats: set[str] = set()
@@ -446,7 +495,7 @@
         for number, (service, n) in enumerate(names)
         for vm in (_vm(number),)
     ]
-    policy = Policy(0.7, 0.2, load.slack, 10.0)
+    policy = Policy(0.7, 0.2, load.slack, 10.0, sharing=load.sharing)
     config = PublishedConfig(1 + sum(starts.values()), routes, services, CallerLimits())
     return build_fleet(config, entries, policy)
 
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -7,6 +7,7 @@
 
 import random
 
+from roadpass.sharing import Sharing
 from tests.load import Kind, Load, TargetFault, TargetLimit
 
 LAB_KINDS = {
@@ -160,3 +161,33 @@
     """All targets of a service name limits, whose sum is less than half of its requests."""
     limits = (TargetLimit(*LIMITED_S, 1.0, service="opac"),)
     return Load(KINDS, TARGETS, seconds=20.0, slack=SLACK, halls=2, limits=limits)
+
+
+SHARED_KINDS = {
+    "quote": Kind("fare", 700.0, 2200, 10000, True, 30.0),
+    "book": Kind("fare", 900.0, 3000, 10000, False, 10.0),
+    "print": Kind("papers", 500.0, 4000, 10000, True, 20.0),
+}
+SHARED_TARGETS = {"fare": 12, "papers": 8}
+ROOM = Sharing(room=True)
+ROOM_AND_QUEUE = Sharing(room=True, queue=True)
+
+
+def calm(_: int) -> Load:
+    """Half the slots are busy, without faults.
+
+    On a copy of the users' first fleet, 71 of 237 first probes were accepted then. Work and
+    objectives are those of that fleet: 0.7 to 1.7 s, 2.2 to 8.5 s.
+    """
+    return Load(
+        SHARED_KINDS, SHARED_TARGETS, slots=5, seconds=8.0, slack=SLACK, halls=4, sharing=ROOM
+    )
+
+
+def shed_by_all_known(seed: int) -> Load:
+    """All targets of a service shed 55% of its requests, and the ingresses know it.
+
+    On a copy of the users' first fleet, 58 of 128 first probes were refused as doubtful then.
+    """
+    load = calm(seed)
+    return load._replace(faults=(TargetFault(1.0, 5.0, 0.55, "shed", service="fare"),), seconds=5.0)
--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from roadpass import (
+    capacity_exchange,
     dispatch,
     exchange,
     local_target,
@@ -51,6 +52,7 @@
     transport: ("clock",),
     request_state: ("clock",),
     request_log: ("clock",),
+    capacity_exchange: ("clock",),
 }
 VMS = ("vm-1", "vm-2", "vm-3")
 TARGETS = {"t1": "vm-1", "t2": "vm-2", "t3": "vm-2", "t4": "vm-3"}
