Let requests wait at their ingress for a slot

Cause: on the users' copies, 81 requests were refused after 34 ms with 8 s left, while 11 to 17 of 66 slots were busy. Nothing kept a request until a slot ended.

Change: with sharing.queue on, a request that finds no free slot waits at its ingress, ordered by class, standing and latest useful start. Ingresses announce their waiters to sidecars; a sidecar whose slot ends holds it for the first of them and grants it by datagram. Checks and attempts name the held slot. What will not start in time is refused at once, with the expected end of the shortage. A waiter is woken by its slot, its caller's leave, its latest start or the node's stop.

--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -256,6 +256,28 @@
             self._starts.give_back()
         return self._grant(now)
 
+    def hold(self, now: float, rank: int) -> str | None:
+        """Occupy a free slot for a request that is to come.
+
+        Args:
+            now: Clock seconds.
+            rank: Index of its class; an unknown one counts as the least important.
+
+        Returns:
+            The class under which it counts, `None` if there is no free slot or a request waits.
+        """
+        name = list(self._classes)[min(rank, len(self._classes) - 1)]
+        if self.waiting or not self._may_run(name) or not self._starts.take(now):
+            return None
+        self._occupy(self._classes[name])
+        return name
+
+    def use_hold(self, held: str, traffic_class: str) -> None:
+        """Pass the slot that is held under one class on to a request of a class."""
+        name = traffic_class if traffic_class in self._classes else self._last_class
+        self._classes[held].in_use -= 1
+        self._classes[name].in_use += 1
+
     def abandon(self, now: float, ticket: Ticket) -> list[Ticket]:
         """Cancel a ticket, or release its slot if it has been granted in the meantime.
 
--- a/roadpass/capacity_exchange.py
+++ b/roadpass/capacity_exchange.py
@@ -14,6 +14,8 @@
 from roadpass.room_relay import RoomRelay
 from roadpass.sidecar import Sidecar
 from roadpass.view import PeerNode, View
+from roadpass.wait_announcer import WaitAnnouncer
+from roadpass.waiting_requests import WaitingRequests
 
 _log = logging.getLogger("roadpass.capacity")
 
@@ -29,6 +31,7 @@
     Args:
         view: Has the nodes, the fleet with its switches, and the table of reports.
         sidecar: Has the targets of this VM.
+        waits: Requests that wait at this ingress.
         send: Sends rows to other nodes; must not block.
         is_relay: Returns whether this node reports its data hall to the others.
         metrics: Counts reports, and gets a gauge of free slots.
@@ -39,6 +42,7 @@
         self,
         view: View,
         sidecar: Sidecar,
+        waits: WaitingRequests,
         send: Callable[[CapacityMessage], None],
         *,
         is_relay: Callable[[], bool],
@@ -53,6 +57,7 @@
         self._rng = rng
         self._publishers: dict[str, RoomPublisher] = {}
         self._relay = RoomRelay()
+        self._announcer = WaitAnnouncer(view, sidecar, waits, send, metrics=metrics, rng=rng)
         metrics.add_gauge(Gauge("room_free_slots", "service", self._free_slots))
 
     def tick(self) -> None:
@@ -63,9 +68,10 @@
             _log.exception("cannot exchange capacity, trying again")
 
     def _on_tick(self) -> None:
+        now = clock.now()
+        self._announcer.tick(now)
         if not self._view.fleet.sharing.room:
             return
-        now = clock.now()
         self._publish(now)
         if self._is_relay() and self._relay.is_due(now):
             self._relay_hall(now)
@@ -74,6 +80,12 @@
         """Process the rows that another node sent."""
         if "room" in fields and self._view.fleet.sharing.room:
             self._receive_room(clock.now(), sender, fields["room"])
+        if "waiting" in fields:
+            self._announcer.receive_waiting(sender, fields["waiting"])
+        if "slots" in fields:
+            self._announcer.receive_slots(sender, fields["slots"])
+        if "returned" in fields:
+            self._announcer.receive_returned(fields["returned"])
 
     def _publish(self, now: float) -> None:
         """Store the state of this node's targets, and report it to the data hall if that is due."""
@@ -81,7 +93,7 @@
         targets = self._sidecar.targets
         self._publishers = {name: self._publishers.get(name) or RoomPublisher() for name in targets}
         for name, local in targets.items():
-            report = local.room()
+            report = local.room(self._sidecar.slot_offers.waiting(local.service_name))
             if self._sidecar.leaving:
                 report = report._replace(free=0)
             idle = report.free >= local.target.slots
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -34,11 +34,13 @@
 from roadpass.route import Route
 from roadpass.route_stats import RouteStatsTable
 from roadpass.sidecar import Sidecar
+from roadpass.slot_wait import SlotWait
 from roadpass.start_limit import MIN_RATE_PER_S
 from roadpass.stop_notices import StopNotices
 from roadpass.target_chooser import TargetChooser
 from roadpass.transport import CONNECT_TIMEOUT_S, Transport
 from roadpass.view import View
+from roadpass.waiting_requests import WaitingRequests
 
 MAX_REDIRECTS = 40
 """Refusals before a target received the first byte after which a request is given up."""
@@ -95,6 +97,8 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._spent_until: dict[str, float] = {}
         self._returns = ReturnSchedule()
+        self.waits = WaitingRequests(view, self._returns)
+        self._slot_wait = SlotWait(view, self._loads, self._chooser, self.waits)
         self._route_stats = RouteStatsTable()
         self._learning = AttemptFeedback(
             view,
@@ -167,6 +171,7 @@
             request, route, service, started, stats, self._route_stats.objective_factor(stats)
         )
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
+        state.queues = fleet.sharing.queue
         self._active[id(state)] = state
         try:
             outcome = self._run_attempts(state)
@@ -196,7 +201,9 @@
             quarantined_s = self._quarantine.quarantined_s(clock.now(), state.request.fingerprint)
             if quarantined_s > 0.0:  # crashes learnt of during the wait; the sidecar may not know
                 return state.final_outcome(NotRun(Reason.QUARANTINED, int(quarantined_s * 1000.0)))
-            target = self._chooser.pick(state, has_repeat=self._has_repeat(state))
+            target = self._slot_wait.pick(state, has_repeat=self._has_repeat(state))
+            if isinstance(target, NotRun):
+                return state.final_outcome(target)
             if target is None and not state.offers and state.start_last_resort():
                 continue
             if target is None:
@@ -270,6 +277,7 @@
         attempt = self._next_attempt(state, attempt_id, target, started)
         pending = Pending.of(attempt, state.service.name, target.vm, started, state.deadline)
         used = self._loads.load(target.name, started).utilization
+        state.slot = None
         reply = self._send(state, target, attempt, pending)
         last = state.is_last_attempt(self._has_repeat(state))
         self._learning.record(clock.now(), state, target, reply, pending, started, last=last)
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -28,7 +28,7 @@
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
 from roadpass.retry import RepeatAllowance
-from roadpass.room import RoomReport
+from roadpass.room import TRIPPED_RISK, RoomReport
 from roadpass.shedding import Shedding
 from roadpass.shutdown import Shutdown
 from roadpass.slots import Slots
@@ -199,32 +199,70 @@
         free = self._admission.free_slots(now)
         with self._lock:
             risk = self._admission.expected_cost(now)
+            if self._breaker.tripped(now):
+                risk = max(risk, TRIPPED_RISK)
         waiting = self._slots.waiting + queued
         return RoomReport(self.target.name, free, waiting, self._slots.service_ms, risk)
 
-    def refusal(self, check: AdmissionCheck) -> NotRun | None:
-        """Return why an attempt would be refused now, `None` if it would be accepted."""
-        return self._admission.refusal(check)
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self.target.name
+
+    @property
+    def service_name(self) -> str:
+        """Name of the target's service."""
+        return self.target.service
+
+    def hold_slot(self, rank: int) -> str | None:
+        """Hold a free slot for a class by its rank; return the class, `None` if none is free."""
+        return self._slots.hold(rank) if self._admission.may_grant() else None
+
+    def release_hold(self, traffic_class: str) -> None:
+        """Release a held slot that was not used."""
+        self._slots.release(traffic_class, started=False)
+
+    def refusal(self, check: AdmissionCheck, *, held: bool = False) -> NotRun | None:
+        """Return why an attempt would be refused now, `None` if it would be accepted.
+
+        Args:
+            check: The check of the attempt.
+            held: Whether a slot is held for it.
+        """
+        return self._admission.refusal(check, held=held)
 
     def _record_shedding(self, outcome: Outcome) -> None:
         with self._lock:
             self._shedding.record(clock.now(), outcome)
 
-    def run(self, attempt: Attempt, deadline: float, watch: CallerWatch | None = None) -> Outcome:
+    def run(
+        self,
+        attempt: Attempt,
+        deadline: float,
+        watch: CallerWatch | None = None,
+        held: str | None = None,
+    ) -> Outcome:
         """Run one attempt: admit it, start it at most once, and wait for its outcome.
 
         Args:
             attempt: The attempt.
             deadline: Clock seconds.
             watch: Detects that the caller has disconnected, if this node is also its ingress.
+            held: Class under which a slot is held for it, `None` if there is none.
         """
-        refusal = self._guard.refusal(attempt) or self.refusal(AdmissionCheck.of(attempt))
+        check = AdmissionCheck.of(attempt)
+        refusal = self._guard.refusal(attempt) or self.refusal(check, held=held is not None)
         if refusal is not None:
+            if held is not None:
+                self.release_hold(held)
             return refusal
         with self._lock:
             typical_ms = self._estimator.latency(attempt.route).typical_ms
             bad = self._estimator.bad(clock.now())
-        refusal = self._slots.acquire(attempt, deadline, typical_ms)
+        if held is not None:
+            refusal = self._slots.use_hold(held, attempt)
+        else:
+            refusal = self._slots.acquire(attempt, deadline, typical_ms)
         if refusal is not None:
             return refusal
         started = False
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -82,6 +82,8 @@
         customer: Customer that sent the request, empty for none.
         notice: What the ingress knows that the target stated, see `roadpass.notice_table`; `None`
             for nothing.
+        slot: Slot that the sidecar holds for it, `None` for none.
+        wait: Its place in the waiting order, see `roadpass.wait_order`; `None` if it has none.
     """
 
     id: str
@@ -111,6 +113,8 @@
     fingerprint: str = ""
     customer: str = ""
     notice: list[Any] | None = None
+    slot: int | None = None
+    wait: list[Any] | None = None
 
     @property
     def may_be_trial(self) -> bool:
@@ -143,8 +147,10 @@
     def to_message(self) -> Message:
         """Return the wire form."""
         message = {"t": "attempt", **self._asdict()}
-        if self.notice is None:
-            del message["notice"]
+        del message["wait"]  # its check has told it
+        for name in ("notice", "slot"):
+            if message[name] is None:
+                del message[name]
         return message
 
 
@@ -161,6 +167,8 @@
         repeat: Whether an earlier attempt at the request reached a target.
         route: Route of the request, by which its typical latency is looked up.
         notice: What the ingress knows that the target stated, `None` for nothing.
+        slot: Slot that the sidecar holds for the attempt, `None` for none.
+        wait: Place of the request in the waiting order, see `roadpass.wait_order`.
     """
 
     target: str
@@ -174,6 +182,8 @@
     repeat: bool = False
     route: str = ""
     notice: list[Any] | None = None
+    slot: int | None = None
+    wait: list[Any] | None = None
 
     @classmethod
     def of(cls, attempt: Attempt) -> "AdmissionCheck":
@@ -190,6 +200,8 @@
             attempt.retry,
             attempt.route,
             attempt.notice,
+            attempt.slot,
+            attempt.wait,
         )
 
     @classmethod
@@ -207,6 +219,8 @@
             message.get("retry", False),
             message.get("route", ""),
             message.get("notice"),
+            message.get("slot"),
+            message.get("wait"),
         )
 
     def to_message(self) -> Message:
@@ -231,6 +245,10 @@
             message["route"] = self.route
         if self.notice is not None:
             message["notice"] = self.notice
+        if self.slot is not None:
+            message["slot"] = self.slot
+        if self.wait is not None:
+            message["wait"] = self.wait
         return message
 
 
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -102,6 +102,7 @@
         self._capacity = CapacityExchange(
             self._view,
             self._sidecar,
+            self._dispatcher.waits,
             self._router.send_capacity,
             is_relay=lambda: self._router.reader_rank.rank == 0,
             metrics=self.metrics,
--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -11,7 +11,7 @@
 from roadpass.outcome import NotRun, Outcome, Reason
 from roadpass.request import Request
 from roadpass.room import RoomReport
-from roadpass.room_choice import RoomCosts, accepted_risk
+from roadpass.room_choice import accepted_risk
 from roadpass.route import Route
 from roadpass.route_stats import RouteStats
 from roadpass.transport import FENCE_S
@@ -85,6 +85,9 @@
             probed once more.
         room: What is known of the target that the next attempt goes to, `None` if it was not chosen
             by its free capacity.
+        queues: Whether it waits at the ingress for a slot instead of at a target.
+        slot: Slot that a sidecar holds for its next attempt, `None` for none.
+        wait: Its place in the waiting order as the next attempt tells it.
         may_have_run: Latest outcome that does not prove that the request did not run.
         attempt_id: Id of the attempt that was sent last, empty before the first.
     """
@@ -110,6 +113,9 @@
     accepted_wait_ms: float = 0.0
     last_resort: bool = False
     room: RoomReport | None = None
+    queues: bool = False
+    slot: int | None = None
+    wait: list[Any] | None = None
     may_have_run: Outcome | None = None
     attempt_id: str = ""
 
@@ -216,27 +222,34 @@
     @property
     def should_give_up(self) -> bool:
         """Whether it has found no free target for so long that it is better refused now."""
+        if self.queues:
+            return False  # its latest useful start limits its waiting
         limit_s = GIVE_UP_SHARE * (self.deadline - self.started)
         return self.arrivals == 0 and clock.now() - self.started > limit_s
 
     def record_arrival(self) -> None:
         """Count an attempt that reached a target; for another attempt all are probed again."""
         self.arrivals += 1
-        self._reset_offers()
+        self.reset_offers()
 
     def add_offer(self, name: str, offer: Offer) -> None:
         """Record the reply of a target that has no free slot or is likely to fail."""
         if self.accepts_best:
-            self._reset_offers()
+            self.reset_offers()
         self.offers[name] = offer
 
     def accept_best(self, has_repeat: bool) -> str | None:
-        """Accept the best offer and return its target; `None` if a refusal costs less."""
+        """Accept the best offer and return its target; `None` if a refusal costs less.
+
+        A request that waits at its ingress accepts only offers of targets with a free slot.
+        """
         costs = self._costs(has_repeat)
         left = {
             name: offer
             for name, offer in self.offers.items()
-            if name not in self.tried and costs.accepts(offer)
+            if name not in self.tried
+            and costs.accepts(offer)
+            and not (self.queues and offer.wait_ms > 0.0)
         }
         if not left:
             return None
@@ -326,6 +339,8 @@
             fingerprint=self.request.fingerprint,
             customer=self.request.customer.name if self.request.customer else "",
             notice=notice,
+            slot=self.slot,
+            wait=self.wait,
         )
 
     @property
@@ -338,7 +353,7 @@
         """Duration assumed while none is known on the route, 0 without a latency objective."""
         return ASSUMED_SHARE * (self.route.target_latency_ms or 0)
 
-    def _reset_offers(self) -> None:
+    def reset_offers(self) -> None:
         """Probe all targets again: after a wait in a queue, or where the best target changed."""
         self.offers.clear()
         self.accepts_best = False
@@ -354,19 +369,10 @@
         limit = REPEATABLE_MAX_RISK if self.repeat_meets_objective else LATE_REPEAT_MAX_RISK
         return max(known, limit)
 
-    def room_costs(self, has_repeat: bool) -> RoomCosts:
-        """Return the costs by which targets with free slots are compared."""
-        return RoomCosts(
-            self._failure_cost(has_repeat),
-            self.far_cost,
-            float(self.route.target_latency_ms or 0),
-            may_be_trial=not self.is_last_attempt(has_repeat),
-        )
-
     def _costs(self, has_repeat: bool) -> Costs:
-        return Costs(self._failure_cost(has_repeat), self.most_wait_ms(), self.far_cost)
+        return Costs(self.failure_cost(has_repeat), self.most_wait_ms(), self.far_cost)
 
-    def _failure_cost(self, has_repeat: bool) -> float:
+    def failure_cost(self, has_repeat: bool) -> float:
         """Return the cost of a failure of the next attempt, as a share of a lost request."""
         if self.is_last_attempt(has_repeat):
             return 1.0
--- a/roadpass/room.py
+++ b/roadpass/room.py
@@ -24,6 +24,10 @@
 """Risks at which requests decide otherwise: what is lost if it fails, what would be repeated, and
 the threshold of the circuit breaker."""
 
+TRIPPED_RISK = 0.9
+"""Least risk that is reported while the circuit breaker is tripped, so that the target takes trials
+only. It is more than shedding alone can cost (0.8): what sheds takes requests as ever."""
+
 
 class RoomReport(NamedTuple):
     """A sidecar's report on one target.
@@ -84,7 +88,7 @@
         made_at = now - report.age_ms / 1000.0
         with self._lock:
             entry = self._entries.setdefault(report.target, _Entry())
-            if made_at <= entry.made_at:
+            if made_at < entry.made_at:
                 return False
             entry.report, entry.made_at = report, made_at
             entry.ttl_s = IDLE_REPORT_TTL_S if idle else REPORT_TTL_S
--- a/roadpass/room_choice.py
+++ b/roadpass/room_choice.py
@@ -6,7 +6,7 @@
 
 from roadpass.balance import TIER_PENALTY_MS
 from roadpass.offer import REFUSED_LOSS, Offer
-from roadpass.room import RoomReport
+from roadpass.room import TRIPPED_RISK, RoomReport
 
 RISK_MARGIN = 0.1
 """Rise of a target's risk since its report that a request still accepts. Asking another target
@@ -20,8 +20,6 @@
 """Risk from which on a request counts as a trial, as in the circuit breaker."""
 ASSUMED_OBJECTIVE_MS = 2000.0
 """Objective in milliseconds of a route that has none, to weigh the time of the path."""
-TRIPPED_RISK = 0.6
-"""Risk from which on a target takes trials only."""
 
 
 class RoomOption(NamedTuple):
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -22,8 +22,11 @@
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
 from roadpass.shutdown import Shutdown
+from roadpass.slot_offers import SlotOffers
 from roadpass.start_limit import StartLimit
 
+MAX_FIRST_SLOT = 1 << 31
+"""Bound of the number of a process's first slot: messages hold the following numbers, too."""
 CLOCK_TOLERANCE_S = 5.0
 """Seconds by which a selector's time window is extended here, for clock differences between VMs."""
 
@@ -44,6 +47,7 @@
 
     Attributes:
         calls: Outcomes of the requests that targets of this VM may have made.
+        slot_offers: Grants free slots to ingresses whose requests wait.
         replies: Counts outcomes of attempts that are being sent back to peers.
     """
 
@@ -72,6 +76,7 @@
         self._notices = notices or NoticeTable()
         self._metrics = metrics or Metrics()
         self.calls = CallLog()
+        self.slot_offers = SlotOffers(incarnation % MAX_FIRST_SLOT, self._metrics)
         self._fleet = Fleet.empty()
         self._targets: dict[str, LocalTarget] = {}
         self._start_limits: dict[str, StartLimit] = {}
@@ -105,6 +110,7 @@
     def configure(self, fleet: Fleet) -> None:
         """Apply a revision of the configuration to the targets of this VM."""
         self._notices.configure(clock.now(), fleet.targets)
+        self.slot_offers.enabled = fleet.sharing.queue
         targets: dict[str, LocalTarget] = {}
         for target in fleet.targets_on(self._vm):
             service = fleet.services[target.service]
@@ -150,7 +156,7 @@
         if local is None:
             return Reply(NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)).to_message()
         self._merge_notice(check.target, check.notice)
-        refusal = local.refusal(check)
+        refusal = self._check_refusal(check, local)
         self._count_limited(refusal)
         notice = self._notices.row(clock.now(), check.target)
         match refusal:
@@ -162,6 +168,35 @@
             case _:
                 return Reply(refusal, notice=notice).to_message()
 
+    def _check_refusal(self, check: AdmissionCheck, local: LocalTarget) -> NotRun | None:
+        """Return why an attempt would be refused; then the slot held for it is released."""
+        offers = self.slot_offers
+        if check.slot is not None and offers.extend(check.target, check.slot):
+            refusal = local.refusal(check, held=True)
+            if refusal is not None:
+                offers.give_back(check.target, check.slot)
+            return refusal
+        if offers.is_behind(local.service_name, check.wait):
+            return NotRun(Reason.BUSY, RETRY_SOON_MS)
+        return local.refusal(check)
+
+    def _take_slot(self, attempt: Attempt, local: LocalTarget) -> str | None:
+        """Return the class under which a slot is held for an attempt, `None` if there is none."""
+        if attempt.slot is None:
+            return None
+        hold = self.slot_offers.take(attempt.target, attempt.slot)
+        if hold is not None and hold.owner is not local:  # the target was replaced meanwhile
+            self.slot_offers.release(hold)
+            return None
+        return hold.traffic_class if hold is not None else None
+
+    def assign_slots(self) -> None:
+        """Release holds that have passed, and grant free slots; called regularly."""
+        self.slot_offers.expire()
+        if not self.leaving:
+            for local in self._targets.values():
+                self.slot_offers.assign(local)
+
     def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
         """Run one attempt and return its outcome with a load report.
 
@@ -176,10 +211,15 @@
             self._merge_notice(attempt.target, attempt.notice)
         refusal = self._refusal(attempt, local, deadline)
         if refusal is not None or local is None:
+            if attempt.slot is not None:
+                self.slot_offers.give_back(attempt.target, attempt.slot)
             self.refused += 1
             outcome: Outcome = refusal or NotRun(Reason.STALE_ROUTE, RETRY_SOON_MS)
             return self._reply(outcome, local, attempt)
-        outcome = local.run(attempt, deadline, watch)
+        held = self._take_slot(attempt, local)
+        outcome = local.run(attempt, deadline, watch, held)
+        if not self.leaving:
+            self.slot_offers.assign(local)
         self._count_limited(outcome)
         return self._reply(outcome, local, attempt)
 
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -143,6 +143,26 @@
             _wake(displaced)
         return self._wait(attempt, ticket, deadline, now + self._max_wait_s(expected.ms))
 
+    def hold(self, rank: int) -> str | None:
+        """Hold a free slot for a class by its rank; return the class, `None` if none is free.
+
+        The slot counts as in use until it is released or used.
+        """
+        with self._lock:
+            if self._leaving:
+                return None
+            self._admission.set_limit(self._limit.value, self._limit.service_ms)
+            return self._admission.hold(clock.now(), rank)
+
+    def use_hold(self, held: str, attempt: Attempt) -> NotRun | None:
+        """Give an attempt the slot that is held for it; otherwise release it and return why."""
+        if self._leaving or clock.now() >= self._shutdown.last_start(attempt.usual_ms):
+            self.release(held, started=False)
+            return NotRun(Reason.LEAVING, RETRY_SOON_MS)
+        with self._lock:
+            self._admission.use_hold(held, attempt.traffic_class)
+        return None
+
     def release(self, traffic_class: str, *, started: bool = True) -> None:
         """Release a slot and wake the attempts that it goes to.
 
--- a/roadpass/target_admission.py
+++ b/roadpass/target_admission.py
@@ -62,8 +62,13 @@
         self._guard = guard
         self._lock = lock
 
-    def refusal(self, check: AdmissionCheck) -> NotRun | None:
-        """Return why an attempt would be refused now, `None` if it would be accepted."""
+    def refusal(self, check: AdmissionCheck, *, held: bool = False) -> NotRun | None:
+        """Return why an attempt would be refused now, `None` if it would be accepted.
+
+        Args:
+            check: The check of the attempt.
+            held: Whether a slot is held for it.
+        """
         refusal = self.new_work_refusal(check)
         if refusal is not None:
             return refusal
@@ -75,7 +80,7 @@
             admits_as_trial = self._breaker.admits_as_trial(
                 now, trial=check.may_be_trial and check.spare
             )
-        if wait.ms > (check.most_wait_ms if check.may_wait else 0.0):
+        if not held and wait.ms > (check.most_wait_ms if check.may_wait else 0.0):
             return NotRun(wait.reason, int(wait.ms))
         if shed_cost > check.most_bad or (bad > check.most_bad and not admits_as_trial):
             return NotRun(Reason.DOUBTFUL, 0)
@@ -122,6 +127,12 @@
                 return free
             return min(free, int(self._breaker.admits(now, trial=True)))
 
+    def may_grant(self) -> bool:
+        """Return whether a free slot may be granted to any waiting request."""
+        with self._lock:
+            tripped = self._breaker.tripped(clock.now())
+        return not tripped and self._guard.refusal_while_down() is None
+
     def new_work_refusal(self, check: AdmissionCheck) -> NotRun | None:
         """Return why the target gets no new request now, `None` if it may; ignores the queue."""
         return (
--- a/roadpass/target_chooser.py
+++ b/roadpass/target_chooser.py
@@ -1,5 +1,6 @@
 """Chooses the target that a request probes next, and learns from the reply for later choices."""
 
+import math
 import random
 import time
 
@@ -13,7 +14,7 @@
 from roadpass.outcome import NotRun, Outcome, Reason
 from roadpass.request_state import RequestState
 from roadpass.room import RoomReport
-from roadpass.room_choice import RoomOption
+from roadpass.room_choice import RoomCosts, RoomOption
 from roadpass.route import Route
 from roadpass.view import View
 
@@ -42,12 +43,15 @@
         weights = [part.weight for part in route.split]
         return self._rng.choices([part.service for part in route.split], weights)[0]
 
-    def pick(self, state: RequestState, *, has_repeat: bool) -> Target | None:
+    def pick(
+        self, state: RequestState, *, has_repeat: bool, wait_cost: float = math.inf
+    ) -> Target | None:
         """Pick the target that a request probes next, `None` if there is none left.
 
         Args:
             state: State of the request.
             has_repeat: Whether the retry budget allows another attempt after it.
+            wait_cost: Cost of waiting for a slot of the own data hall, infinite if it may not wait.
         """
         view = self._view
         service_view = view.service(state.service.name)
@@ -60,7 +64,7 @@
             return self._loads.load(name, now)
 
         while True:
-            name = self._pick_name(now, state, picker, load_of, has_repeat)
+            name = self._pick_name(now, state, picker, load_of, has_repeat, wait_cost)
             if name is None:
                 return None
             target = view.fleet.targets.get(name)
@@ -97,7 +101,13 @@
             self._learn_room(now, target, reply)
 
     def _pick_name(
-        self, now: float, state: RequestState, picker: Picker, load_of: LoadOf, has_repeat: bool
+        self,
+        now: float,
+        state: RequestState,
+        picker: Picker,
+        load_of: LoadOf,
+        has_repeat: bool,
+        wait_cost: float,
     ) -> str | None:
         """Pick a near target, a far one that may be worth the transfer, or the best offer."""
         if not picker.near:  # all targets are far, so the transfer cannot be saved
@@ -105,11 +115,13 @@
         self._apply_cached_offers(state, picker, now)
         state.room = None
         if self._view.fleet.sharing.room:
-            name = self._pick_by_room(now, state, picker, has_repeat)
+            name = self._pick_by_room(now, state, picker, has_repeat, wait_cost)
             if name is not None:
                 return name
         unreachable = set() if state.last_resort else self._loads.unreachable(now)
         known = state.tried | state.offers.keys() | unreachable
+        if self._view.fleet.sharing.room and not state.last_resort:
+            known |= {report.target for report in self._view.room.known(now, picker.names)}
         repeatable = state.route.repeatable
         if state.may_probe_near:
             excluded = known | picker.far
@@ -126,7 +138,12 @@
         return state.accept_best(has_repeat)
 
     def _pick_by_room(
-        self, now: float, state: RequestState, picker: Picker, has_repeat: bool
+        self,
+        now: float,
+        state: RequestState,
+        picker: Picker,
+        has_repeat: bool,
+        wait_cost: float,
     ) -> str | None:
         """Pick a target that is known to have a free slot; those known to be full are offers."""
         if state.last_resort or state.accepts_best:
@@ -139,13 +156,14 @@
             if report.target not in excluded
             and (state.route.repeatable or not candidates[report.target].trial)
         ]
-        chosen = room_choice.choose(options, state.room_costs(has_repeat), self._rng)
-        if chosen is not None:
+        costs = room_costs(state, has_repeat)
+        chosen = room_choice.choose(options, costs, self._rng)
+        if chosen is not None and (chosen.tier == 0 or costs.of(chosen) < wait_cost):
             state.room = chosen.report
             return chosen.report.target
         for option in options:
             target = self._view.fleet.targets.get(option.report.target)
-            if target is not None and option.report.free == 0:
+            if target is not None and (option.report.free == 0 or chosen is not None):
                 far = target.name in picker.far
                 offer = room_choice.full_offer(option.report, target.slots, far=far)
                 state.offers.setdefault(target.name, offer)
@@ -201,3 +219,18 @@
             case _:
                 pass
         self._loads.record_reachable(name)
+
+
+def room_costs(state: RequestState, has_repeat: bool) -> RoomCosts:
+    """Return the costs by which a request compares targets with free slots.
+
+    Args:
+        state: State of the request.
+        has_repeat: Whether the retry budget allows another attempt after the next one.
+    """
+    return RoomCosts(
+        state.failure_cost(has_repeat),
+        state.far_cost,
+        float(state.route.target_latency_ms or 0),
+        may_be_trial=not state.is_last_attempt(has_repeat),
+    )
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -108,6 +108,22 @@
     return 0.0014 if peer.hall != node.hall else 0.0002
 
 
+class LeavingCaller:
+    """A caller that disconnects after a time; implements `CallerWatch`."""
+
+    watchable = True
+
+    def __init__(self, crowd: "Crowd", after_s: float) -> None:
+        self._crowd = crowd
+        self._at = crowd.world.now + after_s
+
+    def fileno(self) -> int:
+        return -1
+
+    def gone(self) -> bool:
+        return self._crowd.world.now >= self._at
+
+
 class CrowdNode:
     """A node with a real ingress, a real sidecar and one target."""
 
@@ -147,6 +163,7 @@
             self.capacity = CapacityExchange(
                 self.view,
                 self.sidecar,
+                self._dispatcher.waits,
                 self._send_capacity,
                 is_relay=self._is_relay,
                 metrics=Metrics(),
@@ -183,6 +200,7 @@
             one.body,
             "c",
             deadline=deadline,
+            watch=None if math.isinf(one.leaves_s) else LeavingCaller(self._crowd, one.leaves_s),
             id=name,
             fingerprint=fingerprint("h", method, path, "", one.body),
         )
@@ -405,6 +423,10 @@
 
     def reaches(self, node: CrowdNode, peer: CrowdNode) -> bool:
         """Return whether two nodes can reach each other now."""
+        begin, end = self.load.cut_off_s
+        cut_off = {node.process.vm, peer.process.vm} & self.load.cut_off
+        if cut_off and begin <= self.world.now - FIRST_S < end:
+            return False
         begin, end = self.load.partition
         return node.hall == peer.hall or not begin <= self.world.now - FIRST_S < end
 
@@ -433,10 +455,17 @@
                 with self.world.acting(peer.process):
                     peer.sidecar.quarantine.merge(now, row)
 
+    def _longest_free_s(self, service: str) -> float:
+        """Return the longest time for which a target of a service has had a free slot."""
+        targets = [node.target for node in self.nodes.values() if node.target.service == service]
+        return max(0.0, *(self.world.now - target.free_since for target in targets))
+
     def _scheduled_requests(self) -> Iterable[tuple[float, str]]:
         for name, kind in self.load.kinds.items():
             at = FIRST_S
-            while kind.per_s and (at := at + self.rng.expovariate(kind.per_s)) < self._end:
+            while kind.per_s and (at := at + self.rng.expovariate(kind.per_s)) < min(
+                self._end, FIRST_S + kind.until_s
+            ):
                 yield at, name
 
     @property
@@ -452,7 +481,8 @@
         def dispatch_and_record() -> None:
             outcome = node.dispatch(name, at + kind.timeout_ms / 1000.0)
             took_ms = (self.world.now - at) * 1000.0
-            self.results.append(RequestResult(name, at - FIRST_S, took_ms, outcome))
+            free_s = self._longest_free_s(kind.service)
+            self.results.append(RequestResult(name, at - FIRST_S, took_ms, outcome, free_s))
 
         self.world.spawn(node.process, dispatch_and_record)
 
@@ -471,7 +501,7 @@
             f"/{name}/",
             frozenset(),
             kind.service,
-            "p000",
+            kind.traffic_class,
             kind.repeatable,
             {},
             kind.timeout_ms,
--- a/tests/crowd_target.py
+++ b/tests/crowd_target.py
@@ -1,5 +1,6 @@
 """A simulated target: slots, a queue, scheduled faults, and requests that crash it."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
@@ -25,6 +26,7 @@
 
     Attributes:
         starts: Number of restarts.
+        free_since: Virtual time since which it has a free slot, infinite while all are in use.
     """
 
     def __init__(self, name: str, service: str, slots: int) -> None:
@@ -32,6 +34,7 @@
         self.service = service
         self.slots = slots
         self.running = 0
+        self.free_since = -math.inf
         self.queue: deque[object] = deque()
         self.starts = 0
         self._down_until: float | None = None
@@ -102,12 +105,14 @@
         if crowd.kind_of(path, body).fails:
             crowd.sleep(FAIL_S)
             return TargetAnswer(Answered(500, [], b"", 1.0), False, "", None)
+        started = crowd.world.now
         status = self._work(path, body, until, repeated=repeated)
         if self.refuses_connections():
             raise TargetLostError("The connection ended.")
         if status is None:
             raise TargetTimeoutError("No answer in time.")
-        return TargetAnswer(Answered(status, [], b"", 1.0), False, "", None)
+        took_ms = (crowd.world.now - started) * 1000.0 if any(crowd.load.sharing) else 1.0
+        return TargetAnswer(Answered(status, [], b"", took_ms), False, "", None)
 
     def refuses_connections(self) -> bool:
         return self._target.down or self._start != self._target.starts
@@ -126,6 +131,8 @@
         if not granted or self.refuses_connections():
             return None
         target.running += 1
+        if target.running >= target.slots:
+            target.free_since = math.inf
         try:
             self._wait(lambda: False, min(crowd.world.now + crowd.draw_work_s(kind), until))
             if kind.crashes and not self.refuses_connections() and crowd.world.now < until:
@@ -138,6 +145,7 @@
             return 200 if crowd.world.now < until else None
         finally:
             target.running -= 1
+            target.free_since = min(target.free_since, crowd.world.now)
 
     def _wait(self, ready: Callable[[], bool], until: float) -> bool:
         """Wait until `ready` returns true or the target is gone; return whether either holds."""
--- a/tests/load.py
+++ b/tests/load.py
@@ -1,5 +1,6 @@
 """Types for `tests.crowd`: loads and the results of their requests."""
 
+import math
 from typing import NamedTuple
 
 from roadpass.outcome import Answered, NotRun, Outcome
@@ -26,6 +27,9 @@
         route: Kind that owns the route it uses, empty for its own.
         triggered_by: Kind that triggers it: with each request of that kind, one of this kind is
             sent to the same node.
+        until_s: Seconds after which no more of them come.
+        traffic_class: Class of its route; those of a service rank by name.
+        leaves_s: Seconds after which their callers disconnect.
     """
 
     service: str
@@ -43,6 +47,9 @@
     body: bytes = b""
     route: str = ""
     triggered_by: str = ""
+    until_s: float = math.inf
+    leaves_s: float = math.inf
+    traffic_class: str = "p000"
 
 
 class TargetFault(NamedTuple):
@@ -100,6 +107,8 @@
         limits: Limits that targets name.
         sharing: Ways of sharing capacity that are in force.
         datagrams_lost: Share of the datagrams on capacity that are lost.
+        cut_off: VMs that no other node reaches for a time, as if they were gone.
+        cut_off_s: Begin and end of that time, in seconds.
     """
 
     kinds: dict[str, Kind]
@@ -114,15 +123,26 @@
     limits: tuple[TargetLimit, ...] = ()
     sharing: Sharing = OFF
     datagrams_lost: float = 0.0
+    cut_off: frozenset[str] = frozenset()
+    cut_off_s: tuple[float, float] = (0.0, 0.0)
 
 
 class RequestResult(NamedTuple):
-    """The result of one request of a caller."""
+    """The result of one request of a caller.
+
+    Args:
+        kind: Its kind.
+        at: When it was sent, in seconds since the first request.
+        took_ms: Milliseconds until its outcome.
+        outcome: Its outcome.
+        free_s: Longest time in seconds for which a target of its service had a free slot then.
+    """
 
     kind: str
     at: float
     took_ms: float
     outcome: Outcome
+    free_s: float = 0.0
 
     @property
     def result(self) -> str:
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -191,3 +191,47 @@
     """
     load = calm(seed)
     return load._replace(faults=(TargetFault(1.0, 5.0, 0.55, "shed", service="fare"),), seconds=5.0)
+
+
+def burst(seed: int) -> Load:
+    """For five seconds work comes for 1.6 times the slots, and may wait for eight seconds.
+
+    Afterwards a third of the slots is enough, so with perfect knowledge all of it is served in
+    time. On a copy of the users' first fleet, 81 requests were refused after 34 ms then, with 8 s
+    left, while 11 to 17 of 66 slots were busy.
+    """
+    del seed
+    targets, slots = {"fare": 8}, 4
+    per_s = sum(targets.values()) * slots / 0.7
+    kinds = {
+        "rush": Kind("fare", 700.0, 8000, 10000, False, 1.3 * per_s, until_s=5.0),
+        "usual": Kind("fare", 700.0, 8000, 10000, True, 0.3 * per_s),
+    }
+    return Load(
+        kinds, targets, slots=slots, seconds=10.0, slack=SLACK, halls=2, sharing=ROOM_AND_QUEUE
+    )
+
+
+def overload(seed: int) -> Load:
+    """Work comes for twice the slots, for eight seconds, and may wait for little more than one.
+
+    With perfect knowledge half of it is refused at once, and the other half is served in time.
+    """
+    load = burst(seed)
+    per_s = load.targets["fare"] * load.slots / 0.7
+    kinds = {"rush": Kind("fare", 700.0, 2200, 6000, False, 2.0 * per_s)}
+    return load._replace(kinds=kinds, seconds=8.0)
+
+
+def two_classes(seed: int) -> Load:
+    """Work comes for twice the slots; a quarter of it is of the most urgent class.
+
+    With perfect knowledge all of that quarter is served.
+    """
+    load = overload(seed)
+    rush = load.kinds["rush"]
+    kinds = {
+        "urgent": rush._replace(per_s=0.25 * rush.per_s, traffic_class="p0"),
+        "usual": rush._replace(per_s=0.75 * rush.per_s, traffic_class="p1"),
+    }
+    return load._replace(kinds=kinds)
--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -16,12 +16,16 @@
     request_log,
     request_state,
     sidecar,
+    slot_offers,
+    slot_wait,
     slots,
     stream,
     stream_server,
     target_admission,
     target_chooser,
     transport,
+    wait_announcer,
+    waiting_requests,
 )
 from roadpass.fleet import Fleet
 from roadpass.request import Request
@@ -53,6 +57,10 @@
     request_state: ("clock",),
     request_log: ("clock",),
     capacity_exchange: ("clock",),
+    slot_offers: ("clock",),
+    slot_wait: ("clock", "time"),
+    wait_announcer: ("clock",),
+    waiting_requests: ("clock", "WakeSignal"),
 }
 VMS = ("vm-1", "vm-2", "vm-3")
 TARGETS = {"t1": "vm-1", "t2": "vm-2", "t3": "vm-2", "t4": "vm-3"}
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -3,7 +3,8 @@
 import random
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,6 +12,7 @@
 
 from roadpass import clock
 from roadpass.audit import AuditTrail
+from roadpass.capacity_messages import CapacityMessage
 from roadpass.gossip import Gossip
 from roadpass.gossip_messages import (
     Begin,
@@ -46,6 +48,7 @@
     notices: NoticeTable | None = None,
     address: str = ADDRESS,
     on_peer_position: Callable[[PeerPosition], None] | None = None,
+    on_capacity: Callable[[str, Mapping[str, Any]], None] = lambda sender, fields: None,
 ) -> ActorRef[Gossip]:
     """Start an actor that records the names of the nodes it learns about."""
     own = Member("vm-1", 1, MemberState.ALIVE, address, 8081, 8082, "hall", "region")
@@ -56,6 +59,7 @@
         on_hint=lambda target, scores: None,
         on_leave=lambda: None,
         on_peer_position=on_peer_position,
+        on_capacity=on_capacity,
     )
     return Gossip.start(
         config,
@@ -202,3 +206,33 @@
     actor._process_datagram = lambda message: None  # type: ignore[method-assign]
     actor._on_datagram(bytes(whole))
     assert metrics.get("gossip_dropped") <= 1
+
+
+def test_capacity_is_sent_and_received_without_the_membership() -> None:
+    """Rows go to the named nodes, and an unknown sender of rows does not become a member."""
+    nodes: list[str] = []
+    received: list[tuple[str, Mapping[str, Any]]] = []
+    ref = start(
+        Metrics(),
+        nodes,
+        address="127.0.41.6",
+        on_capacity=lambda sender, fields: received.append((sender, fields)),
+    )
+    ref.tell(Begin())
+    ref.proxy().agreeing_peers.get()  # returns once the socket is bound and read
+    peer = Member("vm-9", 1, MemberState.ALIVE, "127.0.41.12", 8081, 8082, "hall", "region")
+    ref.tell(Seed((peer,), frozenset()))
+    room, waiting = ["t", 2, 0, 700.0, 0.1, 3.0], ["s", 2, 0, 1, 500.0]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((peer.address, peer.gossip_port))
+        sock.settimeout(LIMIT_S)
+        ref.tell(CapacityMessage(("vm-9", "vm-unknown"), {"room": [room], "waiting": [waiting]}))
+        messages = (unpack(sock.recv(2048)) for _ in range(DATAGRAMS))
+        sent = next(message for message in messages if "room" in message)
+        assert (sent["room"], sent["waiting"], sent["news"]) == ([room], [waiting], [])
+        content = pack({**sent, "sender": "vm-7"})
+        sock.sendto(content, ("127.0.41.6", PORTS.gossip))
+        assert eventually(lambda: bool(received))
+    assert received == [("vm-7", {"room": [room], "waiting": [waiting]})]
+    assert "vm-7" not in nodes
+    ref.stop()
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -2,7 +2,7 @@
 
 import random
 
-from roadpass.room import IDLE_REPORT_TTL_S, REPORT_TTL_S, RoomReport, RoomTable
+from roadpass.room import IDLE_REPORT_TTL_S, REPORT_TTL_S, TRIPPED_RISK, RoomReport, RoomTable
 from roadpass.room_choice import RoomCosts, RoomOption, accepted_risk, choose
 from roadpass.room_publisher import BUSY_INTERVAL_S, IDLE_INTERVAL_S, RoomPublisher
 from roadpass.room_relay import REFRESH_S, RoomRelay
@@ -154,7 +154,7 @@
 
 def test_tripped_target_gets_trials_only() -> None:
     """It must neither take what would be lost, nor stay without any request for ever."""
-    options = [RoomOption(report("bad", risk=0.8), 0), RoomOption(report("good"), 0)]
+    options = [RoomOption(report("bad", risk=TRIPPED_RISK), 0), RoomOption(report("good"), 0)]
     assert chosen(options) == {"good"}
     assert chosen(options[:1]) == set()
     assert chosen(options, COSTS._replace(may_be_trial=True)) == {"bad", "good"}
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -351,6 +351,15 @@
         def wait(self, limit_s: float) -> bool:
             return world.park(lambda: self._set, limit_s)
 
+    class WakeSignal(Event):
+        """Replaces `roadpass.wake_signal.WakeSignal`."""
+
+        def wait(self, limit_s: float, watch: Any = None) -> bool:
+            return world.park(lambda: self._set or (watch is not None and watch.gone()), limit_s)
+
+        def close(self) -> None:
+            """Do nothing: it holds no descriptor."""
+
     def now() -> float:
         return world.now + world.process.offset
 
@@ -367,6 +376,7 @@
         "time": wall,
         "select": SimpleNamespace(poll=lambda: _Poll(world), POLLIN=POLLIN),
         "socket": sockets,
+        "WakeSignal": WakeSignal,
         "threading": SimpleNamespace(Event=Event, Lock=threading.Lock),
     }
 
