--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -527,7 +527,7 @@
 r"""
 loan.
 
-service, kind of the message, number of the loan, repeats
+service, kind of the message, number of the loan, repeats or fractions of one
 
 minItems: 4
 maxItems: 4
@@ -1038,7 +1038,7 @@
 
 
 
-_Loan3 = int
+_Loan3 = int | float
 r""" minimum: 0 """
 
 
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -313,6 +313,8 @@
         retry_burst=math.inf,
         target_repeats=max(1.0, target_slack),
         retry_window_s=policy.retry_window_s,
+        fleet_ratio=policy.retry_ratio,
+        fleet_slack=policy.retry_slack,
         floor_slots=math.ceil(slots * policy.floor_share),
         false_ejections_per_target_week=FALSE_EJECTIONS_PER_TARGET_WEEK,
         timeout_ms=ATTEMPT_TIMEOUT_MS,
--- a/roadpass/fleet.py
+++ b/roadpass/fleet.py
@@ -59,6 +59,9 @@
         far_loss_per_kb: Cost of a kilobyte sent to another data hall, as a share of a lost request.
         target_repeats: Retries that one of its targets receives per window, beyond `retry_ratio`.
         retry_window_s: Length of the window in seconds.
+        fleet_ratio: Retries per request that the whole service receives, where its sidecars lend
+            each other retries (`Sharing.fleet_repeats`).
+        fleet_slack: Additional retries of the whole service in each window, likewise.
     """
 
     name: str
@@ -77,6 +80,8 @@
     far_loss_per_kb: float = FAR_LOSS_PER_KB
     target_repeats: float = BURST
     retry_window_s: float = WINDOW_S
+    fleet_ratio: float = 0.0
+    fleet_slack: float = 0.0
 
     @classmethod
     def from_config(cls, name: str, value: Any) -> "Service":
@@ -92,6 +97,7 @@
             waiting_limit=value.get("waiting_limit", 24),
             retry_ratio=value.get("retry_ratio", 0.1),
             retry_burst=BURST,
+            fleet_ratio=value.get("retry_ratio", 0.1),
             slow_start_s=value.get("slow_start_s", 5.0),
             shed_status=value.get("shed_status"),
             far_loss_per_kb=value.get("far_loss_per_kb", FAR_LOSS_PER_KB),
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -82,6 +82,7 @@
         customer: Customer that sent the request, empty for none.
         notice: What the ingress knows that the target stated, see `roadpass.notice_table`; `None`
             for nothing.
+        parent_repeat: Whether a repeated request makes this call, so that it counts as a repeat.
     """
 
     id: str
@@ -111,6 +112,7 @@
     fingerprint: str = ""
     customer: str = ""
     notice: list[Any] | None = None
+    parent_repeat: bool = False
 
     @property
     def may_be_trial(self) -> bool:
@@ -145,6 +147,8 @@
         message = {"t": "attempt", **self._asdict()}
         if self.notice is None:
             del message["notice"]
+        if not self.parent_repeat:
+            del message["parent_repeat"]
         return message
 
 
@@ -161,6 +165,7 @@
         repeat: Whether an earlier attempt at the request reached a target.
         route: Route of the request, by which its typical latency is looked up.
         notice: What the ingress knows that the target stated, `None` for nothing.
+        parent_repeat: Whether a repeated request makes this call.
     """
 
     target: str
@@ -174,6 +179,7 @@
     repeat: bool = False
     route: str = ""
     notice: list[Any] | None = None
+    parent_repeat: bool = False
 
     @classmethod
     def of(cls, attempt: Attempt) -> "AdmissionCheck":
@@ -190,6 +196,7 @@
             attempt.retry,
             attempt.route,
             attempt.notice,
+            attempt.parent_repeat,
         )
 
     @classmethod
@@ -207,6 +214,7 @@
             message.get("retry", False),
             message.get("route", ""),
             message.get("notice"),
+            message.get("parent_repeat", False),
         )
 
     def to_message(self) -> Message:
@@ -231,6 +239,8 @@
             message["route"] = self.route
         if self.notice is not None:
             message["notice"] = self.notice
+        if self.parent_repeat:
+            message["parent_repeat"] = True
         return message
 
 
