Merge the fleet-wide retry budget

A repeat is led to targets with repeats left without a wait for a slot, and else waits for any slot.

--- a/roadpass/gossip_messages.py
+++ b/roadpass/gossip_messages.py
@@ -7,6 +7,7 @@
 from roadpass.member import Member
 from roadpass.position import Position
 from roadpass.quota_coordinator import QuotaMessage
+from roadpass.repeat_loans import LoanMessage
 from roadpass.revision import Version
 from roadpass.source_update import PeerPosition
 from roadpass.view import PeerNode
@@ -96,6 +97,7 @@
             source.
         on_quota: A peer sent quota reports or allowances.
         on_capacity: A peer sent rows on the capacity of targets; with its VM and the rows by field.
+        on_loans: A peer announced, requested or granted repeats.
     """
 
     on_node: Callable[[PeerNode], None]
@@ -105,3 +107,4 @@
     on_peer_position: Callable[[PeerPosition], None] | None = None
     on_quota: Callable[[QuotaMessage], None] = lambda message: None
     on_capacity: Callable[[str, Mapping[str, Sequence[Any]]], None] = lambda sender, fields: None
+    on_loans: Callable[[LoanMessage], None] = lambda message: None
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -84,6 +84,7 @@
             for nothing.
         slot: Slot that the sidecar holds for it, `None` for none.
         wait: Its place in the waiting order, see `roadpass.wait_order`; `None` if it has none.
+        parent_repeat: Whether a repeated request makes this call, so that it counts as a repeat.
     """
 
     id: str
@@ -115,6 +116,7 @@
     notice: list[Any] | None = None
     slot: int | None = None
     wait: list[Any] | None = None
+    parent_repeat: bool = False
 
     @property
     def may_be_trial(self) -> bool:
@@ -151,6 +153,8 @@
         for name in ("notice", "slot"):
             if message[name] is None:
                 del message[name]
+        if not self.parent_repeat:
+            del message["parent_repeat"]
         return message
 
 
@@ -169,6 +173,7 @@
         notice: What the ingress knows that the target stated, `None` for nothing.
         slot: Slot that the sidecar holds for the attempt, `None` for none.
         wait: Place of the request in the waiting order, see `roadpass.wait_order`.
+        parent_repeat: Whether a repeated request makes this call.
     """
 
     target: str
@@ -184,6 +189,7 @@
     notice: list[Any] | None = None
     slot: int | None = None
     wait: list[Any] | None = None
+    parent_repeat: bool = False
 
     @classmethod
     def of(cls, attempt: Attempt) -> "AdmissionCheck":
@@ -202,6 +208,7 @@
             attempt.notice,
             attempt.slot,
             attempt.wait,
+            attempt.parent_repeat,
         )
 
     @classmethod
@@ -221,6 +228,7 @@
             message.get("notice"),
             message.get("slot"),
             message.get("wait"),
+            message.get("parent_repeat", False),
         )
 
     def to_message(self) -> Message:
@@ -249,6 +257,8 @@
             message["slot"] = self.slot
         if self.wait is not None:
             message["wait"] = self.wait
+        if self.parent_repeat:
+            message["parent_repeat"] = True
         return message
 
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -106,9 +106,11 @@
             crash records, one after the other, as on a restart.
         limits: Limits that targets name.
         sharing: Ways of sharing capacity that are in force.
-        datagrams_lost: Share of the datagrams on capacity that are lost.
         cut_off: VMs that no other node reaches for a time, as if they were gone.
         cut_off_s: Begin and end of that time, in seconds.
+        datagrams_lost: Share of the datagrams on capacity and of loans that are lost; some others
+            of loans are doubled.
+        restarts: Times, in seconds, at which nodes restart, and their numbers.
     """
 
     kinds: dict[str, Kind]
@@ -125,6 +127,7 @@
     datagrams_lost: float = 0.0
     cut_off: frozenset[str] = frozenset()
     cut_off_s: tuple[float, float] = (0.0, 0.0)
+    restarts: tuple[tuple[float, int], ...] = ()
 
 
 class RequestResult(NamedTuple):
