Order attempts of one class by their standing at the sidecar

Cause: a call that a running request makes waited behind fresh work of its class, while its parent held a slot (of 99 calls made by targets in 12 s, 37 were refused, docs/design/load-sharing.md, shortcoming 5). Short requests went ahead of it whatever their class.

Change: attempts and checks have a standing, 0 for calls, 1 for fresh work, 2 for work above its customer's share. It is left out of the wire form when it is 1, and so is `parent_repeat` when false. The queue of a class is split by standing (`class_queue`). A short request does not pass a call of its own or of a more urgent class. A call displaces fresh work of its class from a full queue.

`standing` is a new optional field of check and attempt: the `wait` field of check is not on attempts, which queue at the sidecar by themselves.

tests/test_admission.py passes (4 new tests).

--- a/benchmarks/_roadpass_driver.py
+++ b/benchmarks/_roadpass_driver.py
@@ -2,8 +2,9 @@
 
 from benchmarks._driver import Driver, Fault, Request, SimulatedAttempt, Spec
 from roadpass.adaptive_limit import AdaptiveLimit
-from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
+from roadpass.admission import Admission, Admitted, Queued, Refused
 from roadpass.balance import Candidate, Load, Picker
+from roadpass.class_queue import Ticket
 from roadpass.ejector import State
 from roadpass.failure_detector import Detector, Sample, threshold
 from roadpass.health import Presence, ServiceHealth
--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -177,6 +177,13 @@
     parent_repeat: "_ParentRepeat"
     r""" Whether a repeated request makes this call, so that it counts as a repeat. """
 
+    standing: "_Standing"
+    r"""
+    Order within a class, the smallest first: 0 a call of a running request, 1 other work (also if left out), 2 above its customer's share.
+
+    minimum: 0
+    """
+
 
 
 class CatchUp(TypedDict, total=False):
@@ -255,6 +262,13 @@
     parent_repeat: "_ParentRepeat"
     r""" Whether a repeated request makes this call, so that it counts as a repeat. """
 
+    standing: "_Standing"
+    r"""
+    Order within a class, the smallest first: 0 a call of a running request, 1 other work (also if left out), 2 above its customer's share.
+
+    minimum: 0
+    """
+
     wait: tuple["_CheckWait0", "_CheckWait1", int | float]
     r"""
     Place in the waiting order: rank of the class, standing, milliseconds to the latest useful start
@@ -1184,6 +1198,15 @@
 
 
 
+_Standing = int
+r"""
+Order within a class, the smallest first: 0 a call of a running request, 1 other work (also if left out), 2 above its customer's share.
+
+minimum: 0
+"""
+
+
+
 _TargetNotice0 = str
 r"""
 minLength: 1
--- a/roadpass/admission.py
+++ b/roadpass/admission.py
@@ -2,13 +2,15 @@
 shares, fairness among callers, deadlines, and the limit of starts that a target names.
 """
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple, TypeAlias
 
+from roadpass.class_queue import ClassState, Ticket
 from roadpass.fleet import TrafficClass
 from roadpass.outcome import Reason
+from roadpass.standing import ABOVE_SHARE, CALL, FRESH
 from roadpass.start_limit import StartLimit
 
 MIN_RETRY_AFTER_MS = 100
@@ -24,22 +26,6 @@
 first."""
 
 
-class Ticket:
-    """A queued request; `signal` is set and used by the waiting code only."""
-
-    __slots__ = ("caller", "expires_at", "granted", "short", "signal", "traffic_class")
-
-    def __init__(
-        self, traffic_class: str, caller: str, expires_at: float, *, short: bool = False
-    ) -> None:
-        self.traffic_class = traffic_class
-        self.caller = caller
-        self.expires_at = expires_at
-        self.granted = False
-        self.short = short
-        self.signal: object = None
-
-
 @dataclass(frozen=True, slots=True)
 class Admitted:
     """The request may start immediately; its slot must be released."""
@@ -81,42 +67,6 @@
     reason: Reason = Reason.BUSY
 
 
-class _ClassState:
-    """Slots in use and queue of one class, round robin among callers."""
-
-    def __init__(self, reserved: float) -> None:
-        self.reserved = reserved
-        self.in_use = 0
-        self.waiting = 0
-        self.by_caller: OrderedDict[str, deque[Ticket]] = OrderedDict()
-
-    def push(self, ticket: Ticket) -> None:
-        self.by_caller.setdefault(ticket.caller, deque()).append(ticket)
-        self.waiting += 1
-
-    def pop(self) -> Ticket | None:
-        if not self.by_caller:
-            return None
-        caller, queue = next(iter(self.by_caller.items()))
-        ticket = queue.popleft()
-        self.waiting -= 1
-        if queue:
-            self.by_caller.move_to_end(caller)
-        else:
-            del self.by_caller[caller]
-        return ticket
-
-    def remove(self, ticket: Ticket) -> bool:
-        queue = self.by_caller.get(ticket.caller)
-        if queue is None or ticket not in queue:
-            return False
-        queue.remove(ticket)
-        self.waiting -= 1
-        if not queue:
-            del self.by_caller[ticket.caller]
-        return True
-
-
 class Admission:
     """Decides for one target whether a request starts now, is queued, or is refused immediately.
 
@@ -138,7 +88,7 @@
         self._starts = starts or StartLimit()
         self._slots = slots
         self._queue_limit = queue_limit
-        self._classes = {entry.name: _ClassState(entry.reserved) for entry in classes}
+        self._classes = {entry.name: ClassState(entry.reserved) for entry in classes}
         self._last_class = classes[-1].name
         self._short: deque[Ticket] = deque()
         self._short_turns = 0
@@ -169,6 +119,7 @@
         *,
         retry: bool,
         typical_ms: float = 0.0,
+        standing: int = FRESH,
     ) -> Decision:
         """Decide on a new request.
 
@@ -180,7 +131,9 @@
             retry: Whether it is a retry, which is shed first.
             typical_ms: Typical latency of such requests in milliseconds, 0 if unknown. With it a
                 short request meets a deadline that the mean service time would miss.
+            standing: Order within its class, see `roadpass.standing`.
         """
+        standing = min(standing, ABOVE_SHARE)
         name = traffic_class if traffic_class in self._classes else self._last_class
         state = self._classes[name]
         if remaining_s * 1000.0 <= 0.0:
@@ -189,16 +142,16 @@
         if may_run and self._starts.take(now):
             self._occupy(state)
             return Admitted()
-        short = self._is_short(typical_ms)
-        wait_ms, reason = self._estimate_wait(now, name, short=short)
+        short = self._is_short(typical_ms) and standing != CALL
+        wait_ms, reason = self._estimate_wait(now, name, short=short, standing=standing)
         if wait_ms + (typical_ms or self._service_ms) > remaining_s * 1000.0:
             return self._refuse(Reason.TOO_LATE if reason is Reason.BUSY else reason, wait_ms)
         displaced = None
         if not self._has_room(state, caller, retry):
-            displaced = None if retry else self._displace(state)
+            displaced = None if retry else self._displace(state, standing)
             if displaced is None:
                 return self._refuse(Reason.QUEUE_FULL, wait_ms)
-        ticket = Ticket(name, caller, now + remaining_s, short=short)
+        ticket = Ticket(name, caller, now + remaining_s, short=short, standing=standing)
         if short:
             self._short.append(ticket)
         else:
@@ -206,7 +159,7 @@
         return Queued(ticket, displaced)
 
     def expected_wait(
-        self, now: float, traffic_class: str, typical_ms: float = 0.0
+        self, now: float, traffic_class: str, typical_ms: float = 0.0, standing: int = FRESH
     ) -> ExpectedWait:
         """Estimate the wait of a new request.
 
@@ -214,11 +167,14 @@
             now: Clock seconds.
             traffic_class: Name of its class.
             typical_ms: Typical latency of such requests in milliseconds, 0 if unknown.
+            standing: Order within its class, see `roadpass.standing`.
         """
+        standing = min(standing, ABOVE_SHARE)
         name = traffic_class if traffic_class in self._classes else self._last_class
         if self.waiting == 0 and self._may_run(name) and self._starts.wait_s(now) <= 0.0:
             return ExpectedWait(0.0)
-        wait = self._estimate_wait(now, name, short=self._is_short(typical_ms))
+        short = self._is_short(typical_ms) and standing != CALL
+        wait = self._estimate_wait(now, name, short=short, standing=standing)
         return wait._replace(ms=max(1.0, wait.ms))
 
     def grant_due(self, now: float) -> list[Ticket]:
@@ -273,8 +229,13 @@
         return granted
 
     def _next(self) -> Ticket | None:
-        """Remove and return the next ticket that may run: short ones first, except every third."""
+        """Remove and return the next ticket that may run: short ones first, except every third.
+
+        A short one does not pass a call of its own or of a more urgent class.
+        """
         short = bool(self._short) and self._may_run(self._short[0].traffic_class)
+        if short and self._waiting_call(self._short[0].traffic_class):
+            short = False
         if short and self._short_turns < SHORT_TURNS:
             self._short_turns += 1
             return self._short.popleft()
@@ -284,10 +245,19 @@
                 return state.pop()
         return self._short.popleft() if short else None
 
+    def _waiting_call(self, traffic_class: str) -> bool:
+        """Return whether a call of a class, or of a more urgent one, waits and may run."""
+        for name, state in self._classes.items():
+            if state.queues[CALL].waiting and self._may_run(name):
+                return True
+            if name == traffic_class:
+                break
+        return False
+
     def _is_short(self, typical_ms: float) -> bool:
         return 0.0 < typical_ms <= SHORT_SHARE * self._service_ms
 
-    def _occupy(self, state: _ClassState) -> None:
+    def _occupy(self, state: ClassState) -> None:
         state.in_use += 1
         self._in_use += 1
 
@@ -298,42 +268,51 @@
                 kept_free += max(0.0, state.reserved * self._slots - state.in_use)
         return self._in_use + 1 + int(kept_free) <= self._slots
 
-    def _has_room(self, state: _ClassState, caller: str, retry: bool) -> bool:
+    def _has_room(self, state: ClassState, caller: str, retry: bool) -> bool:
         waiting = self.waiting
         if retry:
             return waiting < self._queue_limit * RETRY_QUEUE_SHARE
         if waiting >= self._queue_limit:
             return False
-        own = len(state.by_caller.get(caller, ()))
-        fair = max(1, self._queue_limit // (len(state.by_caller) + 1))
+        own = sum(len(queue.by_caller.get(caller, ())) for queue in state.queues)
+        callers = {name for queue in state.queues for name in queue.by_caller}
+        fair = max(1, self._queue_limit // (len(callers) + 1))
         return own < fair or waiting < self._queue_limit // 2
 
-    def _displace(self, state: _ClassState) -> Ticket | None:
-        """Remove the newest ticket of a less important class to make room."""
+    def _displace(self, state: ClassState, standing: int) -> Ticket | None:
+        """Remove the newest ticket of a less important class to make room.
+
+        For a call, also one of its own class that is no call.
+        """
         names = list(self._classes.values())
         for other in reversed(names[names.index(state) + 1 :]):
-            if other.waiting:
-                ticket = next(reversed(other.by_caller.values()))[-1]
-                other.remove(ticket)
+            ticket = other.pop_newest(above=CALL - 1)
+            if ticket is not None:
                 return ticket
-        return None
+        return state.pop_newest(above=CALL) if standing == CALL else None
 
-    def _estimate_wait(self, now: float, name: str, *, short: bool) -> ExpectedWait:
+    def _estimate_wait(self, now: float, name: str, *, short: bool, standing: int) -> ExpectedWait:
         """Estimate the wait of a request that cannot start now, for a slot or for a start."""
-        ahead = self._count_ahead(name, short=short)
+        ahead = self._count_ahead(name, short=short, standing=standing)
         start_ms = self._starts.wait_s(now, ahead) * 1000.0
         slot_ms = (ahead + 1) / max(1, self._slots) * self._service_ms
         if start_ms > 0.0 and (start_ms > slot_ms or self._may_run(name)):
             return ExpectedWait(start_ms, Reason.LIMITED)
         return ExpectedWait(slot_ms)
 
-    def _count_ahead(self, name: str, *, short: bool) -> int:
+    def _count_ahead(self, name: str, *, short: bool, standing: int) -> int:
         """Count the queued requests that start before a new one of a class."""
         names = list(self._classes)
-        ahead = len(self._short)
-        if not short:
-            ahead += sum(self._classes[n].waiting for n in names[: names.index(name) + 1])
-        return ahead
+        before = names[: names.index(name)]
+        if standing == CALL:
+            ahead = sum(ticket.traffic_class in before for ticket in self._short)
+        else:
+            ahead = len(self._short)
+        if short:
+            calls = (self._classes[one].queues[CALL].waiting for one in (*before, name))
+            return ahead + sum(calls)
+        own = self._classes[name].waiting_up_to(standing)
+        return ahead + sum(self._classes[one].waiting for one in before) + own
 
     def _refuse(self, reason: Reason, wait_ms: float) -> Refused:
         backlog_ms = self.waiting * self._service_ms / max(1, self._slots)
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -29,8 +29,9 @@
 from roadpass._generated.message_types import Datagram
 from roadpass.errors import FrameError
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.standing import FRESH
 
-_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY}
+_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY, Reason.HELD_BACK: Reason.QUEUE_FULL}
 """Reasons that older nodes do not know, and those that are sent to them instead."""
 UNBOUNDED_MS = 1e9
 """Milliseconds that mean no limit, because messages cannot hold an infinite number."""
@@ -82,6 +83,8 @@
         customer: Customer that sent the request, empty for none.
         notice: What the ingress knows that the target stated, see `roadpass.notice_table`; `None`
             for nothing.
+        parent_repeat: Whether it is a call that a retry makes.
+        standing: Order within its class, see `roadpass.standing`.
     """
 
     id: str
@@ -111,6 +114,8 @@
     fingerprint: str = ""
     customer: str = ""
     notice: list[Any] | None = None
+    parent_repeat: bool = False
+    standing: int = FRESH
 
     @property
     def may_be_trial(self) -> bool:
@@ -145,6 +150,10 @@
         message = {"t": "attempt", **self._asdict()}
         if self.notice is None:
             del message["notice"]
+        if not self.parent_repeat:
+            del message["parent_repeat"]
+        if self.standing == FRESH:
+            del message["standing"]
         return message
 
 
@@ -161,6 +170,8 @@
         repeat: Whether an earlier attempt at the request reached a target.
         route: Route of the request, by which its typical latency is looked up.
         notice: What the ingress knows that the target stated, `None` for nothing.
+        parent_repeat: Whether the request is a call that a retry makes.
+        standing: Order of the request within its class, see `roadpass.standing`.
     """
 
     target: str
@@ -174,6 +185,8 @@
     repeat: bool = False
     route: str = ""
     notice: list[Any] | None = None
+    parent_repeat: bool = False
+    standing: int = FRESH
 
     @classmethod
     def of(cls, attempt: Attempt) -> "AdmissionCheck":
@@ -190,6 +203,8 @@
             attempt.retry,
             attempt.route,
             attempt.notice,
+            attempt.parent_repeat,
+            attempt.standing,
         )
 
     @classmethod
@@ -207,6 +222,8 @@
             message.get("retry", False),
             message.get("route", ""),
             message.get("notice"),
+            message.get("parent_repeat", False),
+            message.get("standing", FRESH),
         )
 
     def to_message(self) -> Message:
@@ -231,6 +248,10 @@
             message["route"] = self.route
         if self.notice is not None:
             message["notice"] = self.notice
+        if self.parent_repeat:
+            message["parent_repeat"] = True
+        if self.standing != FRESH:
+            message["standing"] = self.standing
         return message
 
 
--- a/roadpass/outcome.py
+++ b/roadpass/outcome.py
@@ -29,6 +29,7 @@
     LIMITED = "target-limit"
     DOUBTFUL = "target-doubtful"
     QUEUE_FULL = "queue-full"
+    HELD_BACK = "held-back"
     TOO_LATE = "deadline-cannot-be-met"
     WAITING_LIMIT = "waiting-limit"
     STALE_ROUTE = "stale-route"
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -6,11 +6,13 @@
 
 from roadpass import clock
 from roadpass.adaptive_limit import AdaptiveLimit
-from roadpass.admission import Admission, Admitted, ExpectedWait, Queued, Refused, Ticket
+from roadpass.admission import Admission, Admitted, ExpectedWait, Queued, Refused
+from roadpass.class_queue import Ticket
 from roadpass.fleet import TrafficClass
 from roadpass.message import Attempt
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Reason
 from roadpass.shutdown import Shutdown
+from roadpass.standing import FRESH
 from roadpass.start_limit import StartLimit
 
 WAIT_FACTOR = 1.5
@@ -95,9 +97,11 @@
             self._starts.set_rate(now, rate_per_s)
             _wake_all(self._admission.grant_due(now))
 
-    def expected_wait(self, now: float, traffic_class: str, typical_ms: float) -> ExpectedWait:
+    def expected_wait(
+        self, now: float, traffic_class: str, typical_ms: float, standing: int = FRESH
+    ) -> ExpectedWait:
         """Return the expected wait of a new request; see `Admission`."""
-        return self._admission.expected_wait(now, traffic_class, typical_ms)
+        return self._admission.expected_wait(now, traffic_class, typical_ms, standing)
 
     def acquire(self, attempt: Attempt, deadline: float, typical_ms: float) -> NotRun | None:
         """Acquire a slot for an attempt, waiting for one if needed.
@@ -122,8 +126,11 @@
                 deadline - now,
                 retry=attempt.retry,
                 typical_ms=typical_ms,
+                standing=attempt.standing,
+            )
+            expected = self._admission.expected_wait(
+                now, attempt.traffic_class, typical_ms, attempt.standing
             )
-            expected = self._admission.expected_wait(now, attempt.traffic_class, typical_ms)
             match decision:
                 case Admitted():
                     return None
--- a/roadpass/target_admission.py
+++ b/roadpass/target_admission.py
@@ -14,6 +14,7 @@
 from roadpass.retry import RepeatAllowance
 from roadpass.shedding import Shedding
 from roadpass.slots import Slots
+from roadpass.standing import FRESH
 
 MAX_WORSENING = 0.15
 """Maximum rise of a target's failure probability during the wait of a request that cannot be
@@ -69,7 +70,7 @@
             return refusal
         now = clock.now()
         with self._lock:
-            wait = self.expected_wait(now, check.traffic_class, check.route)
+            wait = self.expected_wait(now, check.traffic_class, check.route, check.standing)
             bad = self._estimator.bad(now)
             shed_cost = self._shedding.cost(now)
             admits_as_trial = self._breaker.admits_as_trial(
@@ -81,7 +82,9 @@
             return NotRun(Reason.DOUBTFUL, 0)
         return None
 
-    def expected_wait(self, now: float, traffic_class: str, route: str) -> ExpectedWait:
+    def expected_wait(
+        self, now: float, traffic_class: str, route: str, standing: int = FRESH
+    ) -> ExpectedWait:
         """Return the expected wait of a new request; one for a slot is longer if requests hang.
 
         The caller must hold the lock.
@@ -90,9 +93,10 @@
             now: Clock seconds.
             traffic_class: Class of the request.
             route: Its route, empty if unknown.
+            standing: Its order within the class, see `roadpass.standing`.
         """
         typical_ms = self._estimator.latency(route).typical_ms if route else 0.0
-        wait = self._slots.expected_wait(now, traffic_class, typical_ms)
+        wait = self._slots.expected_wait(now, traffic_class, typical_ms, standing)
         if wait.ms <= 0.0 or wait.reason is Reason.LIMITED:
             return wait
         stretched_ms = self._evidence.stretched_wait_ms(now, wait.ms, self._slots.service_ms)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,9 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from roadpass.admission import Admission, Admitted, Queued, Refused, Ticket
+from roadpass.admission import Admission, Admitted, Queued, Refused
+from roadpass.class_queue import Ticket
 from roadpass.fleet import TrafficClass
 from roadpass.outcome import Reason
+from roadpass.standing import ABOVE_SHARE, CALL, FRESH
 from tests.naive import NaiveAdmission
 
 CLASSES = (TrafficClass("counter", 0.5), TrafficClass("members", 0.2), TrafficClass("internal", 0))
@@ -189,3 +191,69 @@
     one, (_, _, first, second, *_) = overloaded()
     assert one.abandon(0.05, first) == []
     assert one.release(0.1, "members") == [second]
+
+
+def _queued(one: Admission, name: str, standing: int, typical_ms: float = 0.0) -> Ticket:
+    caller = f"caller-{one.waiting}"
+    decision = one.offer(
+        0.0, name, caller, 5.0, retry=False, standing=standing, typical_ms=typical_ms
+    )
+    assert isinstance(decision, Queued)
+    return decision.ticket
+
+
+def _grants(one: Admission, count: int) -> list[Ticket]:
+    """Release the slot several times, and return the tickets that get it."""
+    granted: list[Ticket] = []
+    for _ in range(count):
+        granted += one.release(0.0, granted[-1].traffic_class if granted else "members")
+    return granted
+
+
+def _full(queue_limit: int = 20) -> Admission:
+    """Return an admission without reserved shares whose only slot is in use."""
+    classes = [TrafficClass(entry.name, 0.0) for entry in CLASSES]
+    one = Admission(classes, slots=1, queue_limit=queue_limit)
+    one.set_limit(1, 10.0)
+    one.offer(0.0, "members", "c", 5.0, retry=False)
+    return one
+
+
+def test_calls_go_first_in_their_class_and_work_above_its_share_last() -> None:
+    """A running request holds its slot until its call is answered."""
+    one = _full()
+    order = [(name, standing) for name in ("internal", "members") for standing in (2, 1, 0)]
+    tickets = {_queued(one, *each): each for each in order}
+    granted = _grants(one, len(order))
+    assert [tickets[ticket] for ticket in granted] == sorted(
+        order, key=lambda each: ([entry.name for entry in CLASSES].index(each[0]), each[1])
+    )
+
+
+def test_short_request_passes_no_call_of_its_class_or_a_more_urgent_one() -> None:
+    """Short requests go first whatever their class, and would delay calls of urgent requests."""
+    one = _full()
+    short = _queued(one, "internal", FRESH, typical_ms=1.0)
+    call = _queued(one, "members", CALL, typical_ms=1.0)
+    lesser = _queued(one, "internal", CALL)
+    assert _grants(one, 3) == [call, lesser, short]
+
+
+def test_call_displaces_fresh_work_of_its_class_from_a_full_queue() -> None:
+    """Fresh work goes elsewhere unharmed; a refused call loses the request that waits for it."""
+    one = _full(queue_limit=2)
+    first, second = _queued(one, "members", FRESH), _queued(one, "members", FRESH)
+    decision = one.offer(0.0, "members", "d", 5.0, retry=False, standing=CALL)
+    assert isinstance(decision, Queued)
+    assert decision.displaced is second
+    assert isinstance(one.offer(0.0, "members", "e", 5.0, retry=False), Refused)
+    assert _grants(one, 2) == [decision.ticket, first]
+
+
+def test_expected_wait_depends_on_the_standing() -> None:
+    """A call that asks would be told the wait of all fresh work, and refused beside a place."""
+    one = _full()
+    for standing in (CALL, FRESH, FRESH, ABOVE_SHARE):
+        _queued(one, "members", standing)
+    waits = [one.expected_wait(0.0, "members", 0.0, each).ms for each in (CALL, FRESH, ABOVE_SHARE)]
+    assert waits == [20.0, 40.0, 50.0]
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,7 +6,7 @@
 import pytest
 
 from roadpass import clock
-from roadpass.admission import Ticket
+from roadpass.class_queue import Ticket
 from roadpass.fleet import Target, TrafficClass
 from roadpass.message import Attempt
 from roadpass.outcome import Answered, NotRun, Outcome, Reason
