Give calls of targets the class of their parents, and hold back parents

Cause: a call has the class of its own route and no customer, so that calls of urgent requests were refused, each with a parent that held a slot; and parents were started while their calls could not be served.

Change: where `sharing.parents` is on, `ParentRequests` records what runs at the targets of a VM, and a request from the VM's own address that ends with the deadline told to one of them gets its class, goes ahead of fresh work, and is marked if its parent is a retry. The parent's customer is not charged again. `HeldRoutes` learns which services the requests of a route call and which of the calls are not served; while half of new requests would be lost, the sidecar refuses them (`held-back`, `queue-full` to older nodes, `no-free-slot` to callers) but for one every 1 to 2 s.

--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -92,6 +92,7 @@
     def __init__(self, sock: socket.socket, remote: str, context: ConnectionContext) -> None:
         self._sock = sock
         self._remote = remote
+        self._is_local = _own_address(sock) == remote
         self._context = context
         self._limits = CallerLimits()
         self._codec = h11.Connection(h11.SERVER)
@@ -295,6 +296,7 @@
             origin=self._context.origin,
             fingerprint=fingerprint(host, head.method, path, named or proof, body),
             access=access,
+            local=self._is_local,
         )
 
     def _caller(self, head: Head, access: Access | None) -> tuple[str, str]:
@@ -350,3 +352,12 @@
         case Unknown(reason=why):
             name, reason = "unknown", why.value
     return OutcomeKey(served.service, served.traffic_class, name, reason)
+
+
+def _own_address(sock: socket.socket) -> str:
+    """Return the IP address at which a connection was accepted, empty if it has none."""
+    try:
+        name = sock.getsockname()
+    except OSError:
+        return ""
+    return str(name[0]) if isinstance(name, tuple) else ""
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -8,6 +8,8 @@
 
 from roadpass import clock
 from roadpass.attempt_feedback import AttemptFeedback
+from roadpass.call_class import class_of_request
+from roadpass.call_records import CallRecords
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
 from roadpass.load_table import LoadTable
@@ -34,6 +36,7 @@
 from roadpass.route import Route
 from roadpass.route_stats import RouteStatsTable
 from roadpass.sidecar import Sidecar
+from roadpass.standing import CALL, FRESH
 from roadpass.start_limit import MIN_RATE_PER_S
 from roadpass.stop_notices import StopNotices
 from roadpass.target_chooser import TargetChooser
@@ -42,6 +45,9 @@
 
 MAX_REDIRECTS = 40
 """Refusals before a target received the first byte after which a request is given up."""
+HELD_BACK_REPLIES = 4
+"""Targets that may reply that they hold a request's route back before it is given up. They learn
+from the same shortage, so the others would probably reply the same."""
 SPENT_REPLIES = 4
 """Targets that may reply that their repeats are spent before a request is given up. Most requests
 find a repeat left at one target in three, and not every target of a service that sheds load is
@@ -88,6 +94,7 @@
         self._transport = Transport(view, sidecar, peers, metrics=metrics)
         self._quarantine = sidecar.quarantine
         self._calls = sidecar.calls
+        self._call_records = CallRecords(sidecar.parents, metrics or Metrics())
         self._quotas = quotas or Quotas()
         self._loads = LoadTable()
         self._chooser = TargetChooser(view, self._loads, random.Random(seed))
@@ -153,19 +160,21 @@
         service = fleet.services.get(self._chooser.choose_service(route))
         if service is None:
             return self._refused(request, NotRun(Reason.NO_CAPACITY, RETRY_LATER_MS))
-        class_key = (service.name, service.class_of(route, request.customer))
-        excess_s = self._quotas.quota_wait_s(started, request.customer, fleet.size)
+        request = self._call_records.with_parent(started, request)
+        class_key = (service.name, class_of_request(service, route, request))
+        excess_s = self._quotas.quota_wait_s(started, request.charged, fleet.size)
         if excess_s > 0.0:
             return self._refused(
                 request, NotRun(Reason.OVER_QUOTA, int(excess_s * 1000.0)), *class_key
             )
         if not self._enter(class_key, service.waiting_limit):
-            self._quotas.refund(request.customer)
+            self._quotas.refund(request.charged)
             return self._refused(request, NotRun(Reason.WAITING_LIMIT, RETRY_SOON_MS), *class_key)
         stats = self._route_stats.of(route.name)
         state = RequestState.begin(
             request, route, service, started, stats, self._route_stats.objective_factor(stats)
         )
+        state.standing = FRESH if request.parent is None else CALL
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         self._active[id(state)] = state
         try:
@@ -175,10 +184,23 @@
             del self._active[id(state)]
             self._leave(class_key)
             if isinstance(outcome, NotRun):
-                self._quotas.refund(request.customer)
+                self._quotas.refund(request.charged)
+            self._record_call(state, outcome)
             self._calls.record(started, clock.now(), request.deadline or math.inf, outcome)
             log_end(state, outcome, started, has_repeat=self._has_repeat(state))
 
+    def _record_call(self, state: RequestState, outcome: Outcome) -> None:
+        """Record how a request ended that a target of this VM made for another one."""
+        latest_start = state.deadline - state.typical_ms / 1000.0
+        self._call_records.record_end(
+            clock.now(),
+            state.request,
+            state.service.name,
+            outcome,
+            state.started,
+            latest_start=latest_start,
+        )
+
     def _refused(self, request: Request, outcome: NotRun, *class_key: str) -> Served:
         """Log and return the refusal of a request that was sent to no target."""
         log_refused(request, outcome, self._view.fleet.revision)
@@ -226,6 +248,7 @@
                 if (
                     state.should_give_up
                     or state.redirects >= MAX_REDIRECTS
+                    or state.times_refused(Reason.HELD_BACK) >= HELD_BACK_REPLIES
                     or self._repeats_spent(state)
                 ):
                     return False
@@ -250,7 +273,7 @@
 
     def _repeats_spent(self, state: RequestState, *, all_probed: bool = False) -> bool:
         """Return whether enough targets had no repeat left for a request; if so, remember it."""
-        replies = sum(reason is Reason.REPEATS_SPENT for reason in state.refused.values())
+        replies = state.times_refused(Reason.REPEATS_SPENT)
         if replies < (1 if all_probed or self._spent_recently(state.service) else SPENT_REPLIES):
             return False
         self._spent_until[state.service.name] = clock.now() + SPENT_TTL_S
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -1,5 +1,6 @@
 """A target on this node's VM: admission, start and health; `exchange` then talks to it."""
 
+import math
 import threading
 
 from roadpass import clock
@@ -24,6 +25,7 @@
     Reason,
     Unknown,
 )
+from roadpass.parent_requests import ParentRequests
 from roadpass.pause import PauseWatch
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
@@ -32,6 +34,7 @@
 from roadpass.shutdown import Shutdown
 from roadpass.slots import Slots
 from roadpass.start_limit import StartLimit
+from roadpass.target import announced_timeout_s
 from roadpass.target_admission import TargetAdmission
 
 MIN_START_MS = 2.0
@@ -52,6 +55,7 @@
         starts: Limit of the target's starts; it outlives this object.
         shutdown: When this process ends.
         dialect: Header names and rules to talk to the target.
+        parents: The requests that run at the targets of this VM, `None` for new records.
     """
 
     def __init__(
@@ -67,7 +71,9 @@
         shutdown: Shutdown,
         *,
         dialect: Dialect = OWN,
+        parents: ParentRequests | None = None,
     ) -> None:
+        self._parents = parents or ParentRequests()
         self.target = target
         self._service = service
         self._notices = notices
@@ -190,7 +196,9 @@
 
     def refusal(self, check: AdmissionCheck) -> NotRun | None:
         """Return why an attempt would be refused now, `None` if it would be accepted."""
-        return self._admission.refusal(check)
+        return self._admission.refusal(check) or _held_back(
+            self._parents.held.wait_s(clock.now(), check.route)
+        )
 
     def _record_shedding(self, outcome: Outcome) -> None:
         with self._lock:
@@ -266,6 +274,7 @@
         refusal = self._admission.new_work_refusal(
             AdmissionCheck.of(attempt)
         ) or self._guard.refusal(attempt)
+        refusal = refusal or _held_back(self._parents.held.take(now, attempt.route))
         if refusal is not None:
             return refusal
         reason = self._fences.claim(now, attempt.id, attempt.key, repeat=attempt.repeat)
@@ -284,11 +293,15 @@
         tracked, bad = self._record_start(attempt, started)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         end = End.INCONCLUSIVE
+        told = started + announced_timeout_s(deadline - started)
+        self._parents.begin(started, attempt, self._service, deadline=deadline, told=told)
         try:
             outcome, end = self._exchange.run(
                 attempt, started, deadline, watch, bad=bad, trial=tracked.trial
             )
         finally:
+            answered = isinstance(outcome, Answered | NotRun)
+            self._parents.end(clock.now(), attempt.id, answered=answered)
             self._evidence.end(attempt.id)
             self._record_shedding(outcome)
             self._record_end(attempt, tracked, end)
@@ -326,3 +339,8 @@
             self._evidence.learn(clock.now(), running, service_ms, failed=failed)
             if isinstance(outcome, Answered) and outcome.status != GATEWAY_TIMEOUT:
                 self._slots.learn(service_ms, attempt.slow_ms)
+
+
+def _held_back(wait_s: float) -> NotRun | None:
+    """Return the refusal of a request whose route is held back for some seconds, if it is."""
+    return NotRun(Reason.HELD_BACK, math.ceil(wait_s * 1000.0)) if wait_s > 0.0 else None
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -8,6 +8,7 @@
 from roadpass.failure_detector import Sample, Scores
 from roadpass.message import Attempt
 from roadpass.outcome import Headers, Outcome
+from roadpass.parent_requests import Parent
 
 
 class CallerWatch(Protocol):
@@ -37,6 +38,9 @@
         origin: Service of the VM that received the request, empty if unknown.
         fingerprint: The same for all requests for the same work, empty if unknown.
         access: Result of checking its API key, `None` if no customers were configured then.
+        local: Whether it came from the VM's own address, so that a target of the VM may have made
+            it.
+        parent: The request for which a target of the VM made it, `None` if it is no call.
     """
 
     host: str
@@ -53,6 +57,16 @@
     origin: str = ""
     fingerprint: str = ""
     access: Access | None = None
+    local: bool = False
+    parent: Parent | None = None
+
+    @property
+    def charged(self) -> Customer | None:
+        """The customer whose quota it counts against; a parent's customer has been charged."""
+        customer = self.customer
+        if customer is None or self.parent is None or self.parent.customer != customer.name:
+            return customer
+        return None
 
     @property
     def customer(self) -> Customer | None:
--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from roadpass import clock
+from roadpass.call_class import class_of_request
 from roadpass.fleet import Service, Target
 from roadpass.message import Attempt
 from roadpass.offer import FAR_OVERHEAD_KB, LATE_LOSS, Costs, Offer
@@ -12,6 +13,7 @@
 from roadpass.request import Request
 from roadpass.route import Route
 from roadpass.route_stats import RouteStats
+from roadpass.standing import FRESH
 from roadpass.transport import FENCE_S
 
 MAX_NEAR_PROBES = 6
@@ -83,6 +85,7 @@
             probed once more.
         may_have_run: Latest outcome that does not prove that the request did not run.
         attempt_id: Id of the attempt that was sent last, empty before the first.
+        standing: Its order within its class, see `roadpass.standing`.
     """
 
     request: Request
@@ -107,6 +110,7 @@
     last_resort: bool = False
     may_have_run: Outcome | None = None
     attempt_id: str = ""
+    standing: int = FRESH
 
     @classmethod
     def begin(
@@ -151,7 +155,7 @@
     @property
     def traffic_class(self) -> str:
         """The class under which it is counted and queued."""
-        return self.service.class_of(self.route, self.request.customer)
+        return class_of_request(self.service, self.route, self.request)
 
     @property
     def below_attempt_limit(self) -> bool:
@@ -214,6 +218,10 @@
         limit_s = GIVE_UP_SHARE * (self.deadline - self.started)
         return self.arrivals == 0 and clock.now() - self.started > limit_s
 
+    def times_refused(self, reason: Reason) -> int:
+        """Return how many targets refused it for a reason before it reached them."""
+        return sum(one is reason for one in self.refused.values())
+
     def record_arrival(self) -> None:
         """Count an attempt that reached a target; for another attempt all are probed again."""
         self.arrivals += 1
@@ -266,6 +274,8 @@
     def final_outcome(self, outcome: Outcome) -> Outcome:
         """Return the outcome to report: "not run" only if no attempt may have run."""
         match outcome:
+            case NotRun(reason=Reason.HELD_BACK, retry_after_ms=retry_after_ms):
+                return self.may_have_run or NotRun(Reason.BUSY, retry_after_ms)
             case NotRun():
                 return self.may_have_run or outcome
             case _:
@@ -321,6 +331,8 @@
             fingerprint=self.request.fingerprint,
             customer=self.request.customer.name if self.request.customer else "",
             notice=notice,
+            parent_repeat=self.request.parent is not None and self.request.parent.repeat,
+            standing=self.standing,
         )
 
     @property
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -15,9 +15,10 @@
 from roadpass.fleet import Fleet
 from roadpass.local_target import LocalTarget
 from roadpass.message import AdmissionCheck, Attempt, LoadReport, Message, Reply
-from roadpass.metric import Metrics
+from roadpass.metric import Gauge, Metrics
 from roadpass.notice_table import NoticeTable
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
+from roadpass.parent_requests import ParentRequests
 from roadpass.pause import PauseWatch
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
@@ -44,6 +45,7 @@
 
     Attributes:
         calls: Outcomes of the requests that targets of this VM may have made.
+        parents: The requests that run at the targets of this VM.
         replies: Counts outcomes of attempts that are being sent back to peers.
     """
 
@@ -72,6 +74,8 @@
         self._notices = notices or NoticeTable()
         self._metrics = metrics or Metrics()
         self.calls = CallLog()
+        self.parents = ParentRequests()
+        self._metrics.add_gauge(Gauge("held_back_routes", "route", self.parents.held.held))
         self._fleet = Fleet.empty()
         self._targets: dict[str, LocalTarget] = {}
         self._start_limits: dict[str, StartLimit] = {}
@@ -105,6 +109,7 @@
     def configure(self, fleet: Fleet) -> None:
         """Apply a revision of the configuration to the targets of this VM."""
         self._notices.configure(clock.now(), fleet.targets)
+        self.parents.enabled = fleet.sharing.parents
         targets: dict[str, LocalTarget] = {}
         for target in fleet.targets_on(self._vm):
             service = fleet.services[target.service]
@@ -121,6 +126,7 @@
                     self._start_limits.setdefault(target.name, StartLimit()),
                     self._ending,
                     dialect=self._dialect,
+                    parents=self.parents,
                 )
             targets[target.name] = local
         gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
@@ -196,6 +202,8 @@
         match outcome:
             case NotRun(reason=Reason.LIMITED):
                 self._metrics.count("limit_refusals")
+            case NotRun(reason=Reason.HELD_BACK):
+                self._metrics.count("held_back_refusals")
             case _:
                 pass
 
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -344,7 +344,7 @@
             kept.close()
 
 
-def _announced_timeout_s(left_s: float) -> float:
+def announced_timeout_s(left_s: float) -> float:
     """Return the time limit sent to the target, out of the seconds left for its response."""
     return left_s - min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * left_s)
 
@@ -353,7 +353,7 @@
     """Return the headers for the target; the fleet's own replace those from the caller."""
     own = [
         (dialect.request_id, call.id),
-        (dialect.deadline, str(max(1, int(_announced_timeout_s(left_s) * 1000.0)))),
+        (dialect.deadline, str(max(1, int(announced_timeout_s(left_s) * 1000.0)))),
         (dialect.expected_instance, call.instance),
         (dialect.origin_service, call.origin),
         (dialect.customer, call.customer),
--- a/tests/fake_sidecar.py
+++ b/tests/fake_sidecar.py
@@ -11,6 +11,7 @@
 from roadpass.load_table import OFFER_TTL_S
 from roadpass.message import Attempt, LoadReport, Reply
 from roadpass.outcome import NotRun, Outcome, Reason
+from roadpass.parent_requests import ParentRequests
 from roadpass.pause import PauseWatch
 from roadpass.peer_pool import PeerPool
 from roadpass.quarantine import Quarantine
@@ -33,6 +34,7 @@
         self.load: LoadReport | None = None
         self._quarantine = Quarantine()
         self.calls = CallLog()
+        self.parents = ParentRequests()
 
     def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
         self.attempts.append(attempt)
