Exchange demands and shares of customers, and order requests by them

Change: where `sharing.fair_shares` is on, the dispatcher counts each request in its customer's share (a call in that of its parent's customer) and sends its standing with check and attempt. The quotas' actor sends `demand` rows to the owners of the classes and `shares` rows back.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -9,7 +9,6 @@
 from roadpass import clock
 from roadpass.attempt_feedback import AttemptFeedback
 from roadpass.call_class import class_of_request
-from roadpass.call_records import CallRecords
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
 from roadpass.load_table import LoadTable
@@ -30,13 +29,13 @@
 from roadpass.quota_coordinator import Quotas
 from roadpass.request import Pending, Request, RequestProgress, Served
 from roadpass.request_log import log_attempt, log_end, log_refused
+from roadpass.request_order import RequestOrder
 from roadpass.request_state import MIN_ATTEMPT_S, RequestState
 from roadpass.retry import RetryBudget
 from roadpass.return_schedule import ReturnSchedule
 from roadpass.route import Route
 from roadpass.route_stats import RouteStatsTable
 from roadpass.sidecar import Sidecar
-from roadpass.standing import CALL, FRESH
 from roadpass.start_limit import MIN_RATE_PER_S
 from roadpass.stop_notices import StopNotices
 from roadpass.target_chooser import TargetChooser
@@ -94,8 +93,8 @@
         self._transport = Transport(view, sidecar, peers, metrics=metrics)
         self._quarantine = sidecar.quarantine
         self._calls = sidecar.calls
-        self._call_records = CallRecords(sidecar.parents, metrics or Metrics())
         self._quotas = quotas or Quotas()
+        self._order = RequestOrder(sidecar.parents, self._quotas.shares, metrics or Metrics())
         self._loads = LoadTable()
         self._chooser = TargetChooser(view, self._loads, random.Random(seed))
         self._attempt_numbers = itertools.count(1)
@@ -160,7 +159,7 @@
         service = fleet.services.get(self._chooser.choose_service(route))
         if service is None:
             return self._refused(request, NotRun(Reason.NO_CAPACITY, RETRY_LATER_MS))
-        request = self._call_records.with_parent(started, request)
+        request = self._order.with_parent(started, request)
         class_key = (service.name, class_of_request(service, route, request))
         excess_s = self._quotas.quota_wait_s(started, request.charged, fleet.size)
         if excess_s > 0.0:
@@ -174,7 +173,7 @@
         state = RequestState.begin(
             request, route, service, started, stats, self._route_stats.objective_factor(stats)
         )
-        state.standing = FRESH if request.parent is None else CALL
+        self._order.begin(state, fair_shares=fleet.sharing.fair_shares)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         self._active[id(state)] = state
         try:
@@ -185,22 +184,10 @@
             self._leave(class_key)
             if isinstance(outcome, NotRun):
                 self._quotas.refund(request.charged)
-            self._record_call(state, outcome)
+            self._order.end(state, outcome)
             self._calls.record(started, clock.now(), request.deadline or math.inf, outcome)
             log_end(state, outcome, started, has_repeat=self._has_repeat(state))
 
-    def _record_call(self, state: RequestState, outcome: Outcome) -> None:
-        """Record how a request ended that a target of this VM made for another one."""
-        latest_start = state.deadline - state.typical_ms / 1000.0
-        self._call_records.record_end(
-            clock.now(),
-            state.request,
-            state.service.name,
-            outcome,
-            state.started,
-            latest_start=latest_start,
-        )
-
     def _refused(self, request: Request, outcome: NotRun, *class_key: str) -> Served:
         """Log and return the refusal of a request that was sent to no target."""
         log_refused(request, outcome, self._view.fleet.revision)
@@ -324,7 +311,8 @@
         self._loads.begin(target.name)
         latency_ms: float | None = None
         try:
-            reply = self._transport.send(target, attempt, state.request.watch)
+            with self._order.attempting(state, attempt):
+                reply = self._transport.send(target, attempt, state.request.watch)
             match reply.outcome:
                 case Answered(service_ms=service_ms):
                     latency_ms = service_ms
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -38,7 +38,6 @@
 from roadpass.notice_table import NoticeTable
 from roadpass.position import START, Position
 from roadpass.quarantine import Quarantine
-from roadpass.quota import Allowance, Report
 from roadpass.quota_coordinator import QuotaMessage
 from roadpass.revision import NO_VERSION, Version
 from roadpass.settings import Settings
@@ -56,6 +55,10 @@
 SYNC_PEERS = 3
 MAX_AGREEING_PEERS = 8
 UNKNOWN_AGE_S = 1e6
+_LONG_ROWS = frozenset(("demand", "shares"))
+_LEFT_OUT = frozenset(("hints", "crashes", "notices"))
+"""Fields whose rows name a service, a class and a customer, and those that leave room for these:
+other datagrams carry them as well."""
 
 _log = logging.getLogger("roadpass.gossip")
 
@@ -220,10 +223,9 @@
             self._quarantine.merge(now, crash)
         for target, *notice in message.get("notices", ()):
             self._notices.merge(now, target, notice, "gossip")
-        reports = tuple(Report(*row) for row in message.get("usage", ()))
-        allowances = tuple(Allowance(*row) for row in message.get("allowances", ()))
-        if reports or allowances:
-            self._events.on_quota(QuotaMessage(message["sender"], reports, allowances))
+        quota = QuotaMessage.from_datagram(message)
+        if quota.fields:
+            self._events.on_quota(quota)
         self._update_source_position(now, message)
         for answer in answers:
             self._send(answer)
@@ -286,12 +288,11 @@
             self._send(Send((member.address, member.gossip_port), "announce", 0))
 
     def _send_quota(self, quota: QuotaMessage) -> None:
-        """Send quota reports or allowances to one node."""
+        """Send rows about quotas and shares to one node."""
         member = self._members.get(quota.vm)
         if member is not None:
-            fields = {"usage": quota.reports} if quota.reports else {"allowances": quota.allowances}
             to = (member.address, member.gossip_port)
-            self._send(Send(to, "announce", 0), brief=True, extra=fields)
+            self._send(Send(to, "announce", 0), brief=True, extra=quota.fields)
 
     def _publish(self) -> None:
         for member in self._members.changes():
@@ -315,6 +316,9 @@
         message = {**self._message(send), **(extra or {}), "news": rows}
         while len(content := seal(message, self._settings.keys)) > MAX_DATAGRAM and len(rows) > 1:
             rows.pop()
+        if len(content) > MAX_DATAGRAM and extra and extra.keys() & _LONG_ROWS:
+            kept = {name: value for name, value in message.items() if name not in _LEFT_OUT}
+            content = seal(kept, self._settings.keys)
         try:
             self._socket.sendto(content, send.to)
         except OSError as error:
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -86,6 +86,7 @@
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         policy = settings.store.quota_policy if settings.store else QuotaPolicy()
         self._quotas = Quotas(self._incarnation, policy)
+        self.metrics.add_gauge(Gauge("share_level_slots", "class", self._quotas.shares.levels))
         self._dispatcher = Dispatcher(
             self._view,
             self._incarnation,
--- a/roadpass/quota_coordinator.py
+++ b/roadpass/quota_coordinator.py
@@ -7,12 +7,15 @@
 
 from roadpass import clock
 from roadpass._actor import Actor
+from roadpass._generated.message_types import Datagram
 from roadpass._ticker import Ticker
 from roadpass.customer import Customer
 from roadpass.decision import decided
+from roadpass.fair_share import Demand, Share
 from roadpass.quota import Allowance, Limit, QuotaPolicy, Report
 from roadpass.quota_gate import QuotaGate
 from roadpass.quota_ledger import QuotaLedger
+from roadpass.share_exchange import FairShares
 from roadpass.view import View
 
 TICK_S = 0.1
@@ -21,18 +24,42 @@
 MAX_ROWS_BYTES = 500
 """Bytes of rows in one datagram; the rest is left for the fields that every datagram carries."""
 ROW_BYTES = 30
-"""Estimated size in bytes of a row without the customer's name."""
+"""Estimated size in bytes of a row without its names."""
 
 _log = logging.getLogger("roadpass.quota")
-_Row = TypeVar("_Row", Report, Allowance)
+_Row = TypeVar("_Row", Report, Allowance, Demand, Share)
 
 
 class QuotaMessage(NamedTuple):
-    """Quota reports or allowances from or to one node; `vm` is the other node."""
+    """Rows about quotas and shares from or to one node; `vm` is the other node."""
 
     vm: str
     reports: tuple[Report, ...] = ()
     allowances: tuple[Allowance, ...] = ()
+    demands: tuple[Demand, ...] = ()
+    shares: tuple[Share, ...] = ()
+
+    @property
+    def fields(self) -> dict[str, tuple[NamedTuple, ...]]:
+        """The rows by the name of their field in datagrams."""
+        rows: dict[str, tuple[NamedTuple, ...]] = {
+            "usage": self.reports,
+            "allowances": self.allowances,
+            "demand": self.demands,
+            "shares": self.shares,
+        }
+        return {name: value for name, value in rows.items() if value}
+
+    @classmethod
+    def from_datagram(cls, message: Datagram) -> "QuotaMessage":
+        """Build from a checked datagram; without rows if it has none."""
+        return cls(
+            message["sender"],
+            tuple(Report(*row) for row in message.get("usage", ())),
+            tuple(Allowance(*row) for row in message.get("allowances", ())),
+            tuple(Demand(*row) for row in message.get("demand", ())),
+            tuple(Share(*row) for row in message.get("shares", ())),
+        )
 
 
 class Tick(NamedTuple):
@@ -45,11 +72,15 @@
     Args:
         epoch: Start epoch of this process, higher than that of any earlier process of this node.
         policy: How precisely limits are enforced.
+
+    Attributes:
+        shares: Shares of customers in the slots of a class.
     """
 
     def __init__(self, epoch: int = 1, policy: QuotaPolicy = QuotaPolicy()) -> None:  # noqa: B008
         self._policy = policy
         self._gate = QuotaGate(epoch)
+        self.shares = FairShares()
         self._lock = threading.Lock()
 
     def set_policy(self, policy: QuotaPolicy) -> None:
@@ -129,6 +160,8 @@
             case QuotaMessage(vm=vm, reports=reports, allowances=allowances):
                 self._quotas.receive(clock.now(), vm, allowances)
                 self._reply(vm, reports)
+                self._quotas.shares.receive(clock.now(), vm, message.shares)
+                self._reply_shares(vm, message.demands)
             case _:
                 _log.error("unknown message %r", message)
 
@@ -148,6 +181,29 @@
                 continue
             for rows in _batches(reports):
                 self._send(QuotaMessage(owner, reports=tuple(rows)))
+        if self._view.fleet.sharing.fair_shares:
+            self._report_demands(now)
+
+    def _report_demands(self, now: float) -> None:
+        """Report what customers run and wait for here to the owners of their classes."""
+        for owner, demands in self._quotas.shares.due(now, self._owners()).items():
+            if owner == self._view.vm:
+                self._reply_shares(owner, demands)
+                continue
+            for rows in _batches(demands):
+                self._send(QuotaMessage(owner, demands=tuple(rows)))
+
+    def _reply_shares(self, vm: str, demands: Sequence[Demand]) -> None:
+        """Account for an ingress's demands, and send it its shares."""
+        if not demands or not self._view.fleet.sharing.fair_shares:
+            return
+        now = clock.now()
+        shares = self._quotas.shares.apply(now, vm, demands)
+        if vm == self._view.vm:
+            self._quotas.shares.receive(now, vm, shares)
+            return
+        for rows in _batches(shares):
+            self._send(QuotaMessage(vm, shares=tuple(rows)))
 
     def _reply(self, vm: str, reports: Sequence[Report]) -> None:
         """Charge an ingress's reports, and send it its allowances."""
@@ -203,10 +259,11 @@
     batch: list[_Row] = []
     size = 0
     for row in rows:
-        size += ROW_BYTES + len(row.customer)
+        row_bytes = ROW_BYTES + sum(len(one.encode()) for one in row if isinstance(one, str))
+        size += row_bytes
         if batch and size > MAX_ROWS_BYTES:
             yield batch
-            batch, size = [], ROW_BYTES + len(row.customer)
+            batch, size = [], row_bytes
         batch.append(row)
     if batch:
         yield batch
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -68,6 +68,13 @@
             return customer
         return None
 
+    @property
+    def shared_by(self) -> str:
+        """Name of the customer in whose share it is, empty for none."""
+        if self.parent is not None:
+            return self.parent.customer
+        return self.customer.name if self.customer is not None else ""
+
     @property
     def customer(self) -> Customer | None:
         """The customer whose key it carries, `None` if there is none."""
--- a/roadpass/request_log.py
+++ b/roadpass/request_log.py
@@ -7,6 +7,7 @@
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.request import Request
 from roadpass.request_state import RequestState
+from roadpass.standing import FRESH
 
 
 def log_attempt(
@@ -82,6 +83,7 @@
         fingerprint=state.request.fingerprint,
         traffic_class=state.traffic_class,
         outcome=_name(outcome),
+        standing=None if state.standing == FRESH else state.standing,
         arrivals=state.arrivals,
         moves=state.redirects,
         has_repeat=has_repeat,
--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -13,6 +13,7 @@
 from roadpass.request import Request
 from roadpass.route import Route
 from roadpass.route_stats import RouteStats
+from roadpass.share_gate import ShareTicket
 from roadpass.standing import FRESH
 from roadpass.transport import FENCE_S
 
@@ -86,6 +87,7 @@
         may_have_run: Latest outcome that does not prove that the request did not run.
         attempt_id: Id of the attempt that was sent last, empty before the first.
         standing: Its order within its class, see `roadpass.standing`.
+        share: Its part of its customer's share, `None` without shares.
     """
 
     request: Request
@@ -111,6 +113,7 @@
     may_have_run: Outcome | None = None
     attempt_id: str = ""
     standing: int = FRESH
+    share: ShareTicket | None = None
 
     @classmethod
     def begin(
