Merge calls with their parents, and fair shares of customers

Unit tests of order, grants, waiting, admission, shares, parents and loans pass; test_gossip could not bind its address, which others used.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -8,6 +8,7 @@
 
 from roadpass import clock
 from roadpass.attempt_feedback import AttemptFeedback
+from roadpass.call_class import class_of_request
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
 from roadpass.fleet_repeats import FleetRepeats
@@ -30,6 +31,7 @@
 from roadpass.repeat_guide import RepeatGuide
 from roadpass.request import Pending, Request, RequestProgress, Served
 from roadpass.request_log import log_attempt, log_end, log_refused
+from roadpass.request_order import RequestOrder
 from roadpass.request_state import MIN_ATTEMPT_S, RequestState
 from roadpass.retry import RetryBudget
 from roadpass.return_schedule import ReturnSchedule
@@ -46,6 +48,9 @@
 
 MAX_REDIRECTS = 40
 """Refusals before a target received the first byte after which a request is given up."""
+HELD_BACK_REPLIES = 4
+"""Targets that may reply that they hold a request's route back before it is given up. They learn
+from the same shortage, so the others would probably reply the same."""
 SPENT_REPLIES = 4
 """Targets that may reply that their repeats are spent before a request is given up. Most requests
 find a repeat left at one target in three, and not every target of a service that sheds load is
@@ -95,6 +100,7 @@
         self._quarantine = sidecar.quarantine
         self._calls = sidecar.calls
         self._quotas = quotas or Quotas()
+        self._order = RequestOrder(sidecar.parents, self._quotas.shares, metrics or Metrics())
         self._loads = LoadTable()
         self._chooser = TargetChooser(view, self._loads, random.Random(seed))
         self._attempt_numbers = itertools.count(1)
@@ -163,19 +169,21 @@
         service = fleet.services.get(self._chooser.choose_service(route))
         if service is None:
             return self._refused(request, NotRun(Reason.NO_CAPACITY, RETRY_LATER_MS))
-        class_key = (service.name, service.class_of(route, request.customer))
-        excess_s = self._quotas.quota_wait_s(started, request.customer, fleet.size)
+        request = self._order.with_parent(started, request)
+        class_key = (service.name, class_of_request(service, route, request))
+        excess_s = self._quotas.quota_wait_s(started, request.charged, fleet.size)
         if excess_s > 0.0:
             return self._refused(
                 request, NotRun(Reason.OVER_QUOTA, int(excess_s * 1000.0)), *class_key
             )
         if not self._enter(class_key, service.waiting_limit):
-            self._quotas.refund(request.customer)
+            self._quotas.refund(request.charged)
             return self._refused(request, NotRun(Reason.WAITING_LIMIT, RETRY_SOON_MS), *class_key)
         stats = self._route_stats.of(route.name)
         state = RequestState.begin(
             request, route, service, started, stats, self._route_stats.objective_factor(stats)
         )
+        self._order.begin(state, fair_shares=fleet.sharing.fair_shares)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         state.queues = fleet.sharing.queue
         self._active[id(state)] = state
@@ -186,7 +194,8 @@
             del self._active[id(state)]
             self._leave(class_key)
             if isinstance(outcome, NotRun):
-                self._quotas.refund(request.customer)
+                self._quotas.refund(request.charged)
+            self._order.end(state, outcome)
             self._calls.record(started, clock.now(), request.deadline or math.inf, outcome)
             log_end(state, outcome, started, has_repeat=self._has_repeat(state))
 
@@ -240,6 +249,7 @@
                 if (
                     state.should_give_up
                     or state.redirects >= MAX_REDIRECTS
+                    or state.times_refused(Reason.HELD_BACK) >= HELD_BACK_REPLIES
                     or self._repeats_spent(state)
                 ):
                     return False
@@ -268,7 +278,7 @@
         """Return whether enough targets had no repeat left for a request; if so, remember it."""
         if self._guide.on:
             return self._guide.should_give_up(state)
-        replies = sum(reason is Reason.REPEATS_SPENT for reason in state.refused.values())
+        replies = state.times_refused(Reason.REPEATS_SPENT)
         if replies < (1 if all_probed or self._spent_recently(state.service) else SPENT_REPLIES):
             return False
         self._spent_until[state.service.name] = clock.now() + SPENT_TTL_S
@@ -322,7 +332,8 @@
         self._view.room.begin(began, target.name)
         latency_ms: float | None = None
         try:
-            reply = self._transport.send(target, attempt, state.request.watch)
+            with self._order.attempting(state, attempt):
+                reply = self._transport.send(target, attempt, state.request.watch)
             match reply.outcome:
                 case Answered(service_ms=service_ms):
                     latency_ms = service_ms
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -39,7 +39,6 @@
 from roadpass.notice_table import NoticeTable
 from roadpass.position import START, Position
 from roadpass.quarantine import Quarantine
-from roadpass.quota import Allowance, Report
 from roadpass.quota_coordinator import QuotaMessage
 from roadpass.repeat_loans import LoanMessage
 from roadpass.revision import NO_VERSION, Version
@@ -58,6 +57,10 @@
 SYNC_PEERS = 3
 MAX_AGREEING_PEERS = 8
 UNKNOWN_AGE_S = 1e6
+_LONG_ROWS = frozenset(("demand", "shares"))
+_LEFT_OUT = frozenset(("hints", "crashes", "notices"))
+"""Fields whose rows name a service, a class and a customer, and those that leave room for these:
+other datagrams carry them as well."""
 
 _log = logging.getLogger("roadpass.gossip")
 
@@ -231,12 +234,11 @@
             self._quarantine.merge(now, crash)
         for target, *notice in message.get("notices", ()):
             self._notices.merge(now, target, notice, "gossip")
-        reports = tuple(Report(*row) for row in message.get("usage", ()))
-        allowances = tuple(Allowance(*row) for row in message.get("allowances", ()))
-        if reports or allowances:
-            self._events.on_quota(QuotaMessage(message["sender"], reports, allowances))
         if message.get("loans"):
             self._events.on_loans(LoanMessage.from_rows(message["sender"], message["loans"]))
+        quota = QuotaMessage.from_datagram(message)
+        if quota.fields:
+            self._events.on_quota(quota)
         self._update_source_position(now, message)
         for answer in answers:
             self._send(answer)
@@ -299,9 +301,8 @@
             self._send(Send((member.address, member.gossip_port), "announce", 0))
 
     def _send_quota(self, quota: QuotaMessage) -> None:
-        """Send quota reports or allowances to one node."""
-        rows = {"usage": quota.reports} if quota.reports else {"allowances": quota.allowances}
-        self._send_fields(quota.vm, rows)
+        """Send rows about quotas and shares to one node."""
+        self._send_fields(quota.vm, quota.fields)
 
     def _send_fields(self, vm: str, fields: Mapping[str, Any]) -> None:
         """Send a datagram with additional fields to one node."""
@@ -341,6 +342,9 @@
         message = {**self._message(send), **(extra or {}), "news": rows}
         while len(content := seal(message, self._settings.keys)) > MAX_DATAGRAM and len(rows) > 1:
             rows.pop()
+        if len(content) > MAX_DATAGRAM and extra and extra.keys() & _LONG_ROWS:
+            kept = {name: value for name, value in message.items() if name not in _LEFT_OUT}
+            content = seal(kept, self._settings.keys)
         self._send_content(send.to, content, send.type)
 
     def _send_content(self, to: tuple[str, int], content: bytes, kind: str) -> None:
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -1,5 +1,6 @@
 """A target on this node's VM: admission, start and health; `exchange` then talks to it."""
 
+import math
 import threading
 
 from roadpass import clock
@@ -25,6 +26,7 @@
     Reason,
     Unknown,
 )
+from roadpass.parent_requests import ParentRequests
 from roadpass.pause import PauseWatch
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
@@ -33,6 +35,7 @@
 from roadpass.shutdown import Shutdown
 from roadpass.slots import Slots
 from roadpass.start_limit import StartLimit
+from roadpass.target import announced_timeout_s
 from roadpass.target_admission import TargetAdmission
 from roadpass.target_repeats import TargetRepeats
 
@@ -55,6 +58,7 @@
         shutdown: When this process ends.
         repeats: The sidecar's accounts of repeats.
         dialect: Header names and rules to talk to the target.
+        parents: The requests that run at the targets of this VM, `None` for new records.
     """
 
     def __init__(
@@ -71,7 +75,9 @@
         repeats: FleetRepeats,
         *,
         dialect: Dialect = OWN,
+        parents: ParentRequests | None = None,
     ) -> None:
+        self._parents = parents or ParentRequests()
         self.target = target
         self._service = service
         self._notices = notices
@@ -224,7 +230,9 @@
             check: The check of the attempt.
             held: Whether a slot is held for it.
         """
-        return self._admission.refusal(check, held=held)
+        return self._admission.refusal(check, held=held) or _held_back(
+            self._parents.held.wait_s(clock.now(), check.route)
+        )
 
     def _record_shedding(self, outcome: Outcome) -> None:
         with self._lock:
@@ -313,6 +321,7 @@
         refusal = self._admission.new_work_refusal(
             AdmissionCheck.of(attempt)
         ) or self._guard.refusal(attempt)
+        refusal = refusal or _held_back(self._parents.held.take(now, attempt.route))
         if refusal is not None:
             return refusal
         with self._lock:  # of two repeats that were admitted by the last one left, one may start
@@ -334,11 +343,15 @@
         tracked, bad = self._record_start(attempt, started)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         end = End.INCONCLUSIVE
+        told = started + announced_timeout_s(deadline - started)
+        self._parents.begin(started, attempt, self._service, deadline=deadline, told=told)
         try:
             outcome, end = self._exchange.run(
                 attempt, started, deadline, watch, bad=bad, trial=tracked.trial
             )
         finally:
+            answered = isinstance(outcome, Answered | NotRun)
+            self._parents.end(clock.now(), attempt.id, answered=answered)
             self._evidence.end(attempt.id)
             self._record_shedding(outcome)
             self._record_end(attempt, tracked, end)
@@ -376,3 +389,8 @@
             self._evidence.learn(clock.now(), running, service_ms, failed=failed)
             if isinstance(outcome, Answered) and outcome.status != GATEWAY_TIMEOUT:
                 self._slots.learn(service_ms, attempt.slow_ms)
+
+
+def _held_back(wait_s: float) -> NotRun | None:
+    """Return the refusal of a request whose route is held back for some seconds, if it is."""
+    return NotRun(Reason.HELD_BACK, math.ceil(wait_s * 1000.0)) if wait_s > 0.0 else None
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -29,8 +29,9 @@
 from roadpass._generated.message_types import Datagram
 from roadpass.errors import FrameError
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from roadpass.standing import FRESH
 
-_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY}
+_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY, Reason.HELD_BACK: Reason.QUEUE_FULL}
 """Reasons that older nodes do not know, and those that are sent to them instead."""
 UNBOUNDED_MS = 1e9
 """Milliseconds that mean no limit, because messages cannot hold an infinite number."""
@@ -84,7 +85,8 @@
             for nothing.
         slot: Slot that the sidecar holds for it, `None` for none.
         wait: Its place in the waiting order, see `roadpass.wait_order`; `None` if it has none.
-        parent_repeat: Whether a repeated request makes this call, so that it counts as a repeat.
+        parent_repeat: Whether it is a call that a retry makes, so that it counts as a repeat.
+        standing: Order within its class, see `roadpass.standing`.
     """
 
     id: str
@@ -117,6 +119,7 @@
     slot: int | None = None
     wait: list[Any] | None = None
     parent_repeat: bool = False
+    standing: int = FRESH
 
     @property
     def may_be_trial(self) -> bool:
@@ -155,6 +158,8 @@
                 del message[name]
         if not self.parent_repeat:
             del message["parent_repeat"]
+        if self.standing == FRESH:
+            del message["standing"]
         return message
 
 
@@ -173,7 +178,8 @@
         notice: What the ingress knows that the target stated, `None` for nothing.
         slot: Slot that the sidecar holds for the attempt, `None` for none.
         wait: Place of the request in the waiting order, see `roadpass.wait_order`.
-        parent_repeat: Whether a repeated request makes this call.
+        parent_repeat: Whether the request is a call that a retry makes.
+        standing: Order of the request within its class, see `roadpass.standing`.
     """
 
     target: str
@@ -190,6 +196,7 @@
     slot: int | None = None
     wait: list[Any] | None = None
     parent_repeat: bool = False
+    standing: int = FRESH
 
     @classmethod
     def of(cls, attempt: Attempt) -> "AdmissionCheck":
@@ -209,6 +216,7 @@
             attempt.slot,
             attempt.wait,
             attempt.parent_repeat,
+            attempt.standing,
         )
 
     @classmethod
@@ -229,6 +237,7 @@
             message.get("slot"),
             message.get("wait"),
             message.get("parent_repeat", False),
+            message.get("standing", FRESH),
         )
 
     def to_message(self) -> Message:
@@ -259,6 +268,8 @@
             message["wait"] = self.wait
         if self.parent_repeat:
             message["parent_repeat"] = True
+        if self.standing != FRESH:
+            message["standing"] = self.standing
         return message
 
 
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -17,9 +17,10 @@
 from roadpass.fleet_repeats import FleetRepeats
 from roadpass.local_target import LocalTarget
 from roadpass.message import AdmissionCheck, Attempt, LoadReport, Message, Reply
-from roadpass.metric import Metrics
+from roadpass.metric import Gauge, Metrics
 from roadpass.notice_table import NoticeTable
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Outcome, Reason, Unknown
+from roadpass.parent_requests import ParentRequests
 from roadpass.pause import PauseWatch
 from roadpass.quarantine import Quarantine
 from roadpass.request import CallerWatch
@@ -51,6 +52,7 @@
     Attributes:
         calls: Outcomes of the requests that targets of this VM may have made.
         slot_offers: Grants free slots to ingresses whose requests wait.
+        parents: The requests that run at the targets of this VM.
         replies: Counts outcomes of attempts that are being sent back to peers.
     """
 
@@ -82,6 +84,8 @@
         self._repeats = repeats or FleetRepeats(vm, incarnation, random.Random())
         self.calls = CallLog()
         self.slot_offers = SlotOffers(incarnation % MAX_FIRST_SLOT, self._metrics)
+        self.parents = ParentRequests()
+        self._metrics.add_gauge(Gauge("held_back_routes", "route", self.parents.held.held))
         self._fleet = Fleet.empty()
         self._targets: dict[str, LocalTarget] = {}
         self._start_limits: dict[str, StartLimit] = {}
@@ -122,6 +126,7 @@
         self._notices.configure(clock.now(), fleet.targets)
         self.slot_offers.enabled = fleet.sharing.queue
         self._repeats.configure(clock.now(), fleet)
+        self.parents.enabled = fleet.sharing.parents
         targets: dict[str, LocalTarget] = {}
         for target in fleet.targets_on(self._vm):
             service = fleet.services[target.service]
@@ -139,6 +144,7 @@
                     self._ending,
                     self._repeats,
                     dialect=self._dialect,
+                    parents=self.parents,
                 )
             targets[target.name] = local
         gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
@@ -248,6 +254,8 @@
         match outcome:
             case NotRun(reason=Reason.LIMITED):
                 self._metrics.count("limit_refusals")
+            case NotRun(reason=Reason.HELD_BACK):
+                self._metrics.count("held_back_refusals")
             case _:
                 pass
 
--- a/roadpass/target_admission.py
+++ b/roadpass/target_admission.py
@@ -13,6 +13,7 @@
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Reason
 from roadpass.shedding import Shedding
 from roadpass.slots import Slots
+from roadpass.standing import FRESH
 from roadpass.target_repeats import TargetRepeats
 
 MAX_WORSENING = 0.15
@@ -74,7 +75,7 @@
             return refusal
         now = clock.now()
         with self._lock:
-            wait = self.expected_wait(now, check.traffic_class, check.route)
+            wait = self.expected_wait(now, check.traffic_class, check.route, check.standing)
             bad = self._estimator.bad(now)
             shed_cost = self._shedding.cost(now)
             admits_as_trial = self._breaker.admits_as_trial(
@@ -86,7 +87,9 @@
             return NotRun(Reason.DOUBTFUL, 0)
         return None
 
-    def expected_wait(self, now: float, traffic_class: str, route: str) -> ExpectedWait:
+    def expected_wait(
+        self, now: float, traffic_class: str, route: str, standing: int = FRESH
+    ) -> ExpectedWait:
         """Return the expected wait of a new request; one for a slot is longer if requests hang.
 
         The caller must hold the lock.
@@ -95,9 +98,10 @@
             now: Clock seconds.
             traffic_class: Class of the request.
             route: Its route, empty if unknown.
+            standing: Its order within the class, see `roadpass.standing`.
         """
         typical_ms = self._estimator.latency(route).typical_ms if route else 0.0
-        wait = self._slots.expected_wait(now, traffic_class, typical_ms)
+        wait = self._slots.expected_wait(now, traffic_class, typical_ms, standing)
         if wait.ms <= 0.0 or wait.reason is Reason.LIMITED:
             return wait
         stretched_ms = self._evidence.stretched_wait_ms(now, wait.ms, self._slots.service_ms)
--- a/roadpass/wait_order.py
+++ b/roadpass/wait_order.py
@@ -2,12 +2,6 @@
 
 from typing import Any, NamedTuple
 
-from roadpass.request import Request
-
-RUNNING_CALL = 0
-WITHIN_SHARE = 1
-ABOVE_SHARE = 2
-"""Standings: call of a running request; request within or above the share of its customer."""
 MIN_WAIT_S = 0.03
 """Shortest time in seconds that a request waits for a slot, however little of its objective is
 left: the wait of one round trip costs less than a refusal."""
@@ -18,7 +12,7 @@
 
     Args:
         rank: Index of its traffic class among those of the service.
-        standing: One of the standings above.
+        standing: Its order within the class, see `roadpass.standing`.
         latest_start: Clock seconds of its latest useful start.
     """
 
@@ -36,12 +30,6 @@
         return [self.rank, self.standing, round((self.latest_start - now) * 1000.0)]
 
 
-def standing_of(request: Request) -> int:
-    """Return the standing of a request among those of its class."""
-    del request  # shares of customers and calls of running requests are not told apart yet
-    return WITHIN_SHARE
-
-
 def latest_start(
     now: float,
     *,
--- a/roadpass/waiting_requests.py
+++ b/roadpass/waiting_requests.py
@@ -11,8 +11,9 @@
 from roadpass.request_state import RequestState
 from roadpass.return_schedule import ReturnSchedule
 from roadpass.room import TRIPPED_RISK
+from roadpass.standing import CALL
 from roadpass.view import View
-from roadpass.wait_order import MIN_WAIT_S, WaitOrder, latest_start, standing_of
+from roadpass.wait_order import MIN_WAIT_S, WaitOrder, latest_start
 from roadpass.wait_queue import Grant, Waiter, WaitQueue
 from roadpass.wake_signal import WakeSignal
 
@@ -76,6 +77,8 @@
         name = state.traffic_class
         rank = names.index(name) if name in names else len(names) - 1
         objective_ms = state.route.target_latency_ms if state.arrivals == 0 else None
+        if state.standing == CALL:  # without it the running request is lost, however late it is
+            objective_ms = None
         until = latest_start(
             clock.now(),
             started=state.started,
@@ -83,7 +86,7 @@
             objective_ms=objective_ms and objective_ms * state.objective_factor,
             typical_ms=state.long_ms or state.typical_or_assumed_ms,
         )
-        return WaitOrder(rank, standing_of(state.request), until)
+        return WaitOrder(rank, state.standing, until)
 
     def is_behind(self, service: str, order: WaitOrder) -> bool:
         """Return whether a request has to wait because others of its service wait before it."""
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -1,6 +1,5 @@
 """The order and bounds of requests that wait for a slot, and the slots held for ingresses."""
 
-from roadpass.request import Request
 from roadpass.slot_grants import (
     CHECKED_HOLD_S,
     FAR_HOLD_S,
@@ -8,7 +7,8 @@
     ROW_TTL_S,
     SlotGrants,
 )
-from roadpass.wait_order import WITHIN_SHARE, WaitOrder, latest_start, standing_of
+from roadpass.standing import FRESH
+from roadpass.wait_order import WaitOrder, latest_start
 from roadpass.wait_queue import MAX_BYTES, MAX_WAITERS, Grant, Waiter, WaitQueue
 
 GRANT = Grant("t", 1)
@@ -16,7 +16,7 @@
 
 def waiter(rank: int = 0, latest: float = 10.0, size: int = 0, *targets: str) -> Waiter:
     """Return a waiter that accepts some targets, all by default."""
-    order = WaitOrder(rank, WITHIN_SHARE, latest)
+    order = WaitOrder(rank, FRESH, latest)
     return Waiter(order, size, lambda now, name: not targets or name in targets)
 
 
@@ -95,11 +95,6 @@
     assert WaitOrder.from_row(110.0, order.to_row(10.0)) == WaitOrder(2, 1, 114.5)
 
 
-def test_standing_is_within_the_share_by_default() -> None:
-    """Without shares of customers all requests of a class are equal."""
-    assert standing_of(Request("h", "GET", "/", [], b"", "c")) == WITHIN_SHARE
-
-
 def announced(*rows: tuple[str, int, WaitOrder]) -> SlotGrants:
     """Return grants with announcements of ingresses."""
     grants = SlotGrants(7)
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -17,6 +17,7 @@
 from roadpass.route import Route
 from roadpass.route_stats import RouteStats
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
+from roadpass.standing import CALL, FRESH
 from roadpass.view import View
 from roadpass.wait_queue import Grant
 from roadpass.waiting_requests import WaitingRequests
@@ -209,3 +210,14 @@
     time.after(0.1, lambda: outcomes.append(waits.hand("s", GRANT)))
     waits.wait(state_of(waits, time), lambda now, name: name != GRANT.target)
     assert outcomes == [False]
+
+
+def test_call_waits_until_its_parent_is_lost(time: Time) -> None:
+    """By its own objective a call was refused while its parent could still be answered."""
+    waits = waits_of(time)
+    fresh, call = state_of(waits, time), state_of(waits, time)
+    call.standing = CALL
+    assert waits.order_of(fresh).standing == FRESH
+    assert waits.order_of(call) < waits.order_of(fresh)
+    assert waits.order_of(call).latest_start > waits.order_of(fresh).latest_start
+    assert waits.order_of(call).latest_start <= call.deadline
