--- a/roadpass/slot_wait.py
+++ b/roadpass/slot_wait.py
@@ -65,10 +65,10 @@
             The target, `None` if it has tried all, or why the request was refused.
         """
         while True:
-            tiers = [one.tier for one in self._usable(state)]
-            if not tiers:
+            usable = self._usable(state)
+            if not usable:
                 return None
-            near = 0 in tiers
+            near = any(self._may_get_slot(one) for one in usable)
 
             def accepts(now: float, name: str, near: bool = near) -> bool:
                 return self._accepts(now, name, state, order, has_repeat, near)
@@ -102,6 +102,13 @@
             and (state.route.repeatable or not candidates[name].trial)
         ]
 
+    def _may_get_slot(self, candidate: Candidate) -> bool:
+        """Return whether a target of the own data hall takes other requests than trials."""
+        now = clock.now()
+        if candidate.tier > 0 or candidate.name in self._loads.avoided(now):
+            return False
+        return self._report(now, candidate.name).risk < TRIPPED_RISK
+
     def _accepts(
         self,
         now: float,
