--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -221,3 +221,11 @@
     assert waits.order_of(call) < waits.order_of(fresh)
     assert waits.order_of(call).latest_start > waits.order_of(fresh).latest_start
     assert waits.order_of(call).latest_start <= call.deadline
+
+
+def test_unknown_service_time_refuses_nothing_at_the_door(time: Time) -> None:
+    """At the start of a fleet an assumed time refused four of nine requests that had time."""
+    waits = waits_of(time)
+    waits._view.room.receive(time.now, RoomReport("t-0", 0, 40, 0.0, 0.0), idle=True)
+    time.after(0.3, lambda: waits.hand("s", GRANT))
+    assert wait(waits, state_of(waits, time)) == GRANT
