--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,6 +11,7 @@
 
 from roadpass import clock
 from roadpass.audit import AuditTrail
+from roadpass.fleet_repeats import FleetRepeats
 from roadpass.gossip import Gossip
 from roadpass.gossip_messages import (
     Begin,
@@ -27,9 +28,13 @@
 from roadpass.packing import pack, unpack
 from roadpass.position import Position
 from roadpass.quarantine import Quarantine
+from roadpass.repeat_coordinator import RepeatCoordinator
+from roadpass.repeat_loans import Kind, LoanMessage
 from roadpass.settings import Ports, Settings
 from roadpass.source_update import PeerPosition
 from roadpass.target_notice import TargetNotice
+from roadpass.view import PeerNode, View
+from tests.repeat_fleet import CLASS, SERVICE, fleet_of
 
 ADDRESS = "127.0.41.1"
 PORTS = Ports(8080, 8081, 8082, 8083)
@@ -46,6 +51,7 @@
     notices: NoticeTable | None = None,
     address: str = ADDRESS,
     on_peer_position: Callable[[PeerPosition], None] | None = None,
+    on_loans: Callable[[LoanMessage], None] = lambda message: None,
 ) -> ActorRef[Gossip]:
     """Start an actor that records the names of the nodes it learns about."""
     own = Member("vm-1", 1, MemberState.ALIVE, address, 8081, 8082, "hall", "region")
@@ -56,6 +62,7 @@
         on_hint=lambda target, scores: None,
         on_leave=lambda: None,
         on_peer_position=on_peer_position,
+        on_loans=on_loans,
     )
     return Gossip.start(
         config,
@@ -164,6 +171,36 @@
     ref.stop()
 
 
+def test_a_sidecar_that_is_short_borrows_from_another_node() -> None:
+    """The request, the grant and what the account then has pass the datagrams and both actors."""
+    accounts = FleetRepeats("vm-1", 2, random.Random(1))
+    accounts.configure(clock.now(), fleet_of({"vm-1", "vm-9"}))
+    view = View("vm-1", "hall", "region")
+    view.nodes["vm-9"] = PeerNode("vm-9", "127.0.41.12", 8081, "hall", "region")
+    heard: list[LoanMessage] = []
+    ref = start(Metrics(), [], address="127.0.41.6", on_loans=heard.append)
+    ref.tell(Begin())
+    ref.proxy().agreeing_peers.get()  # returns once the socket is bound and read
+    peer = Member("vm-9", 1, MemberState.ALIVE, "127.0.41.12", 8081, 8082, "hall", "region")
+    ref.tell(Seed((peer,), frozenset()))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((peer.address, peer.gossip_port))
+        sock.settimeout(LIMIT_S)
+        coordinator = RepeatCoordinator.start(accounts, view, "hall", ref.tell)
+        assert not accounts.has_repeat_left(clock.now(), SERVICE, CLASS)
+        received = (unpack(sock.recv(2048)).get("loans", []) for _ in range(40 * DATAGRAMS))
+        rows = (row for loans in received for row in loans)
+        request = next(row for row in rows if row[1] == Kind.REQUEST)
+        grant = [SERVICE, Kind.GRANT.value, request[2], request[3]]
+        content = pack({**unpack(datagram("vm-9")), "loans": [grant]})
+        sock.sendto(content, ("127.0.41.6", PORTS.gossip))
+        assert eventually(lambda: bool(heard))
+        coordinator.tell(heard[0])
+        assert eventually(lambda: accounts.has_repeat_left(clock.now(), SERVICE, CLASS))
+    coordinator.stop()
+    ref.stop()
+
+
 def test_the_source_position_is_sent_and_received_with_its_era() -> None:
     """Nodes of earlier releases send no era, which means era 0."""
     positions: list[PeerPosition] = []
