Bound the bytes that a node keeps for callers and targets

Bodies, unread responses and frames were held without a common bound: up to the body limit for each of 3,000 connections, on VMs of 200 MB.

The send buffer of a caller's socket is fixed at 128 KB, since the kernel's own would grow to 4 MB for each.

--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -3,6 +3,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from typing import NamedTuple
 
 import h11
@@ -10,6 +11,7 @@
 from roadpass import clock
 from roadpass.access import Access
 from roadpass.active_count import ActiveCount
+from roadpass.byte_gate import ByteGate, KeptBytes, NoBytesError, current
 from roadpass.caller_limits import CallerLimits
 from roadpass.caller_response import (
     generated_response,
@@ -39,6 +41,9 @@
 """Minimum timeout for a request body, so that a short header timeout does not cut slow uploads."""
 WRITE_LIMIT_S = 10.0
 """Timeout for writing a response; a caller that does not read must not block a thread for ever."""
+SEND_BUFFER_BYTES = 128 * 1024
+"""Send buffer of a caller's socket where kept bytes are bounded. The kernel lets one grow to 4 MB,
+which 40 callers that read nothing would multiply; 100 Mbit/s over 5 ms need 62 KB."""
 LINGER_S = 1.0
 """Seconds to go on reading after the last response. Closing a socket with unread data sends a
 reset, which may discard the response before the caller reads it."""
@@ -66,6 +71,7 @@
         caller_header: Header in which callers name themselves.
         origin: Service of the VM at which requests originate, empty if unknown.
         identify: Returns who sent a request, by host, path, method and credential.
+        gate: Bounds the bytes kept for callers, `None` for no bound.
     """
 
     dispatch: Callable[[Request], Served]
@@ -78,6 +84,7 @@
     caller_header: str = ""
     origin: str = ""
     identify: Callable[[str, str, str, Credential], Access | None] = lambda *_: None
+    gate: ByteGate | None = None
 
 
 class CallerConnection:
@@ -120,9 +127,21 @@
         except RefusedError as refused:
             self._refuse(refused, "", since)
             return False
-        with self._context.active:
+        with self._context.active, self._keeping():
             return self._serve(head)
 
+    def _keeping(self) -> AbstractContextManager[KeptBytes | None]:
+        """Account for the bytes kept for one request, if that is on."""
+        gate = self._context.gate
+        return nullcontext() if gate is None else gate.holding(self._cut)
+
+    def _cut(self) -> None:
+        """Disconnect the caller; the thread of the connection then finds it closed."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     def _serve(self, head: Head) -> bool:
         try:
             request = self._request(head)
@@ -200,8 +219,11 @@
 
     def _read_body(self, head: Head) -> bytes:
         max_bytes = self._limits.max_body_bytes
-        if int(head.header("Content-Length") or 0) > max_bytes:
+        length = int(head.header("Content-Length") or 0)
+        if length > max_bytes:
             raise RefusedError(413, Reason.TOO_LARGE)
+        kept = current()
+        _take(kept, length)
         until = head.read_at + max(self._limits.header_timeout_s, BODY_MIN_S)
         body = bytearray()
         while not isinstance(event := self._event(), h11.EndOfMessage):
@@ -209,11 +231,18 @@
                 body += event.data
                 if len(body) > max_bytes:
                     raise RefusedError(413, Reason.TOO_LARGE)
+                if not length:
+                    _take(kept, len(event.data))
                 continue
             if self._codec.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                 self._write(self._codec.send(interim))
-            self._feed(until)
+            size = self._feed(until)
+            if kept is not None:
+                kept.record_progress(size)
+        if kept is not None:
+            kept.expect_none()
+            kept.admit()
         return bytes(body)
 
     def _event(self) -> object:
@@ -251,13 +280,31 @@
         return data
 
     def _write(self, data: bytes) -> None:
+        kept = current()
         try:
             self._sock.settimeout(WRITE_LIMIT_S)
-            self._sock.sendall(data)
+            if kept is None:
+                self._sock.sendall(data)
+            else:
+                self._write_kept(kept, data)
         except OSError as error:
             _log.info("cannot write the response to %s: %s", self._remote, error)
             raise _ConnectionEndedError from error
 
+    def _write_kept(self, kept: KeptBytes, data: bytes) -> None:
+        """Write a response, and release its bytes as the caller reads them."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        kept.keep_at_most(len(data))
+        kept.expect_caller()
+        until = clock.now() + WRITE_LIMIT_S
+        rest = memoryview(data)
+        while rest:
+            self._sock.settimeout(max(READ_MIN_S, until - clock.now()))
+            sent = self._sock.send(rest)
+            rest = rest[sent:]
+            kept.record_progress(sent)
+            kept.keep_at_most(len(rest))
+
     def _linger(self) -> None:
         """Shut down the sending side, then discard what the caller sends for up to `LINGER_S`."""
         try:
@@ -335,6 +382,21 @@
     """The connection is to be closed without sending anything more."""
 
 
+def _take(kept: KeptBytes | None, size: int) -> None:
+    """Keep the bytes of a body, and expect the caller to send them.
+
+    Raises:
+        RefusedError: They cannot be kept.
+    """
+    if kept is None or not size:
+        return
+    try:
+        kept.take(size)
+    except NoBytesError as error:
+        raise RefusedError(503, Reason.NO_MEMORY) from error
+    kept.expect_caller()
+
+
 def _connection(*, kept: bool, is_http_10: bool) -> str:
     if not kept:
         return "close"
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -9,6 +9,7 @@
 from roadpass._actor import Actor
 from roadpass.access import identify
 from roadpass.active_count import ActiveCount
+from roadpass.byte_gate import ByteGate
 from roadpass.caller_connection import CallerConnection, ConnectionContext
 from roadpass.dialect import OWN, Dialect
 from roadpass.metric import Metrics
@@ -49,6 +50,7 @@
         metrics: Counts outcomes.
         dialect: Header names used with callers.
         origin: Service of the VM that receives the requests, empty if unknown.
+        gate: Bounds the bytes kept for callers, `None` for no bound.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         *,
         dialect: Dialect = OWN,
         origin: str = "",
+        gate: ByteGate | None = None,
     ) -> None:
         super().__init__()
         self._address = (settings.address, settings.ports.callers)
@@ -80,6 +83,7 @@
             caller_header=settings.caller_header,
             origin=origin,
             identify=lambda *what: identify(view.fleet, *what),
+            gate=gate,
         )
 
     @property
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -30,7 +30,7 @@
 from roadpass.errors import FrameError
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 
-_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY}
+_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY, Reason.NO_MEMORY: Reason.BUSY}
 """Reasons that older nodes do not know, and those that are sent to them instead."""
 UNBOUNDED_MS = 1e9
 """Milliseconds that mean no limit, because messages cannot hold an infinite number."""
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -11,6 +11,8 @@
 from roadpass import __version__, clock
 from roadpass.admin import Admin
 from roadpass.audit import AuditTrail, Kind
+from roadpass.byte_budget import ByteBudget
+from roadpass.byte_gate import ByteGate
 from roadpass.catalogue import Catalogue, Policy
 from roadpass.configuration import Configuration, Store
 from roadpass.decision import decided
@@ -67,6 +69,11 @@
         self._pause = PauseWatch()
         self._dialect = PLATFORM if settings.store else OWN
         self._view = View(settings.vm, settings.hall, settings.region)
+        self._gate = ByteGate(
+            ByteBudget.of_memory(settings.memory_mb),
+            lambda: self._view.fleet.sharing.streamed_bodies,
+            self.metrics,
+        )
         self._store = Store()
         self._journal = Journal()
         self._router = EventRouter(settings, self._view, self._store, self._journal, self.audit)
@@ -122,7 +129,7 @@
         self._router.puller = self._start(
             Puller, self._peers, self._store, self._router.on_offer, self.metrics
         )
-        self._start(StreamServer, self._settings, self._sidecar)
+        self._start(StreamServer, self._settings, self._sidecar, self._gate)
         if self._settings.store is not None:
             self._start_store_reader(self._settings.store)
         else:
@@ -171,6 +178,7 @@
             self.metrics,
             dialect=self._dialect,
             origin=self._settings.origin_service,
+            gate=self._gate,
         )
 
     def _start_store_reader(self, store: StoreSettings) -> None:
--- a/roadpass/outcome.py
+++ b/roadpass/outcome.py
@@ -49,6 +49,7 @@
     UNAUTHENTICATED = "unauthenticated"
     OVER_QUOTA = "over-quota"
     TOO_LARGE = "too-large"
+    NO_MEMORY = "no-memory"
 
 
 @dataclass(frozen=True, slots=True)
--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -14,6 +14,8 @@
 from typing import Any, NamedTuple
 
 from roadpass import clock
+from roadpass.byte_budget import WAIT_LIMIT_S
+from roadpass.byte_gate import NoBytesError, current
 from roadpass.errors import ConnectError, FrameError, ReplyTimeoutError, StreamError
 from roadpass.message import Message, check
 from roadpass.packing import pack, unpack
@@ -200,6 +202,7 @@
             (length,) = _HEADER.unpack(header)
             if length > MAX_FRAME_BYTES + MAC_BYTES:
                 raise FrameError("The received frame is too long.")
+            _keep(length, deadline if self._client else 0.0)
             frame = self._read(length, deadline)
             self.byte_count += _HEADER.size + length
         except TimeoutError as error:
@@ -271,7 +274,11 @@
         difference = clock.now_ns() - sent_ns
         if self._transit_ns is None or difference < self._transit_ns:
             self._transit_ns = difference
-        return Received(check(message), (difference - self._transit_ns) / _NS)
+        received = Received(check(message), (difference - self._transit_ns) / _NS)
+        body = received.message.get("body", b"")
+        if isinstance(body, bytes) and len(body) > len(frame):  # it was compressed
+            _keep(len(body) - len(frame), 0.0)
+        return received
 
     def _authentic(self, payload: bytes, mac: bytes) -> bool:
         expected = (self._mac(key, not self._client, self._received, payload) for key in self._keys)
@@ -283,6 +290,25 @@
         return hmac.digest(key, content, "sha256")[:MAC_BYTES]
 
 
+def _keep(size: int, deadline: float) -> None:
+    """Account for bytes that are to be received, if the current thread does.
+
+    Args:
+        size: Bytes.
+        deadline: Clock seconds until which to wait for them, if that is later than usual.
+
+    Raises:
+        StreamError: They cannot be kept in time.
+    """
+    kept = current()
+    if kept is None:
+        return
+    try:
+        kept.take(size, max(WAIT_LIMIT_S, deadline - clock.now()))
+    except NoBytesError as error:
+        raise StreamError(f"There is no memory for a frame: {error}") from error
+
+
 def _unpack(payload: bytes) -> tuple[int, Any]:
     try:
         sent_ns, message = unpack(payload)
--- a/roadpass/stream_server.py
+++ b/roadpass/stream_server.py
@@ -7,6 +7,7 @@
 from contextlib import nullcontext
 
 from roadpass._actor import Actor
+from roadpass.byte_gate import ByteGate
 from roadpass.errors import StreamError
 from roadpass.settings import Settings
 from roadpass.sidecar import Sidecar
@@ -32,10 +33,12 @@
     Args:
         settings: Settings of this node.
         sidecar: Handles the messages.
+        gate: Bounds the bytes kept for peers, `None` for no bound.
     """
 
-    def __init__(self, settings: Settings, sidecar: Sidecar) -> None:
+    def __init__(self, settings: Settings, sidecar: Sidecar, gate: ByteGate | None = None) -> None:
         super().__init__()
+        self._gate = gate
         self._settings = settings
         self._sidecar = sidecar
         self._listener: socket.socket | None = None
@@ -103,7 +106,11 @@
 
     def _answer_all(self, stream: Stream) -> None:
         while True:
-            received = stream.receive(IDLE_LIMIT_S, frame_timeout_s=FRAME_LIMIT_S)
-            reply = self._sidecar.answer(received.message, received.age_s)
-            with self._sidecar.replies if reply["t"] in OUTCOMES else nullcontext():
-                stream.send(reply)
+            with self._gate.holding() if self._gate is not None else nullcontext():
+                self._answer(stream)
+
+    def _answer(self, stream: Stream) -> None:
+        received = stream.receive(IDLE_LIMIT_S, frame_timeout_s=FRAME_LIMIT_S)
+        reply = self._sidecar.answer(received.message, received.age_s)
+        with self._sidecar.replies if reply["t"] in OUTCOMES else nullcontext():
+            stream.send(reply)
--- a/roadpass/target_connection.py
+++ b/roadpass/target_connection.py
@@ -9,6 +9,7 @@
 import h11
 
 from roadpass import clock
+from roadpass.byte_gate import NoBytesError, may_read
 from roadpass.errors import TargetError, TargetRefusedError
 from roadpass.outcome import Headers
 from roadpass.request import CallerWatch
@@ -326,7 +327,12 @@
 
     def _read(self, reader: _AnswerReader) -> RawAnswer | None:
         try:
-            data = self._sock.recv(READ_BYTES)
+            size = may_read(self._sock, READ_BYTES)
+            if not size:
+                return None
+            data = self._sock.recv(size)
+        except NoBytesError as error:
+            raise TargetProtocolError(f"The response is too long to be kept: {error}") from error
         except (BlockingIOError, InterruptedError):
             return None
         except OSError as error:
--- a/tests/calling.py
+++ b/tests/calling.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from roadpass import clock
+from roadpass.byte_gate import ByteGate
 from roadpass.caller_limits import CallerLimits
 from roadpass.dialect import OWN, Dialect
 from roadpass.ingress import Ingress
@@ -96,7 +97,13 @@
 class Bench:
     """An ingress with a scripted dispatcher."""
 
-    def __init__(self, dialect: Dialect, limits: CallerLimits, port: int = 0) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        limits: CallerLimits,
+        port: int = 0,
+        gate: ByteGate | None = None,
+    ) -> None:
         self.requests: list[Request] = []
         self.serve: Dispatch = lambda _: Served(Answered(200, [], b"ok"))
         self.view = LimitedView("vm-1", "hall-1", "region-1")
@@ -107,7 +114,7 @@
         )
         self._callers: list[Caller] = []
         self._ref: Any = Ingress.start(
-            settings, self, self.view, self.metrics, dialect=dialect, origin="shop"
+            settings, self, self.view, self.metrics, dialect=dialect, origin="shop", gate=gate
         )
         self._proxy: Any = self._ref.proxy()
         self.address: tuple[str, int] = self._proxy.address.get()
@@ -146,10 +153,13 @@
 
 @contextmanager
 def opened(
-    dialect: Dialect = OWN, limits: CallerLimits | None = None, port: int = 0
+    dialect: Dialect = OWN,
+    limits: CallerLimits | None = None,
+    port: int = 0,
+    gate: ByteGate | None = None,
 ) -> Iterator[Bench]:
     """Run an ingress until the context ends."""
-    bench = Bench(dialect, limits or CallerLimits(), port)
+    bench = Bench(dialect, limits or CallerLimits(), port, gate)
     try:
         yield bench
     finally:
