Add the message that carries a part of a body

An upload's body is to follow its attempt in parts. attempt gets body_follows and body_length, accepted gets takes_parts, and body_part is new. None of them is sent unless an upload is streamed; nodes of the version before ignore the optional fields, and get no body_part, as they never say takes_parts.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -10,6 +10,9 @@
     load: "Load"
     r""" load. """
 
+    takes_parts: bool
+    r""" Whether the attempt's body may follow it in parts """
+
 
 
 Allowance = tuple["_Allowance0", int | float, int | float]
@@ -177,6 +180,28 @@
     parent_repeat: "_ParentRepeat"
     r""" Whether a repeated request makes this call, so that it counts as a repeat. """
 
+    body_follows: bool
+    body_length: int
+    r""" minimum: 0 """
+
+
+
+class BodyPart(TypedDict, total=False):
+    r"""
+    body part.
+
+    The next part of the body of an attempt with `body_follows`; nothing answers it.
+    """
+
+    t: Required[Literal['body_part']]
+    r""" Required property """
+
+    data: Required[str | int | float | dict[str, Any] | list[Any] | bool | None]
+    r""" Required property """
+
+    end: Required[bool]
+    r""" Required property """
+
 
 
 class CatchUp(TypedDict, total=False):
@@ -535,7 +560,7 @@
 
 
 
-Message = Union["Hello", "Attempt", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Keep", "Kept", "Recall", "Recalled", "Pull", "Revision", "CatchUp", "News", "Datagram"]
+Message = Union["Hello", "Attempt", "BodyPart", "Check", "Accepted", "Answered", "NotRun", "Unknown", "Fence", "Fenced", "FenceKey", "Keep", "Kept", "Recall", "Recalled", "Pull", "Revision", "CatchUp", "News", "Datagram"]
 r"""
 message.
 
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -9,6 +9,7 @@
     check_accepted,
     check_answered,
     check_attempt,
+    check_body_part,
     check_catch_up,
     check_check,
     check_datagram,
@@ -41,6 +42,7 @@
 _CHECKS: Mapping[str, Callable[[Any], Any]] = {
     "hello": check_hello.validate,
     "attempt": check_attempt.validate,
+    "body_part": check_body_part.validate,
     "check": check_check.validate,
     "accepted": check_accepted.validate,
     "answered": check_answered.validate,
@@ -82,6 +84,8 @@
         customer: Customer that sent the request, empty for none.
         notice: What the ingress knows that the target stated, see `roadpass.notice_table`; `None`
             for nothing.
+        body_follows: Whether its body follows in parts; `body` is empty then.
+        body_length: Length of a body that follows, `None` if it is not known before its end.
     """
 
     id: str
@@ -111,6 +115,8 @@
     fingerprint: str = ""
     customer: str = ""
     notice: list[Any] | None = None
+    body_follows: bool = False
+    body_length: int | None = None
 
     @property
     def may_be_trial(self) -> bool:
@@ -145,6 +151,10 @@
         message = {"t": "attempt", **self._asdict()}
         if self.notice is None:
             del message["notice"]
+        if not self.body_follows:
+            del message["body_follows"]
+        if self.body_length is None:
+            del message["body_length"]
         return message
 
 
--- a/roadpass/packing.py
+++ b/roadpass/packing.py
@@ -15,7 +15,8 @@
 """Maximum size of an unpacked message in bytes."""
 _WINDOW = -12
 """Raw deflate with a window of 4 KB, which holds the dictionary and a typical message."""
-_LEVEL = 6
+LEVEL = 6
+STORED = 0
 _MEMORY_LEVEL = 3
 """Deflate's memory level: about 20 KB for each message being packed, far less than at the default
 level."""
@@ -38,9 +39,14 @@
 )
 
 
-def pack(value: Any) -> bytes:
-    """Return the packed form of a value that msgpack supports."""
-    packer = zlib.compressobj(_LEVEL, zlib.DEFLATED, _WINDOW, _MEMORY_LEVEL, zdict=_DICTIONARY)
+def pack(value: Any, level: int = LEVEL) -> bytes:
+    """Return the packed form of a value that msgpack supports.
+
+    Args:
+        value: The value.
+        level: Deflate's level; `STORED` for data that does not get shorter.
+    """
+    packer = zlib.compressobj(level, zlib.DEFLATED, _WINDOW, _MEMORY_LEVEL, zdict=_DICTIONARY)
     return packer.compress(msgpack.packb(value)) + packer.flush()
 
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -17,6 +17,7 @@
 MESSAGES = (
     "hello",
     "attempt",
+    "body_part",
     "check",
     "accepted",
     "answered",
