Stream the bodies of uploads from caller to target

A body was read whole before a target was known, packed whole into a frame and kept whole by the sidecar, on VMs of 200 MB.

With streamed_bodies on, the ingress of an upload reads its head only. The sidecar of the chosen target asks for the body once it is connected to it; until then the request may go elsewhere, afterwards it is sent to no other target. Parts of at most 64 KB then go over the stream, or directly on the same VM, each when the one before has been sent, so a node keeps 192 KB of a body of any size, and kernel buffers are fixed at 128 KB. A sidecar that does not say takes_parts gets the body whole. Such a request has no fingerprint.

A body that breaks off closes the target's connection and the stream. After an early response the caller's connection ends, and its rest is dropped for up to 5 s. A target that reads nothing, or a caller that sends nothing, for 5 s ends the attempt as unknown. The time for which a target waits for a caller is taken off its latency and its evidence.

--- a/roadpass/attempt_feedback.py
+++ b/roadpass/attempt_feedback.py
@@ -84,7 +84,7 @@
         """
         took_ms = (now - started) * 1000.0
         scores, latency_ms = None, 0.0
-        body_bytes = len(state.request.body)
+        body_bytes = state.request.body_bytes
         self._route_stats.learn(
             state.route.name, reply.outcome, body_bytes=body_bytes, took_ms=took_ms
         )
--- a/roadpass/byte_budget.py
+++ b/roadpass/byte_budget.py
@@ -117,7 +117,8 @@
             now: Clock seconds.
             holding: Of the request.
             size: Further bytes wanted.
-            limit_s: Seconds of waiting after which the answer is `NEVER`, `None` for `WAIT_LIMIT_S`.
+            limit_s: Seconds of waiting after which the answer is `NEVER`; `None` for the usual
+                limit.
         """
         waiter = self._waiter(holding)
         bound = self._bound(holding, size)
--- a/roadpass/byte_gate.py
+++ b/roadpass/byte_gate.py
@@ -42,6 +42,11 @@
         """Whether the caller was disconnected because others waited for its bytes."""
         return self._holding.was_cut
 
+    @property
+    def expects_caller(self) -> bool:
+        """Whether the caller is to read or to send."""
+        return self._holding.waits_since is not None
+
     def try_take(self, size: int, limit_s: float | None = None) -> bool:
         """Keep more bytes; return `False` if the thread has to ask again later.
 
@@ -64,7 +69,7 @@
         Raises:
             NoBytesError: They were not granted.
         """
-        expected = self._holding.waits_since is not None
+        expected = self.expects_caller
         self.expect_none()
         while not self.try_take(size, limit_s):
             self._gate.wait()
--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -11,7 +11,9 @@
 from roadpass import clock
 from roadpass.access import Access
 from roadpass.active_count import ActiveCount
-from roadpass.byte_gate import ByteGate, KeptBytes, NoBytesError, current
+from roadpass.body_stream import CallerBody
+from roadpass.byte_gate import ByteGate, KeptBytes, current
+from roadpass.caller_bytes import begin_upload, take_body, write_kept
 from roadpass.caller_limits import CallerLimits
 from roadpass.caller_response import (
     generated_response,
@@ -41,12 +43,11 @@
 """Minimum timeout for a request body, so that a short header timeout does not cut slow uploads."""
 WRITE_LIMIT_S = 10.0
 """Timeout for writing a response; a caller that does not read must not block a thread for ever."""
-SEND_BUFFER_BYTES = 128 * 1024
-"""Send buffer of a caller's socket where kept bytes are bounded. The kernel lets one grow to 4 MB,
-which 40 callers that read nothing would multiply; 100 Mbit/s over 5 ms need 62 KB."""
 LINGER_S = 1.0
 """Seconds to go on reading after the last response. Closing a socket with unread data sends a
 reset, which may discard the response before the caller reads it."""
+UPLOAD_LINGER_S = 5.0
+"""The same for an upload: 360 KB take that long at 600 kbit/s."""
 IDLE_POLL_S = 0.4
 """Interval at which an idle connection checks whether the node is shutting down."""
 READ_MIN_S = 0.001
@@ -72,6 +73,7 @@
         origin: Service of the VM at which requests originate, empty if unknown.
         identify: Returns who sent a request, by host, path, method and credential.
         gate: Bounds the bytes kept for callers, `None` for no bound.
+        is_upload: Returns whether a body is to be streamed, by host, path and method.
     """
 
     dispatch: Callable[[Request], Served]
@@ -85,6 +87,7 @@
     origin: str = ""
     identify: Callable[[str, str, str, Credential], Access | None] = lambda *_: None
     gate: ByteGate | None = None
+    is_upload: Callable[[str, str, str], bool] = lambda *_: False
 
 
 class CallerConnection:
@@ -103,6 +106,7 @@
         self._limits = CallerLimits()
         self._codec = h11.Connection(h11.SERVER)
         self._ahead = b""
+        self._upload: CallerBody | None = None
 
     def run(self) -> None:
         """Handle requests until the caller or this node ends the connection; never raises."""
@@ -149,7 +153,7 @@
             self._refuse(refused, head.method, head.read_at)
             return False
         self._sock.settimeout(0)
-        watch = SocketWatch(self._sock, self._codec)
+        watch = self._upload or SocketWatch(self._sock, self._codec)
         answer, kept = self._dispatch(request._replace(watch=watch), head)
         if watch.was_gone:
             raise _ConnectionEndedError
@@ -161,8 +165,11 @@
         """Return the response, and whether to keep the connection open after it."""
         try:
             served = self._context.dispatch(request)
-            kept = head.wants_keep_alive and (
-                not self._context.leaving() or self._has_pipelined_request()
+            is_read = self._upload is None or self._upload.complete
+            kept = (
+                head.wants_keep_alive
+                and is_read
+                and (not self._context.leaving() or self._has_pipelined_request())
             )
             connection = _connection(kept=kept, is_http_10=head.is_http_10)
             answer = outcome_bytes(served.outcome, head.method, self._context.dialect, connection)
@@ -204,6 +211,7 @@
                 raise _ConnectionEndedError
 
     def _read_head(self, since: float) -> Head:
+        self._upload = None
         self._limits = self._context.limits()
         max_bytes = self._limits.max_header_bytes
         self._codec = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
@@ -223,7 +231,7 @@
         if length > max_bytes:
             raise RefusedError(413, Reason.TOO_LARGE)
         kept = current()
-        _take(kept, length)
+        take_body(kept, length)
         until = head.read_at + max(self._limits.header_timeout_s, BODY_MIN_S)
         body = bytearray()
         while not isinstance(event := self._event(), h11.EndOfMessage):
@@ -232,7 +240,7 @@
                 if len(body) > max_bytes:
                     raise RefusedError(413, Reason.TOO_LARGE)
                 if not length:
-                    _take(kept, len(event.data))
+                    take_body(kept, len(event.data))
                 continue
             if self._codec.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
@@ -286,32 +294,18 @@
             if kept is None:
                 self._sock.sendall(data)
             else:
-                self._write_kept(kept, data)
+                write_kept(self._sock, kept, data, WRITE_LIMIT_S)
         except OSError as error:
             _log.info("cannot write the response to %s: %s", self._remote, error)
             raise _ConnectionEndedError from error
 
-    def _write_kept(self, kept: KeptBytes, data: bytes) -> None:
-        """Write a response, and release its bytes as the caller reads them."""
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        kept.keep_at_most(len(data))
-        kept.expect_caller()
-        until = clock.now() + WRITE_LIMIT_S
-        rest = memoryview(data)
-        while rest:
-            self._sock.settimeout(max(READ_MIN_S, until - clock.now()))
-            sent = self._sock.send(rest)
-            rest = rest[sent:]
-            kept.record_progress(sent)
-            kept.keep_at_most(len(rest))
-
     def _linger(self) -> None:
         """Shut down the sending side, then discard what the caller sends for up to `LINGER_S`."""
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError as error:
             raise _ConnectionEndedError from error
-        until = clock.now() + LINGER_S
+        until = clock.now() + (LINGER_S if self._upload is None else UPLOAD_LINGER_S)
         while (left_s := until - clock.now()) > 0:
             self._receive(left_s)
 
@@ -322,7 +316,10 @@
         access = self._identify(head, host, path)
         deadline = head.deadline(dialect.deadline)
         key = head.key()
-        body = self._read_body(head)
+        if self._context.is_upload(host, path, head.method):
+            max_bytes = self._limits.max_body_bytes
+            self._upload = begin_upload(self._sock, self._codec, head, max_bytes)
+        body = b"" if self._upload is not None else self._read_body(head)
         if body:  # it may have taken long, and the key may have been revoked meanwhile
             access = self._identify(head, host, path)
         named, proof = self._caller(head, access)
@@ -340,7 +337,9 @@
             repeat=head.is_repeat,
             id=head.header(dialect.request_id) if dialect.caller_sets_id else "",
             origin=self._context.origin,
-            fingerprint=fingerprint(host, head.method, path, named or proof, body),
+            fingerprint=""
+            if self._upload is not None
+            else fingerprint(host, head.method, path, named or proof, body),
             access=access,
         )
 
@@ -382,21 +381,6 @@
     """The connection is to be closed without sending anything more."""
 
 
-def _take(kept: KeptBytes | None, size: int) -> None:
-    """Keep the bytes of a body, and expect the caller to send them.
-
-    Raises:
-        RefusedError: They cannot be kept.
-    """
-    if kept is None or not size:
-        return
-    try:
-        kept.take(size)
-    except NoBytesError as error:
-        raise RefusedError(503, Reason.NO_MEMORY) from error
-    kept.expect_caller()
-
-
 def _connection(*, kept: bool, is_http_10: bool) -> str:
     if not kept:
         return "close"
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -5,9 +5,11 @@
 import random
 import threading
 from collections.abc import Callable
+from functools import partial
 
 from roadpass import clock
 from roadpass.attempt_feedback import AttemptFeedback
+from roadpass.body_source import streamed
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
 from roadpass.load_table import LoadTable
@@ -207,7 +209,10 @@
             outcome = self._attempt(state, target)
             if state.should_give_up:
                 outcome = _given_up(outcome)
-            if not self._should_continue(state, target, outcome, budget):
+            if (
+                not self._should_continue(state, target, outcome, budget)
+                or state.request.body_is_spent
+            ):
                 return state.final_outcome(outcome)
 
     def _should_continue(
@@ -299,6 +304,8 @@
         self.pending[attempt.id] = pending
         state.attempt_id = attempt.id
         self._loads.begin(target.name)
+        if (source := streamed(state.request.watch)) is not None:
+            source.add_listener(partial(setattr, pending, "since"))
         latency_ms: float | None = None
         try:
             reply = self._transport.send(target, attempt, state.request.watch)
--- a/roadpass/failure_estimator.py
+++ b/roadpass/failure_estimator.py
@@ -276,7 +276,7 @@
                     UNANSWERED_PRIOR, self._unanswered_losses - tracked.counted_unanswered
                 )
                 if end is End.ANSWERED and not stalled:
-                    self.latency(tracked.kind).add((now - tracked.started) * 1000.0)
+                    self.latency(tracked.kind).add((now - tracked.observed_from) * 1000.0)
             case End.LOST if now - tracked.started < LATE_LOSS_S:
                 self._resets += 1.0
             case End.NO_RESPONSE:
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -84,6 +84,7 @@
             origin=origin,
             identify=lambda *what: identify(view.fleet, *what),
             gate=gate,
+            is_upload=lambda *what: gate is not None and _is_streamed(gate, view, *what),
         )
 
     @property
@@ -178,3 +179,8 @@
         finally:
             self._open.discard(sock)
             self._connections.add(-1)
+
+
+def _is_streamed(gate: ByteGate, view: View, host: str, path: str, method: str) -> bool:
+    route = view.fleet.find_route(host, path, method)
+    return gate.is_on and route is not None and route.upload
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -3,6 +3,7 @@
 import threading
 
 from roadpass import clock
+from roadpass.body_source import streamed
 from roadpass.breaker_log import BreakerLog
 from roadpass.circuit_breaker import CircuitBreaker
 from roadpass.dialect import OWN, Dialect
@@ -282,6 +283,12 @@
         started = clock.now()
         running = self._evidence.begin(attempt.id, started, attempt.slow_ms)
         tracked, bad = self._record_start(attempt, started)
+        if (source := streamed(watch)) is not None:
+
+            def discount_wait(now: float) -> None:
+                running.started = tracked.observed_from = now
+
+            source.add_listener(discount_wait)
         outcome: Outcome = Unknown(Reason.TARGET_LOST)
         end = End.INCONCLUSIVE
         try:
--- a/roadpass/request.py
+++ b/roadpass/request.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from roadpass.access import Access
+from roadpass.body_source import BodySource
 from roadpass.customer import Customer
 from roadpass.failure_detector import Sample, Scores
 from roadpass.message import Attempt
@@ -54,6 +55,16 @@
     fingerprint: str = ""
     access: Access | None = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Length of its body as far as it is known."""
+        return self.watch.size if isinstance(self.watch, BodySource) else len(self.body)
+
+    @property
+    def body_is_spent(self) -> bool:
+        """Whether a part of its body was passed on, so that it cannot be sent to another target."""
+        return isinstance(self.watch, BodySource) and self.watch.passed_on
+
     @property
     def customer(self) -> Customer | None:
         """The customer whose key it carries, `None` if there is none."""
--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -132,7 +132,7 @@
         if request.deadline is not None:
             deadline = min(deadline, request.deadline)
         key = f"{service.name}:{request.key}" if request.key and not route.repeatable else ""
-        size_kb = max(stats.size_kb, len(request.body) / 1000.0) + FAR_OVERHEAD_KB
+        size_kb = max(stats.size_kb, request.body_bytes / 1000.0) + FAR_OVERHEAD_KB
         return cls(
             request,
             route,
--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -11,15 +11,15 @@
 import socket
 import struct
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from roadpass import clock
-from roadpass.byte_budget import WAIT_LIMIT_S
-from roadpass.byte_gate import NoBytesError, current
+from roadpass.body_source import watched_events
 from roadpass.errors import ConnectError, FrameError, ReplyTimeoutError, StreamError
 from roadpass.message import Message, check
-from roadpass.packing import pack, unpack
+from roadpass.packing import LEVEL, pack
 from roadpass.request import CallerWatch
+from roadpass.stream_frame import is_readable, keep_bytes, unpack_frame
 
 MAGIC = b"RPS2"
 NONCE_BYTES = 16
@@ -32,6 +32,7 @@
 waits for it: 16 MB take that long on a link of 13 Mbit/s."""
 READ_MIN_S = 0.001
 """Minimum socket timeout, so that data that has already arrived is read after the deadline."""
+READ_BYTES = 64 * 1024
 _HEADER = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
 _NS = 1e9
@@ -59,6 +60,7 @@
     Attributes:
         extended_deadline: Clock seconds until which to wait for the first byte of a frame, even
             past the timeout of the read.
+        takes_parts: Whether the peer has said that it takes a body in parts.
         byte_count: Bytes of frames sent and received since it was last reset to zero.
     """
 
@@ -74,6 +76,7 @@
         self.peer_incarnation = 0
         self.idle_since = 0.0
         self.extended_deadline = 0.0
+        self.takes_parts = False
         self.byte_count = 0
 
     @classmethod
@@ -150,7 +153,101 @@
         """Whether the connection is open and has no unsolicited data to read."""
         if self._buffer:
             return False
-        return not _readable(self._sock, 0.0)
+        return not is_readable(self._sock, 0.0)
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection, -1 once it is closed."""
+        return self._sock.fileno()
+
+    def frame(self, message: Message, level: int = LEVEL) -> bytes:
+        """Return the frame of a message, which must be the next that is sent.
+
+        Args:
+            message: Content of the frame.
+            level: Level of its compression, see `pack`.
+
+        Raises:
+            FrameError: The frame is too long.
+        """
+        payload = pack((clock.now_ns(), message), level)
+        if len(payload) > MAX_FRAME_BYTES:
+            raise FrameError("The frame to send is too long.")
+        mac = self._mac(self._keys[0], self._client, self._sent, payload) if self._keys else b""
+        self._sent += 1
+        return _HEADER.pack(len(payload) + len(mac)) + payload + mac
+
+    def send_some(self, data: memoryview) -> int:
+        """Send part of a frame without waiting; return the number of bytes.
+
+        Raises:
+            StreamError: The connection was lost.
+        """
+        try:
+            self._sock.settimeout(0.0)
+            sent = self._sock.send(data) if data else 0
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise StreamError(f"Sending a frame failed: {error}.") from error
+        self.byte_count += sent
+        return sent
+
+    def poll_frame(self, most: int) -> Message | None:
+        """Return the next message without waiting, `None` if its frame is not complete.
+
+        Args:
+            most: Most bytes of the frame.
+
+        Raises:
+            StreamError: The connection was lost or the frame is invalid.
+        """
+        self._sock.settimeout(0.0)
+        while True:
+            frame = self._buffered_frame(most)
+            if frame is not None:
+                self.byte_count += _HEADER.size + len(frame)
+                return self._open(frame).message
+            try:
+                chunk = self._sock.recv(READ_BYTES)
+            except BlockingIOError:
+                return None
+            except OSError as error:
+                raise StreamError(f"The connection was lost: {error}.") from error
+            if not chunk:
+                raise StreamError("The peer closed the connection.")
+            self._buffer += chunk
+
+    def _buffered_frame(self, most: int) -> bytes | None:
+        if len(self._buffer) < _HEADER.size:
+            return None
+        (length,) = _HEADER.unpack(self._buffer[: _HEADER.size])
+        if length > most:
+            raise FrameError("The received frame is too long.")
+        if len(self._buffer) < _HEADER.size + length:
+            return None
+        frame = bytes(self._buffer[_HEADER.size : _HEADER.size + length])
+        del self._buffer[: _HEADER.size + length]
+        return frame
+
+    def limit_send_buffer(self, size: int) -> None:
+        """Have the kernel keep only so many bytes for the peer, instead of up to megabytes."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+    def end_sending(self) -> None:
+        """Shut down the sending side, behind everything that was sent."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+    def drop_received(self, wait_s: float) -> bool:
+        """Drop received bytes; return `False` once the connection has ended or nothing comes."""
+        self._buffer.clear()
+        try:
+            self._sock.settimeout(max(READ_MIN_S, wait_s))
+            return bool(self._sock.recv(READ_BYTES))
+        except OSError:
+            return False
 
     def send(self, message: Message, *, timeout_s: float = FRAME_LIMIT_S) -> None:
         """Write one frame.
@@ -163,12 +260,7 @@
             FrameError: The frame is too long; nothing was sent.
             StreamError: Sending failed; part of the frame may have been written.
         """
-        payload = pack((clock.now_ns(), message))
-        if len(payload) > MAX_FRAME_BYTES:
-            raise FrameError("The frame to send is too long.")
-        mac = self._mac(self._keys[0], self._client, self._sent, payload) if self._keys else b""
-        self._sent += 1
-        frame = _HEADER.pack(len(payload) + len(mac)) + payload + mac
+        frame = self.frame(message)
         try:
             self._sock.settimeout(max(READ_MIN_S, timeout_s))
             self._sock.sendall(frame)
@@ -202,7 +294,7 @@
             (length,) = _HEADER.unpack(header)
             if length > MAX_FRAME_BYTES + MAC_BYTES:
                 raise FrameError("The received frame is too long.")
-            _keep(length, deadline if self._client else 0.0)
+            keep_bytes(length, deadline if self._client else 0.0)
             frame = self._read(length, deadline)
             self.byte_count += _HEADER.size + length
         except TimeoutError as error:
@@ -240,7 +332,7 @@
             poller = select.poll()
             poller.register(self._sock, select.POLLIN)
             if caller is not None and caller.watchable:
-                poller.register(caller.fileno(), select.POLLIN)
+                poller.register(caller.fileno(), watched_events(caller))
             ready = {fd for fd, _ in poller.poll(max(0.0, left) * 1000.0)}
             if self._sock.fileno() in ready:
                 return
@@ -253,7 +345,7 @@
     def _read(self, size: int, deadline: float) -> bytes:
         while len(self._buffer) < size:
             self._sock.settimeout(max(READ_MIN_S, deadline - clock.now()))
-            chunk = self._sock.recv(max(65536, size - len(self._buffer)))
+            chunk = self._sock.recv(max(READ_BYTES, size - len(self._buffer)))
             if not chunk:
                 raise StreamError("The peer closed the connection.")
             self._buffer += chunk
@@ -270,14 +362,14 @@
             if not self._authentic(payload, mac):
                 raise FrameError("The frame's MAC matches none of the keys.")
         self._received += 1
-        sent_ns, message = _unpack(payload)
+        sent_ns, message = unpack_frame(payload)
         difference = clock.now_ns() - sent_ns
         if self._transit_ns is None or difference < self._transit_ns:
             self._transit_ns = difference
         received = Received(check(message), (difference - self._transit_ns) / _NS)
         body = received.message.get("body", b"")
         if isinstance(body, bytes) and len(body) > len(frame):  # it was compressed
-            _keep(len(body) - len(frame), 0.0)
+            keep_bytes(len(body) - len(frame), 0.0)
         return received
 
     def _authentic(self, payload: bytes, mac: bytes) -> bool:
@@ -288,41 +380,3 @@
         side = b"c" if from_client else b"s"
         content = self._nonce + side + _SEQUENCE.pack(sequence) + payload
         return hmac.digest(key, content, "sha256")[:MAC_BYTES]
-
-
-def _keep(size: int, deadline: float) -> None:
-    """Account for bytes that are to be received, if the current thread does.
-
-    Args:
-        size: Bytes.
-        deadline: Clock seconds until which to wait for them, if that is later than usual.
-
-    Raises:
-        StreamError: They cannot be kept in time.
-    """
-    kept = current()
-    if kept is None:
-        return
-    try:
-        kept.take(size, max(WAIT_LIMIT_S, deadline - clock.now()))
-    except NoBytesError as error:
-        raise StreamError(f"There is no memory for a frame: {error}") from error
-
-
-def _unpack(payload: bytes) -> tuple[int, Any]:
-    try:
-        sent_ns, message = unpack(payload)
-    except (ValueError, TypeError) as error:
-        raise FrameError(f"The frame contains no message: {error}.") from error
-    if not isinstance(sent_ns, int):
-        raise FrameError("The frame has no send time.")
-    return sent_ns, message
-
-
-def _readable(sock: socket.socket, timeout_s: float) -> bool:
-    poller = select.poll()
-    try:
-        poller.register(sock, select.POLLIN)
-        return bool(poller.poll(timeout_s * 1000.0))
-    except (OSError, ValueError):
-        return True
--- a/roadpass/stream_server.py
+++ b/roadpass/stream_server.py
@@ -7,11 +7,15 @@
 from contextlib import nullcontext
 
 from roadpass._actor import Actor
-from roadpass.byte_gate import ByteGate
+from roadpass.body_source import UPLOAD_BYTES
+from roadpass.body_stream import FrameBody
+from roadpass.byte_gate import ByteGate, NoBytesError, current
 from roadpass.errors import StreamError
+from roadpass.message import Attempt, Message, Reply
+from roadpass.outcome import RETRY_SOON_MS, NotRun, Reason
 from roadpass.settings import Settings
 from roadpass.sidecar import Sidecar
-from roadpass.stream import FRAME_LIMIT_S, Stream
+from roadpass.stream import FRAME_LIMIT_S, Received, Stream
 
 MAX_STREAMS = 1024
 """Maximum number of open streams, each served by one thread."""
@@ -111,6 +115,22 @@
 
     def _answer(self, stream: Stream) -> None:
         received = stream.receive(IDLE_LIMIT_S, frame_timeout_s=FRAME_LIMIT_S)
-        reply = self._sidecar.answer(received.message, received.age_s)
+        body = FrameBody.of(stream, received.message)
+        reply = self._reply(received, body)
         with self._sidecar.replies if reply["t"] in OUTCOMES else nullcontext():
             stream.send(reply)
+        if body is not None and not body.complete:
+            body.drop_rest()
+            raise StreamError("The reply came before the end of the body.")
+
+    def _reply(self, received: Received, body: FrameBody | None) -> Message:
+        if body is None:
+            return self._sidecar.answer(received.message, received.age_s)
+        kept = current()
+        try:
+            if kept is not None:
+                kept.take(UPLOAD_BYTES)
+        except NoBytesError:
+            return Reply(NotRun(Reason.NO_MEMORY, RETRY_SOON_MS)).to_message()
+        attempt = Attempt.from_message(received.message)
+        return self._sidecar.run(attempt, received.age_s, body).to_message()
--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -7,11 +7,13 @@
 from typing import NamedTuple, TypeAlias
 
 from roadpass import clock
+from roadpass.body_source import BodySource, streamed
 from roadpass.dialect import OWN, Dialect
 from roadpass.errors import TargetRefusedError
-from roadpass.hop_by_hop import connection_tokens, end_to_end
-from roadpass.outcome import Answered, Headers
+from roadpass.hop_by_hop import end_to_end
+from roadpass.outcome import Headers
 from roadpass.request import CallerWatch
+from roadpass.target_answer import MISDIRECTED, TargetAnswer, TargetLoad, read_answer
 from roadpass.target_connection import (
     MAX_ANSWER_BYTES,
     AnswerRules,
@@ -64,11 +66,8 @@
 """After a loss on a reused connection, this share of its idle time becomes the limit for reuse. The
 limit doubles again every this many seconds, as targets drop connections only for seconds at a
 time."""
-_REPLACED_BY_OWN = frozenset(("date", "server"))
 _WITH_LENGTH = ("POST", "PUT", "PATCH")
-_MISDIRECTED = 421
 _KEEP_ALIVE = re.compile(r"(?:^|[,;\s])timeout\s*=\s*([0-9]{1,6})(?![0-9])", re.IGNORECASE)
-_LOAD = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
 
 
 OnNotice: TypeAlias = Callable[[TargetNotice, float], None]
@@ -76,30 +75,6 @@
 was sent, -inf if unknown."""
 
 
-class TargetLoad(NamedTuple):
-    """Load reported by a target: running and waiting requests, and its number of slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
-class TargetAnswer(NamedTuple):
-    """A complete response of a target.
-
-    Args:
-        answer: The part that is forwarded to the caller.
-        not_run: Whether the target states that it did not run the request.
-        instance: The instance that responded, empty if not reported.
-        load: The target's load, `None` if not reported.
-    """
-
-    answer: Answered
-    not_run: bool
-    instance: str
-    load: TargetLoad | None
-
-
 class _Call(NamedTuple):
     """A request before its connection and the time it is sent are known."""
 
@@ -202,7 +177,7 @@
             with self._lock:
                 del self._active[attempt_id]
             self._release(connection, keep_s)
-        return _answer(raw, service_ms, self._dialect, instance)
+        return read_answer(raw, service_ms, self._dialect, instance)
 
     def cancel(self, attempt_id: str) -> bool:
         """Cancel a running request by closing its connection to the target.
@@ -315,8 +290,9 @@
         started = clock.now()
         if started >= deadline:
             raise TargetTimeoutError("The deadline passed before the request was sent.")
-        sent = _sent_headers(call, dialect, self.address, deadline - started)
-        message = WireRequest(call.method, call.path, sent, call.body)
+        source = streamed(watch)
+        sent = _sent_headers(call, dialect, self.address, deadline - started, source)
+        message = WireRequest(call.method, call.path, sent, call.body, source)
 
         def on_head(head: ResponseHead) -> None:
             if on_notice is not None and _is_from(head, dialect, call.instance):
@@ -324,6 +300,8 @@
                 on_notice(notice, started if head.own else -math.inf)
 
         raw = connection.exchange(message, rules, deadline, watch, on_head=on_head)
+        if source is not None:  # the time of the caller is not that of the target
+            started = max(started, source.waited_at)
         return raw, (clock.now() - started) * 1000.0
 
     def _release(self, connection: TargetConnection, keep_s: float) -> None:
@@ -349,7 +327,9 @@
     return left_s - min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * left_s)
 
 
-def _sent_headers(call: _Call, dialect: Dialect, address: str, left_s: float) -> Headers:
+def _sent_headers(
+    call: _Call, dialect: Dialect, address: str, left_s: float, source: BodySource | None = None
+) -> Headers:
     """Return the headers for the target; the fleet's own replace those from the caller."""
     own = [
         (dialect.request_id, call.id),
@@ -365,7 +345,9 @@
     for name, value in own:
         if name and (value or name == dialect.origin_service):
             sent.append((name, value))
-    if call.body or call.method in _WITH_LENGTH:
+    if source is not None:
+        sent.append(source.framing)
+    elif call.body or call.method in _WITH_LENGTH:
         sent.append(("Content-Length", str(len(call.body))))
     return sent
 
@@ -375,38 +357,7 @@
     if not (dialect.expected_instance and instance):
         return True
     named = values_of(head.headers, dialect.instance) if dialect.instance else []
-    return head.status != _MISDIRECTED and set(named) <= {instance}
-
-
-def _answer(
-    raw: RawAnswer, service_ms: float, dialect: Dialect, expected_instance: str
-) -> TargetAnswer:
-    instance_sent = bool(dialect.expected_instance and expected_instance)
-    refused = bool(dialect.not_run and values_of(raw.headers, dialect.not_run))
-    instances = values_of(raw.headers, dialect.instance) if dialect.instance else []
-    return TargetAnswer(
-        Answered(raw.status, _forwarded_headers(raw.headers, dialect), raw.body, service_ms),
-        not_run=refused or (instance_sent and raw.status == _MISDIRECTED),
-        instance=instances[0] if instances else "",
-        load=_load(raw.headers, dialect),
-    )
-
-
-def _load(headers: Headers, dialect: Dialect) -> TargetLoad | None:
-    values = values_of(headers, dialect.load) if dialect.load else []
-    match = _LOAD.fullmatch(values[0]) if len(values) == 1 else None
-    return TargetLoad(*map(int, match.groups())) if match else None
-
-
-def _forwarded_headers(headers: Headers, dialect: Dialect) -> Headers:
-    """Return the response headers that are forwarded to the caller."""
-    dropped = {dialect.load.lower(), dialect.instance.lower(), dialect.not_run.lower()}
-    dropped |= {"content-length"} | connection_tokens(headers)
-    prefix = dialect.own_prefix
-    if prefix:
-        dropped |= _REPLACED_BY_OWN
-    forwarded = end_to_end(headers, dropped)
-    return [(n, v) for n, v in forwarded if not (prefix and n.lower().startswith(prefix))]
+    return head.status != MISDIRECTED and set(named) <= {instance}
 
 
 def _idle_limit_s(raw: RawAnswer) -> float:
--- a/roadpass/target_connection.py
+++ b/roadpass/target_connection.py
@@ -9,6 +9,7 @@
 import h11
 
 from roadpass import clock
+from roadpass.body_source import BUFFER_BYTES, BodyBrokenError, BodySource, step_s, watched_events
 from roadpass.byte_gate import NoBytesError, may_read
 from roadpass.errors import TargetError, TargetRefusedError
 from roadpass.outcome import Headers
@@ -23,6 +24,9 @@
 """Maximum size of a response's header section; larger than common servers send."""
 MAX_ANSWER_BYTES = 15 * 1024 * 1024
 """Maximum size of a response body, which a node holds in memory."""
+TARGET_STALL_S = 5.0
+"""Seconds in which a target must read something of a streamed body; the rest of the deadline would
+hold a slot, and keep the caller from sending the request again."""
 _BODILESS = (204, 304)
 
 
@@ -43,12 +47,13 @@
 
 
 class WireRequest(NamedTuple):
-    """A request as it is sent to a target."""
+    """A request as it is sent to a target; `source` brings the body if it is streamed."""
 
     method: str
     path: str
     headers: Headers
     body: bytes
+    source: BodySource | None = None
 
 
 class AnswerRules(NamedTuple):
@@ -121,7 +126,8 @@
         head = self._codec.send(_request(self._message)) or b""
         if self._message.body:
             self._codec.send(h11.Data(data=self._message.body))
-        self._codec.send(h11.EndOfMessage())
+        if self._message.source is None:
+            self._codec.send(h11.EndOfMessage())
         if received:
             self._codec.receive_data(received)
         return head
@@ -223,6 +229,7 @@
         self._sock = sock
         self._unsent: list[memoryview] = []
         self._broken = False
+        self._written_at = 0.0
         self.cancelled = False
         self.extended_until = 0.0
         self.reused = False
@@ -269,15 +276,41 @@
         except (h11.LocalProtocolError, UnicodeError) as error:
             raise TargetRefusedError(f"The request is not valid HTTP: {error}.") from error
         self._unsent = _chunks(reader.head, message.body)
+        self._written_at = clock.now()
         self._write()
         answer: RawAnswer | None = None
+        source = message.source
+        if source is not None:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
         while answer is None:
+            self._pass_on(source)
             ready = self._wait(deadline, watch)
             if ready & ~select.POLLOUT:
                 answer = self._read(reader)
             elif ready:
                 self._write()
-        return answer._replace(reusable=answer.reusable and not (self._unsent or self._broken))
+        unsent = self._unsent or self._broken or not (source is None or source.complete)
+        return answer._replace(reusable=answer.reusable and not unsent)
+
+    def _pass_on(self, source: BodySource | None) -> None:
+        """Write what has arrived of a streamed body, as far as the target takes it."""
+        if source is None or self._broken:
+            return
+        now = clock.now()
+        if not self._unsent:
+            self._written_at = now
+        elif now - self._written_at >= TARGET_STALL_S:
+            raise TargetTimeoutError("The target stopped reading the body.")
+        try:
+            while not self._unsent and not source.complete:
+                part = source.take_part(clock.now())
+                if part is None:
+                    return
+                self._unsent = [memoryview(framed)] if (framed := source.framed(part)) else []
+                while self._unsent and self._write():
+                    pass
+        except BodyBrokenError as error:
+            raise CallerLeftError(str(error)) from error
 
     def is_idle(self) -> bool:
         """Return whether nothing was received, neither bytes nor a close."""
@@ -306,24 +339,31 @@
         poller.register(self._sock, select.POLLIN | (select.POLLOUT if self._unsent else 0))
         caller = watch.fileno() if watch is not None and watch.watchable else -1
         if caller >= 0:
-            poller.register(caller, select.POLLIN)
-        ready = dict(poller.poll(math.ceil(min(clock.STEP_S, left) * 1000.0)))
+            poller.register(caller, watched_events(watch, wanted=not self._unsent))
+        step = step_s(watch, wanted=not self._unsent)
+        ready = dict(poller.poll(math.ceil(min(step, left) * 1000.0)))
         if watch is not None and caller in ready and watch.gone():
             raise CallerLeftError("The caller disconnected.")
         return ready.get(self._sock.fileno(), 0)
 
-    def _write(self) -> None:
-        """Write one chunk, or part of it; after an error only a response can follow."""
+    def _write(self) -> bool:
+        """Write one chunk, or part of it; after an error only a response can follow.
+
+        Returns:
+            Whether anything was written.
+        """
         try:
             sent = self._sock.send(self._unsent[0][:WRITE_BYTES])
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError:
             self._broken = True
             self._unsent = []
-            return
+            return False
+        self._written_at = clock.now()
         rest = self._unsent[0][sent:]
         self._unsent[:1] = [rest] if rest else []
+        return True
 
     def _read(self, reader: _AnswerReader) -> RawAnswer | None:
         try:
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -8,6 +8,8 @@
 
 from roadpass import clock
 from roadpass._generated.message_types import Fence, FenceKey, Keep, Recall
+from roadpass.body_source import BodyBrokenError
+from roadpass.body_stream import CallerBody, log_broken, send_body, with_body
 from roadpass.decision import decided
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
@@ -104,8 +106,14 @@
             attempt: The attempt to send.
             watch: Reports when the caller has disconnected.
         """
+        body = watch if isinstance(watch, CallerBody) else None
+        if body is not None:
+            attempt = with_body(attempt, body)
         if target.vm == self._view.vm:
-            return self._sidecar.run(attempt, watch=watch)
+            reply = self._sidecar.run(attempt, watch=watch)
+            if body is not None and body.passed_on:
+                self._log_upload(attempt, target, takes_parts=True)
+            return reply
         address = self._address(target.vm)
         if address is None:
             return Reply(NotRun(Reason.UNREACHABLE, RETRY_SOON_MS))
@@ -119,12 +127,35 @@
             self._peers.release(address, opened)
             return Reply(NotRun(Reason.LEAVING, RETRY_SOON_MS))
         check_bytes = opened.byte_count
+        self._log_upload(attempt, target, takes_parts=opened.takes_parts)
+        if body is not None and attempt.body_follows and not opened.takes_parts:
+            try:
+                until = started + attempt.remaining_ms / 1000.0
+                body.read_whole(min(until, self._view.shutdown.last_start(attempt.usual_ms)))
+            except BodyBrokenError as error:
+                opened.close()
+                log_broken(error, body)
+                return Reply(NotRun(Reason.CANCELLED, RETRY_SOON_MS))
+            attempt = with_body(attempt, body)
         spent_ms = (clock.now() - started) * 1000.0
         attempt = attempt._replace(remaining_ms=attempt.remaining_ms - spent_ms)
         reply = self._exchange(opened, address, attempt, watch)
         self._count("attempt", opened.byte_count - check_bytes, far=far)
         return reply
 
+    def _log_upload(self, attempt: Attempt, target: Target, *, takes_parts: bool) -> None:
+        """Log and count how the body of an upload is sent, if it is not kept whole already."""
+        if attempt.body_follows:
+            self._metrics.count("uploads_streamed" if takes_parts else "uploads_sent_whole")
+            decided(
+                "upload",
+                "streamed" if takes_parts else "sent-whole",
+                request=attempt.request_id,
+                attempt=attempt.id,
+                target=target.name,
+                length=attempt.body_length,
+            )
+
     def _count(self, kind: str, byte_count: int, *, far: bool) -> None:
         """Count a message and its bytes in both directions if it went to another data hall."""
         if far:
@@ -269,6 +300,7 @@
             stream.send(AdmissionCheck.of(attempt).to_message(), timeout_s=check_s)
             response = stream.receive(check_s).message
             if response["t"] == "accepted":
+                stream.takes_parts = response.get("takes_parts", False)
                 return stream, reused
             refusal = Reply.from_message(response)
         except StreamError:
@@ -286,9 +318,12 @@
         pending = self._pending_attempts[attempt.id] = _PendingAttempt(stream)
         try:
             stream.send(attempt.to_message(), timeout_s=wait_s)
-            left_s = max(0.0, until - clock.now())
-            received = stream.receive(left_s, caller=watch, frame_timeout_s=REPLY_READ_GRACE_S)
-            reply = Reply.from_message(received.message)
+            whole = not attempt.body_follows
+            message = self._receive(stream, until, watch)
+            if isinstance(watch, CallerBody) and message["t"] == "accepted":
+                whole = send_body(stream, watch, until)
+                message = self._receive(stream, until, watch)
+            reply = Reply.from_message(message)
         except StreamError as error:
             stream.close()
             if pending.never_starts:
@@ -298,12 +333,18 @@
             with self._lock:  # after this the stream is not shut down: the pool may reuse it
                 del self._pending_attempts[attempt.id]
                 stream.extended_deadline = 0.0
-        if pending.is_abandoned:
+        if pending.is_abandoned or not whole:
             stream.close()
         else:
             self._peers.release(address, stream)
         return reply
 
+    @staticmethod
+    def _receive(stream: Stream, until: float, watch: CallerWatch | None) -> Message:
+        """Wait for a message about an attempt until a moment in clock seconds."""
+        left_s = max(0.0, until - clock.now())
+        return stream.receive(left_s, caller=watch, frame_timeout_s=REPLY_READ_GRACE_S).message
+
     def _outcome_after_loss(
         self, address: Address, attempt: Attempt, incarnation: int, error: StreamError
     ) -> Outcome:
