--- a/roadpass/body_stream.py
+++ b/roadpass/body_stream.py
@@ -19,7 +19,6 @@
     step_s,
 )
 from roadpass.byte_gate import NoBytesError, current
-from roadpass.decision import decided
 from roadpass.disconnect_watch import SocketWatch
 from roadpass.errors import FrameError, StreamError
 from roadpass.message import Attempt, Message
@@ -52,6 +51,7 @@
 
     Attributes:
         compressible: Whether its parts are compressed between nodes.
+        error: Why it will not be complete, empty if that is not known.
     """
 
     def __init__(
@@ -66,6 +66,7 @@
         self._kept = current()
         self._rest = b""
         self.compressible = True
+        self.error = ""
 
     @property
     def length(self) -> int | None:
@@ -77,6 +78,11 @@
         """Length of the body as far as it is known."""
         return self._received if self._length is None else self._length
 
+    @property
+    def received(self) -> int:
+        """Bytes of the body taken so far."""
+        return self._received
+
     @property
     def watchable(self) -> bool:
         """Whether polling `fileno` can reveal anything new."""
@@ -86,7 +92,9 @@
         """Return whether the caller has closed; reads ahead only behind the end of the body."""
         if self.complete:
             return super().gone()
-        self._gone = self._gone or is_closed(self.fileno())
+        if not self._gone and is_closed(self.fileno()):
+            self._gone = True
+            self._broken("The caller closed its connection.")
         return self._gone
 
     def events(self, *, wanted: bool) -> int:
@@ -115,7 +123,7 @@
             try:
                 event = self._codec.next_event()
             except h11.RemoteProtocolError as error:
-                raise BodyBrokenError(f"The body is malformed: {error}.") from error
+                raise self._broken(f"The body is malformed: {error}.") from error
             if isinstance(event, h11.Data):
                 return self._split(bytes(event.data))
             if isinstance(event, h11.EndOfMessage):
@@ -145,6 +153,11 @@
         self.passed_on = False
         return self.whole
 
+    def _broken(self, error: str) -> BodyBrokenError:
+        """Record why the body will not be complete."""
+        self.error = error
+        return BodyBrokenError(error)
+
     def _split(self, data: bytes) -> bytes:
         """Return the first part of data, of which more may have come with an earlier request."""
         self._rest = data[PART_BYTES:]
@@ -155,7 +168,7 @@
         self._stalled_since = None
         self.passed_on = True
         if self._received > self._max_bytes:
-            raise BodyBrokenError("The body is too long.")
+            raise self._broken("The body is too long.")
         return part
 
     def _finish(self) -> None:
@@ -178,7 +191,7 @@
             data = b""
         if not data:
             self._gone = True
-            raise BodyBrokenError("The caller closed its connection within the body.")
+            raise self._broken("The caller closed its connection.")
         if self._kept is not None:
             self._kept.record_progress(len(data))
         self._codec.receive_data(data)
@@ -191,12 +204,12 @@
         if self._stalled_since is None:
             self._stalled_since = now
         elif now - self._stalled_since >= CALLER_STALL_S:
-            raise BodyBrokenError("The caller stopped sending its body.")
+            raise self._broken("The caller stopped sending.")
 
     def _wait(self, until: float) -> None:
         left_s = until - clock.now()
         if left_s <= 0.0:
-            raise BodyBrokenError("The body did not arrive in time.")
+            raise self._broken("The body did not arrive in time.")
         poller = select.poll()
         poller.register(self.fileno(), self.events(wanted=True))
         poller.poll(min(clock.STEP_S, left_s) * 1000.0)
@@ -207,7 +220,7 @@
         try:
             self._kept.take(size)
         except NoBytesError as error:
-            raise BodyBrokenError(f"The body cannot be kept: {error}") from error
+            raise self._broken(f"The body cannot be kept: {error}") from error
 
 
 class FrameBody(BodySource):
@@ -301,11 +314,6 @@
     return attempt._replace(body_follows=True, body_length=body.length)
 
 
-def log_broken(error: BodyBrokenError, body: CallerBody) -> None:
-    """Log that the body of an upload will not be complete."""
-    decided("upload", "body-broken", error=str(error), bytes=body.size)
-
-
 def send_body(stream: Stream, body: CallerBody, until: float) -> bool:
     """Send a body that was asked for on a stream; return whether all of it was sent.
 
@@ -340,7 +348,6 @@
     try:
         part = body.take_part(clock.now())
     except BodyBrokenError as error:
-        log_broken(error, body)
         raise CallerDisconnectedError(str(error)) from error
     if part is None:
         return b""
--- a/roadpass/caller_bytes.py
+++ b/roadpass/caller_bytes.py
@@ -8,6 +8,8 @@
 from roadpass.body_source import BUFFER_BYTES, UPLOAD_BYTES
 from roadpass.body_stream import CallerBody
 from roadpass.byte_gate import KeptBytes, NoBytesError, current
+from roadpass.decision import decided
+from roadpass.metric import Metrics
 from roadpass.outcome import Reason
 from roadpass.request_head import Head, RefusedError
 
@@ -61,6 +63,20 @@
     return CallerBody(sock, codec, None if is_chunked else length, max_bytes)
 
 
+def log_broken(upload: CallerBody, request_id: str, metrics: Metrics) -> None:
+    """Log and count an upload whose body broke off."""
+    if upload.error:
+        metrics.count("uploads_broken")
+        decided(
+            "upload",
+            "body-broken",
+            request=request_id,
+            error=upload.error,
+            received=upload.received,
+            length=upload.length,
+        )
+
+
 def write_kept(sock: socket.socket, kept: KeptBytes, data: bytes, limit_s: float) -> None:
     """Write a response, and release its bytes as the caller reads them.
 
--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -13,7 +13,7 @@
 from roadpass.active_count import ActiveCount
 from roadpass.body_stream import CallerBody
 from roadpass.byte_gate import ByteGate, KeptBytes, current
-from roadpass.caller_bytes import begin_upload, take_body, write_kept
+from roadpass.caller_bytes import begin_upload, log_broken, take_body, write_kept
 from roadpass.caller_limits import CallerLimits
 from roadpass.caller_response import (
     generated_response,
@@ -155,6 +155,8 @@
         self._sock.settimeout(0)
         watch = self._upload or SocketWatch(self._sock, self._codec)
         answer, kept = self._dispatch(request._replace(watch=watch), head)
+        if self._upload is not None:
+            log_broken(self._upload, request.id, self._context.metrics)
         if watch.was_gone:
             raise _ConnectionEndedError
         self._write(answer)
--- a/roadpass/transport.py
+++ b/roadpass/transport.py
@@ -9,7 +9,7 @@
 from roadpass import clock
 from roadpass._generated.message_types import Fence, FenceKey, Keep, Recall
 from roadpass.body_source import BodyBrokenError
-from roadpass.body_stream import CallerBody, log_broken, send_body, with_body
+from roadpass.body_stream import CallerBody, send_body, with_body
 from roadpass.decision import decided
 from roadpass.errors import ConnectError, ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
@@ -132,9 +132,8 @@
             try:
                 until = started + attempt.remaining_ms / 1000.0
                 body.read_whole(min(until, self._view.shutdown.last_start(attempt.usual_ms)))
-            except BodyBrokenError as error:
+            except BodyBrokenError:
                 opened.close()
-                log_broken(error, body)
                 return Reply(NotRun(Reason.CANCELLED, RETRY_SOON_MS))
             attempt = with_body(attempt, body)
         spent_ms = (clock.now() - started) * 1000.0
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -16,6 +16,7 @@
 from roadpass.body_source import UPLOAD_BYTES
 from roadpass.byte_budget import ByteBudget
 from roadpass.message import Attempt
+from roadpass.shutdown import ANSWER_MIN_S
 from tests.calling import Caller, post, until
 from tests.upload_path import OK, Path, RawTarget, Received, answer_all, fleet_of, free_port, opened
 
@@ -161,6 +162,7 @@
     assert clock.now() - left < LEFT_S
     assert BODY.startswith(received.data)
     assert len(received.data) < len(BODY)
+    until(lambda: node.metrics.get("uploads_broken") == 1)
     until(lambda: node.active == 0)
     assert node.caller().ask(post(b"next")).status == 200
     assert len(target.connections) == 2
@@ -336,6 +338,17 @@
     assert message.keys() & {"body_follows", "body_length"} == set()
 
 
+def test_upload_is_refused_during_a_stop(path: tuple[Path, RawTarget]) -> None:
+    """Guards against starting an upload that cannot be answered before the process ends."""
+    node, target = path
+    node.view.shutdown.at = clock.now() + ANSWER_MIN_S / 2.0
+    caller = node.caller()
+    caller.send(post(BODY)[:1000])
+    reply = caller.reply()
+    assert (reply.status, reply.header("Roadpass-Reason")) == (503, "leaving")
+    assert target.connections == []
+
+
 @VMS
 def test_forty_uploads_that_read_nothing(vm: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against the failure "callers stop reading": their responses fill a VM of 200 MB."""
