Let short messages between nodes pass a full byte budget

The reply to an admission check of an upload counted as part of the upload, so it waited in a full budget, and the sidecar was taken for unreachable.

--- a/roadpass/byte_budget.py
+++ b/roadpass/byte_budget.py
@@ -107,7 +107,15 @@
         self.release(holding, holding.kept)
         self._holdings.remove(holding)
 
-    def ask(self, now: float, holding: Holding, size: int, limit_s: float | None = None) -> Verdict:
+    def ask(
+        self,
+        now: float,
+        holding: Holding,
+        size: int,
+        limit_s: float | None = None,
+        *,
+        separate: bool = False,
+    ) -> Verdict:
         """Ask for more bytes; one that has to wait keeps its place and asks again.
 
         Small requests wait for no others. Among the others those that were let in go first, as
@@ -119,13 +127,15 @@
             size: Further bytes wanted.
             limit_s: Seconds of waiting after which the answer is `NEVER`; `None` for the usual
                 limit.
+            separate: Whether they are a message of its own, which is small or not by itself.
         """
         waiter = self._waiter(holding)
-        bound = self._bound(holding, size)
+        small = size + (0 if separate else holding.kept) <= SMALL_BYTES
+        bound = self._bound(holding, small=small)
         if holding.kept + size > bound:
             self.withdraw(holding)
             return Verdict.NEVER
-        if self.kept + size <= bound and not self._is_behind(holding, size):
+        if self.kept + size <= bound and not self._is_behind(holding, small=small):
             self.withdraw(holding)
             holding.admitted = True
             holding.kept += size
@@ -180,15 +190,15 @@
     def _waiter(self, holding: Holding) -> _Waiter | None:
         return next((one for one in self._waiters if one.holding is holding), None)
 
-    def _bound(self, holding: Holding, size: int) -> int:
+    def _bound(self, holding: Holding, *, small: bool) -> int:
         """Return up to how many bytes this request may fill the account."""
-        if holding.kept + size <= SMALL_BYTES:
+        if small:
             return self.limit
         return int(self.limit * (1.0 - SMALL_SHARE if holding.admitted else NEW_SHARE))
 
-    def _is_behind(self, holding: Holding, size: int) -> bool:
+    def _is_behind(self, holding: Holding, *, small: bool) -> bool:
         """Return whether another request that waits goes first."""
-        if holding.kept + size <= SMALL_BYTES:
+        if small:
             return False
         if not holding.admitted and any(one.holding.admitted for one in self._waiters):
             return True
--- a/roadpass/byte_gate.py
+++ b/roadpass/byte_gate.py
@@ -47,31 +47,33 @@
         """Whether the caller is to read or to send."""
         return self._holding.waits_since is not None
 
-    def try_take(self, size: int, limit_s: float | None = None) -> bool:
+    def try_take(self, size: int, limit_s: float | None = None, *, separate: bool = False) -> bool:
         """Keep more bytes; return `False` if the thread has to ask again later.
 
         Args:
             size: Further bytes wanted.
             limit_s: Seconds after which it waits no longer, `None` for the usual limit.
+            separate: Whether they are a message of its own.
 
         Raises:
             NoBytesError: They will not be granted.
         """
-        return self._gate.ask(self._holding, size, limit_s)
+        return self._gate.ask(self._holding, size, limit_s, separate=separate)
 
-    def take(self, size: int, limit_s: float | None = None) -> None:
+    def take(self, size: int, limit_s: float | None = None, *, separate: bool = False) -> None:
         """Keep more bytes, after a wait if necessary; meanwhile nothing is expected of the caller.
 
         Args:
             size: Further bytes wanted.
             limit_s: Seconds after which it waits no longer, `None` for the usual limit.
+            separate: Whether they are a message of its own.
 
         Raises:
             NoBytesError: They were not granted.
         """
         expected = self.expects_caller
         self.expect_none()
-        while not self.try_take(size, limit_s):
+        while not self.try_take(size, limit_s, separate=separate):
             self._gate.wait()
         if expected:
             self.expect_caller()
@@ -153,7 +155,7 @@
                 self._budget.close(holding)
                 self._changed.notify_all()
 
-    def ask(self, holding: Holding, size: int, limit_s: float | None) -> bool:
+    def ask(self, holding: Holding, size: int, limit_s: float | None, *, separate: bool) -> bool:
         """Return whether bytes were granted.
 
         Raises:
@@ -161,7 +163,7 @@
         """
         now = clock.now()
         with self._changed:
-            verdict = self._budget.ask(now, holding, size, limit_s)
+            verdict = self._budget.ask(now, holding, size, limit_s, separate=separate)
             stalled = self._budget.stalled(now)
             if stalled is not None:
                 self._disconnect(now, stalled)
--- a/roadpass/stream_frame.py
+++ b/roadpass/stream_frame.py
@@ -25,7 +25,7 @@
     if kept is None:
         return
     try:
-        kept.take(size, max(WAIT_LIMIT_S, deadline - clock.now()))
+        kept.take(size, max(WAIT_LIMIT_S, deadline - clock.now()), separate=True)
     except NoBytesError as error:
         raise StreamError(f"There is no memory for a frame: {error}") from error
 
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -66,6 +66,16 @@
     assert budget.ask(0.0, opened(budget), SMALL_BYTES) is Verdict.GRANTED
 
 
+def test_control_messages_of_an_upload_do_not_wait() -> None:
+    """Guards against taking a sidecar for unreachable, as its short reply had to wait."""
+    budget = ByteBudget(LIMIT)
+    upload = opened(budget)
+    budget.ask(0.0, upload, NEW)
+    budget.ask(0.0, upload, int(LIMIT * 0.95) - NEW)
+    budget.ask(0.0, opened(budget), BODY)
+    assert budget.ask(0.0, upload, 100, separate=True) is Verdict.GRANTED
+
+
 def test_responses_go_before_new_requests() -> None:
     """Guards against requests that wait for each other: all let in, none able to end."""
     budget = ByteBudget(LIMIT)
