--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -3,6 +3,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from typing import NamedTuple
 
 import h11
@@ -10,6 +11,9 @@
 from roadpass import clock
 from roadpass.access import Access
 from roadpass.active_count import ActiveCount
+from roadpass.body_stream import CallerBody
+from roadpass.byte_gate import ByteGate, KeptBytes, current
+from roadpass.caller_bytes import begin_upload, log_broken, take_body, write_kept
 from roadpass.caller_limits import CallerLimits
 from roadpass.caller_response import (
     generated_response,
@@ -42,6 +46,8 @@
 LINGER_S = 1.0
 """Seconds to go on reading after the last response. Closing a socket with unread data sends a
 reset, which may discard the response before the caller reads it."""
+UPLOAD_LINGER_S = 5.0
+"""The same for an upload: 360 KB take that long at 600 kbit/s."""
 IDLE_POLL_S = 0.4
 """Interval at which an idle connection checks whether the node is shutting down."""
 READ_MIN_S = 0.001
@@ -66,6 +72,8 @@
         caller_header: Header in which callers name themselves.
         origin: Service of the VM at which requests originate, empty if unknown.
         identify: Returns who sent a request, by host, path, method and credential.
+        gate: Bounds the bytes kept for callers, `None` for no bound.
+        is_upload: Returns whether a body is to be streamed, by host, path and method.
     """
 
     dispatch: Callable[[Request], Served]
@@ -78,6 +86,8 @@
     caller_header: str = ""
     origin: str = ""
     identify: Callable[[str, str, str, Credential], Access | None] = lambda *_: None
+    gate: ByteGate | None = None
+    is_upload: Callable[[str, str, str], bool] = lambda *_: False
 
 
 class CallerConnection:
@@ -97,6 +107,7 @@
         self._limits = CallerLimits()
         self._codec = h11.Connection(h11.SERVER)
         self._ahead = b""
+        self._upload: CallerBody | None = None
 
     def run(self) -> None:
         """Handle requests until the caller or this node ends the connection; never raises."""
@@ -121,9 +132,21 @@
         except RefusedError as refused:
             self._refuse(refused, "", since)
             return False
-        with self._context.active:
+        with self._context.active, self._keeping():
             return self._serve(head)
 
+    def _keeping(self) -> AbstractContextManager[KeptBytes | None]:
+        """Account for the bytes kept for one request, if that is on."""
+        gate = self._context.gate
+        return nullcontext() if gate is None else gate.holding(self._cut)
+
+    def _cut(self) -> None:
+        """Disconnect the caller; the thread of the connection then finds it closed."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     def _serve(self, head: Head) -> bool:
         try:
             request = self._request(head)
@@ -131,8 +154,10 @@
             self._refuse(refused, head.method, head.read_at)
             return False
         self._sock.settimeout(0)
-        watch = SocketWatch(self._sock, self._codec)
+        watch = self._upload or SocketWatch(self._sock, self._codec)
         answer, kept = self._dispatch(request._replace(watch=watch), head)
+        if self._upload is not None:
+            log_broken(self._upload, request.id, self._context.metrics)
         if watch.was_gone:
             raise _ConnectionEndedError
         self._write(answer)
@@ -143,8 +168,11 @@
         """Return the response, and whether to keep the connection open after it."""
         try:
             served = self._context.dispatch(request)
-            kept = head.wants_keep_alive and (
-                not self._context.leaving() or self._has_pipelined_request()
+            is_read = self._upload is None or self._upload.complete
+            kept = (
+                head.wants_keep_alive
+                and is_read
+                and (not self._context.leaving() or self._has_pipelined_request())
             )
             connection = _connection(kept=kept, is_http_10=head.is_http_10)
             answer = outcome_bytes(served.outcome, head.method, self._context.dialect, connection)
@@ -186,6 +214,7 @@
                 raise _ConnectionEndedError
 
     def _read_head(self, since: float) -> Head:
+        self._upload = None
         self._limits = self._context.limits()
         max_bytes = self._limits.max_header_bytes
         self._codec = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
@@ -201,8 +230,11 @@
 
     def _read_body(self, head: Head) -> bytes:
         max_bytes = self._limits.max_body_bytes
-        if int(head.header("Content-Length") or 0) > max_bytes:
+        length = int(head.header("Content-Length") or 0)
+        if length > max_bytes:
             raise RefusedError(413, Reason.TOO_LARGE)
+        kept = current()
+        take_body(kept, length)
         until = head.read_at + max(self._limits.header_timeout_s, BODY_MIN_S)
         body = bytearray()
         while not isinstance(event := self._event(), h11.EndOfMessage):
@@ -210,11 +242,18 @@
                 body += event.data
                 if len(body) > max_bytes:
                     raise RefusedError(413, Reason.TOO_LARGE)
+                if not length:
+                    take_body(kept, len(event.data))
                 continue
             if self._codec.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                 self._write(self._codec.send(interim))
-            self._feed(until)
+            size = self._feed(until)
+            if kept is not None:
+                kept.record_progress(size)
+        if kept is not None:
+            kept.expect_none()
+            kept.admit()
         return bytes(body)
 
     def _event(self) -> object:
@@ -252,9 +291,13 @@
         return data
 
     def _write(self, data: bytes) -> None:
+        kept = current()
         try:
             self._sock.settimeout(WRITE_LIMIT_S)
-            self._sock.sendall(data)
+            if kept is None:
+                self._sock.sendall(data)
+            else:
+                write_kept(self._sock, kept, data, WRITE_LIMIT_S)
         except OSError as error:
             _log.info("cannot write the response to %s: %s", self._remote, error)
             raise _ConnectionEndedError from error
@@ -265,7 +308,7 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError as error:
             raise _ConnectionEndedError from error
-        until = clock.now() + LINGER_S
+        until = clock.now() + (LINGER_S if self._upload is None else UPLOAD_LINGER_S)
         while (left_s := until - clock.now()) > 0:
             self._receive(left_s)
 
@@ -276,7 +319,10 @@
         access = self._identify(head, host, path)
         deadline = head.deadline(dialect.deadline)
         key = head.key()
-        body = self._read_body(head)
+        if self._context.is_upload(host, path, head.method):
+            max_bytes = self._limits.max_body_bytes
+            self._upload = begin_upload(self._sock, self._codec, head, max_bytes)
+        body = b"" if self._upload is not None else self._read_body(head)
         if body:  # it may have taken long, and the key may have been revoked meanwhile
             access = self._identify(head, host, path)
         named, proof = self._caller(head, access)
@@ -294,7 +340,9 @@
             repeat=head.is_repeat,
             id=head.header(dialect.request_id) if dialect.caller_sets_id else "",
             origin=self._context.origin,
-            fingerprint=fingerprint(host, head.method, path, named or proof, body),
+            fingerprint=""
+            if self._upload is not None
+            else fingerprint(host, head.method, path, named or proof, body),
             access=access,
             local=self._is_local,
         )
--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -5,9 +5,11 @@
 import random
 import threading
 from collections.abc import Callable
+from functools import partial
 
 from roadpass import clock
 from roadpass.attempt_feedback import AttemptFeedback
+from roadpass.body_source import streamed
 from roadpass.call_class import class_of_request
 from roadpass.fence import Verdict
 from roadpass.fleet import Service, Target
@@ -229,7 +231,10 @@
             outcome = self._attempt(state, target)
             if state.should_give_up:
                 outcome = _given_up(outcome)
-            if not self._should_continue(state, target, outcome, budget):
+            if (
+                not self._should_continue(state, target, outcome, budget)
+                or state.request.body_is_spent
+            ):
                 return state.final_outcome(outcome)
 
     def _should_continue(
@@ -330,6 +335,8 @@
         began = clock.now()
         self._loads.begin(target.name)
         self._view.room.begin(began, target.name)
+        if (source := streamed(state.request.watch)) is not None:
+            source.add_listener(partial(setattr, pending, "since"))
         latency_ms: float | None = None
         try:
             with self._order.attempting(state, attempt):
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -9,6 +9,7 @@
 from roadpass._actor import Actor
 from roadpass.access import identify
 from roadpass.active_count import ActiveCount
+from roadpass.byte_gate import ByteGate
 from roadpass.caller_connection import CallerConnection, ConnectionContext
 from roadpass.dialect import OWN, Dialect
 from roadpass.metric import Metrics
@@ -49,6 +50,7 @@
         metrics: Counts outcomes.
         dialect: Header names used with callers.
         origin: Service of the VM that receives the requests, empty if unknown.
+        gate: Bounds the bytes kept for callers, `None` for no bound.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         *,
         dialect: Dialect = OWN,
         origin: str = "",
+        gate: ByteGate | None = None,
     ) -> None:
         super().__init__()
         self._address = (settings.address, settings.ports.callers)
@@ -80,6 +83,8 @@
             caller_header=settings.caller_header,
             origin=origin,
             identify=lambda *what: identify(view.fleet, *what),
+            gate=gate,
+            is_upload=lambda *what: gate is not None and _is_streamed(gate, view, *what),
         )
 
     @property
@@ -174,3 +179,8 @@
         finally:
             self._open.discard(sock)
             self._connections.add(-1)
+
+
+def _is_streamed(gate: ByteGate, view: View, host: str, path: str, method: str) -> bool:
+    route = view.fleet.find_route(host, path, method)
+    return gate.is_on and route is not None and route.upload
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -9,6 +9,7 @@
     check_accepted,
     check_answered,
     check_attempt,
+    check_body_part,
     check_catch_up,
     check_check,
     check_datagram,
@@ -31,7 +32,11 @@
 from roadpass.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from roadpass.standing import FRESH
 
-_LESS_SPECIFIC = {Reason.LIMITED: Reason.BUSY, Reason.HELD_BACK: Reason.QUEUE_FULL}
+_LESS_SPECIFIC = {
+    Reason.LIMITED: Reason.BUSY,
+    Reason.HELD_BACK: Reason.QUEUE_FULL,
+    Reason.NO_MEMORY: Reason.BUSY,
+}
 """Reasons that older nodes do not know, and those that are sent to them instead."""
 UNBOUNDED_MS = 1e9
 """Milliseconds that mean no limit, because messages cannot hold an infinite number."""
@@ -42,6 +47,7 @@
 _CHECKS: Mapping[str, Callable[[Any], Any]] = {
     "hello": check_hello.validate,
     "attempt": check_attempt.validate,
+    "body_part": check_body_part.validate,
     "check": check_check.validate,
     "accepted": check_accepted.validate,
     "answered": check_answered.validate,
@@ -87,6 +93,8 @@
         wait: Its place in the waiting order, see `roadpass.wait_order`; `None` if it has none.
         parent_repeat: Whether it is a call that a retry makes, so that it counts as a repeat.
         standing: Order within its class, see `roadpass.standing`.
+        body_follows: Whether its body follows in parts; `body` is empty then.
+        body_length: Length of a body that follows, `None` if it is not known before its end.
     """
 
     id: str
@@ -120,6 +128,8 @@
     wait: list[Any] | None = None
     parent_repeat: bool = False
     standing: int = FRESH
+    body_follows: bool = False
+    body_length: int | None = None
 
     @property
     def may_be_trial(self) -> bool:
@@ -153,13 +163,15 @@
         """Return the wire form."""
         message = {"t": "attempt", **self._asdict()}
         del message["wait"]  # its check has told it
-        for name in ("notice", "slot"):
+        for name in ("notice", "slot", "body_length"):
             if message[name] is None:
                 del message[name]
         if not self.parent_repeat:
             del message["parent_repeat"]
         if self.standing == FRESH:
             del message["standing"]
+        if not self.body_follows:
+            del message["body_follows"]
         return message
 
 
--- a/tests/test_target_repeats.py
+++ b/tests/test_target_repeats.py
@@ -17,6 +17,7 @@
 from roadpass.repeat_loans import Kind, LoanMessage, LoanRow
 from roadpass.request_state import RequestState
 from roadpass.sharing import OFF
+from roadpass.slot_wait import SlotWait
 from roadpass.target_chooser import TargetChooser
 from roadpass.target_repeats import MAX_SHED_COST, TargetRepeats
 from roadpass.view import View
@@ -179,7 +180,8 @@
     fleet = fleet_of(VMS)
     view = View("vm-0", "hall", "region")
     view.fleet = fleet
-    made = RepeatGuide(view, cast("TargetChooser", FakeChooser(fleet)), accounts)
+    chooser = FakeChooser(fleet)
+    made = RepeatGuide(view, cast("TargetChooser", chooser), cast("SlotWait", chooser), accounts)
     return made, cast("RequestState", FakeState(fleet)), fleet
 
 
@@ -190,12 +192,12 @@
     row = LoanRow(SERVICE, Kind.SPARE, 0, 2.0)
     accounts.receive(clock.now(), LoanMessage("vm-2", (row,)))
     picked = one.pick(state, has_repeat=True)
-    assert picked is not None
+    assert isinstance(picked, Target)
     assert picked.vm == "vm-2"
     assert not state.tried
     one.learn(state, picked, Reason.REPEATS_SPENT)
     picked = one.pick(state, has_repeat=True)
-    assert picked is not None
+    assert isinstance(picked, Target)
     assert picked.vm == "vm-0"
 
 
