Choose quota owners and readers by the size of VMs

Cause: every VM has the duties of quota owner, reader and relay equally often, although VMs have 0.43 to 2.15 cores.

Change: where `sharing.vm_sizes` is on, nodes send their cores in probes and acknowledgements, and twice to each process of a peer; `vm_size` chooses by weighted rendezvous hashing. With equal or without sizes, owners and order are those of nodes without sizes. While a data hall has a node that sends no size, a node takes its place in whichever order it comes first, so that no hall is without a first reader. A bad size no longer voids its datagram.

Sizes decide on quota owners 15 s after they were learnt, and meanwhile the owner by the other sizes gets the reports too.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -349,13 +349,8 @@
     loans: list["Loan"]
     r""" maxItems: 64 """
 
-    size: int | float
-    r"""
-    Processor cores that the sender may use; 0 or left out if unknown.
-
-    minimum: 0
-    maximum: 4096
-    """
+    size: str | int | float | dict[str, Any] | list[Any] | bool | None
+    r""" Processor cores that the sender may use, up to 4096; 0 if unknown, left out by nodes that send no sizes. What is no such number is ignored, with a log line; the rest of the datagram counts. """
 
 
 
--- a/roadpass/event_router.py
+++ b/roadpass/event_router.py
@@ -1,6 +1,7 @@
 """Routes events between the components of a node."""
 
 import logging
+import threading
 from collections.abc import Sequence
 from typing import Any
 
@@ -91,10 +92,13 @@
         self._audit = audit
         self.readers: list[str] = []
         self.reader_rank = ReaderRank()
+        self._order_lock = threading.Lock()
+        view.sizes.on_change = self._update_reader_order
 
     def on_fleet(self, fleet: Fleet) -> None:
         """Put a new fleet configuration in force."""
         self._view.fleet = fleet
+        self._view.sizes.enabled = fleet.sharing.vm_sizes
         self.sidecar.configure(fleet)
         self.monitor.tell(FleetChanged(fleet))
         if self._settings.store is None:
@@ -138,11 +142,18 @@
     def on_node(self, node: PeerNode) -> None:
         """Update a node, the readers of the platform and this node's rank among the readers."""
         self._view.nodes[node.vm] = node
-        nodes = self._view.nodes.values()
-        hall = {n.vm for n in nodes if n.alive and n.hall == self._settings.hall and not n.leaving}
-        order = choose_readers({*hall, self._settings.vm}, len(hall) + 1)
-        self.readers = order[: self._settings.readers_per_hall]
-        self.reader_rank = ReaderRank(order.index(self._settings.vm), len(nodes))
+        self._update_reader_order()
+
+    def _update_reader_order(self) -> None:
+        """Update the order of the readers; called from several threads."""
+        own, hall = self._settings.vm, self._settings.hall
+        with self._order_lock:
+            nodes = list(self._view.nodes.copy().values())
+            vms = {n.vm for n in nodes if n.alive and n.hall == hall and not n.leaving}
+            order = choose_readers({*vms, own}, len(vms) + 1)
+            order = self._view.sizes.reader_order(order)
+            self.readers = order[: self._settings.readers_per_hall]
+            self.reader_rank = ReaderRank(order.index(own), len(nodes))
 
     def on_version(self, version: Version, address: Address) -> None:
         """Pull a version that a peer announced, if it is newer."""
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -43,6 +43,7 @@
 from roadpass.revision import NO_VERSION, Version
 from roadpass.settings import Settings
 from roadpass.source_update import PeerPosition
+from roadpass.vm_size import VmSizes
 
 TICK_S = 0.1
 PAUSE_S = 1.0
@@ -72,6 +73,7 @@
         rng: Source of randomness.
         quarantine: Crash records of this node.
         notices: What targets state about themselves, as this node knows it.
+        sizes: Sizes of the VMs, as this node knows them.
     """
 
     def __init__(
@@ -84,8 +86,10 @@
         rng: random.Random,
         quarantine: Quarantine,
         notices: NoticeTable,
+        sizes: VmSizes | None = None,
     ) -> None:
         super().__init__()
+        self._sizes = sizes or VmSizes()
         self._quarantine = quarantine
         self._notices = notices
         self._records_changed = False
@@ -192,6 +196,9 @@
                 self._send(Send(seed, "sync", 0))
         for send in self._members.tick(now):
             self._send(send)
+        for peer in self._sizes.to_introduce(self._members.alive()):
+            to = (peer.address, peer.gossip_port)
+            self._send(Send(to, "announce", 0), brief=True, extra={"size": self._sizes.own})
 
     def _on_datagram(self, content: bytes) -> None:
         try:
@@ -211,6 +218,8 @@
             message.get("on", ""),
             message["news"],
         )
+        if "size" in message and self._members.get(message["sender"]) is not None:
+            self._sizes.learn(message["sender"], message["size"])
         for row in message.get("hints", ()):
             hint = self._hints.receive(now, row)
             if hint is not None:
@@ -341,6 +350,7 @@
             **self._position_fields(),
             "digest": self._version.digest,
             "platform_age_s": round(self.platform_age_s, 3),
+            **self._sizes.fields(send.type),
         }
         if send.on:
             message["on"] = send.on
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -66,7 +66,7 @@
         self.metrics = Metrics()
         self._pause = PauseWatch()
         self._dialect = PLATFORM if settings.store else OWN
-        self._view = View(settings.vm, settings.hall, settings.region)
+        self._view = View(settings.vm, settings.hall, settings.region, settings.cores)
         self._store = Store()
         self._journal = Journal()
         self._router = EventRouter(settings, self._view, self._store, self._journal, self.audit)
@@ -82,6 +82,7 @@
             metrics=self.metrics,
         )
         self.metrics.add_gauge(Gauge("target_limit_per_s", "target", self._view.notices.limits))
+        self.metrics.add_gauge(Gauge("vm_cores", "vm", self._view.sizes.known))
         self._router.sidecar = self._sidecar
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         policy = settings.store.quota_policy if settings.store else QuotaPolicy()
@@ -149,6 +150,7 @@
             self._rng,
             self._sidecar.quarantine,
             self._view.notices,
+            self._view.sizes,
         )
 
     def _start_monitor(self) -> Any:
--- a/roadpass/quota_coordinator.py
+++ b/roadpass/quota_coordinator.py
@@ -14,6 +14,7 @@
 from roadpass.quota_gate import QuotaGate
 from roadpass.quota_ledger import QuotaLedger
 from roadpass.view import View
+from roadpass.vm_size import NO_SIZES, OwnerSizes, SizeHandover
 
 TICK_S = 0.1
 """Seconds between checks for due reports, short so that a sudden rise in traffic is reported
@@ -87,10 +88,12 @@
             for allowance in allowances:
                 self._gate.receive(now, owner, allowance)
 
-    def due(self, now: float, nodes: Sequence[str]) -> dict[str, list[Report]]:
-        """Return the reports that are due, by the node to send them to."""
+    def due(
+        self, now: float, nodes: Sequence[str], sizes: OwnerSizes = NO_SIZES
+    ) -> dict[str, list[Report]]:
+        """Return the reports that are due, by the node to send them to; see `QuotaGate.due`."""
         with self._lock:
-            return self._gate.due(now, nodes)
+            return self._gate.due(now, nodes, sizes)
 
 
 class QuotaCoordinator(Actor):
@@ -108,6 +111,7 @@
         self._view = view
         self._send = send
         self._ledger = QuotaLedger()
+        self._sizes = SizeHandover()
         self._limited: set[str] = set()
         self._tick_queued = False
         self._ticker = Ticker("quota-tick", TICK_S, self._queue_tick)
@@ -138,11 +142,12 @@
             self.actor_ref.tell(Tick())
 
     def _on_tick(self) -> None:
+        now = clock.now()
+        sizes = self._sizes.update(now, self._view.sizes.known())
         if not self._view.fleet.customers:
             return
-        now = clock.now()
         self._ledger.expire_idle(now)
-        for owner, reports in self._quotas.due(now, self._owners()).items():
+        for owner, reports in self._quotas.due(now, self._owners(), sizes).items():
             if owner == self._view.vm:
                 self._reply(owner, reports)
                 continue
--- a/roadpass/quota_gate.py
+++ b/roadpass/quota_gate.py
@@ -1,7 +1,7 @@
 """Admission of customers' requests at one ingress, by the owner's allowance or without one."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from roadpass.quota import (
@@ -16,6 +16,7 @@
     Report,
     owner_of,
 )
+from roadpass.vm_size import NO_SIZES, OwnerSizes, weighted_owner
 
 OWNER_TIMEOUT_S = 0.3
 """Seconds after an unanswered report until an ingress treats its owner as unreachable. A reply
@@ -50,6 +51,7 @@
     seen_at: float
     rate: Rate
     owner: str = ""
+    other_owner: str = ""
     epoch: int = 0
     wanted: int = 0
     admitted: int = 0
@@ -121,7 +123,9 @@
         demand.unanswered_since = math.inf
         demand.has_allowance = True
 
-    def due(self, now: float, nodes: Iterable[str]) -> dict[str, list[Report]]:
+    def due(
+        self, now: float, nodes: Iterable[str], sizes: OwnerSizes = NO_SIZES
+    ) -> dict[str, list[Report]]:
         """Return the reports that are due, by the owner to send them to.
 
         Also discards the state of customers without requests for `IDLE_S`.
@@ -129,6 +133,7 @@
         Args:
             now: Clock seconds.
             nodes: Nodes that are believed to be alive, including this one.
+            sizes: Sizes of VMs, by which owners are chosen.
         """
         living = tuple(nodes)
         reports: dict[str, list[Report]] = {}
@@ -136,10 +141,14 @@
             if now - demand.seen_at > IDLE_S:
                 del self._demands[customer]
             elif self._is_due(now, demand):
-                owner = owner_of(customer, living)
+                owner = _owner(customer, living, sizes.current)
                 if owner != demand.owner:
                     self._set_owner(demand, owner)
-                reports.setdefault(owner, []).append(self._report(now, customer, demand))
+                other = owner if sizes.other is None else _owner(customer, living, sizes.other)
+                demand.other_owner = other
+                report = self._report(now, customer, demand)
+                for each in dict.fromkeys((owner, other)):
+                    reports.setdefault(each, []).append(report)
         return reports
 
     def _admits(self, now: float, demand: _Demand, fleet_size: int) -> bool:
@@ -174,7 +183,13 @@
         return age_s >= REPORT_S or new > SURGE_MIN + 2.0 * demand.reported_per_s * age_s
 
     def _set_owner(self, demand: _Demand, owner: str) -> None:
-        """Change the owner; counts reported to the previous owner are not reported again."""
+        """Change the owner; counts reported to the previous owner are not reported again.
+
+        An owner that already got the same reports continues with the same counts.
+        """
+        if owner == demand.other_owner:
+            demand.owner = owner
+            return
         self._epoch += 1
         demand.owner, demand.epoch = owner, self._epoch
         demand.admitted = min(demand.admitted, demand.wanted - demand.reported_wanted)
@@ -189,6 +204,10 @@
         return Report(customer, demand.epoch, demand.wanted, demand.admitted, per_s)
 
 
+def _owner(customer: str, nodes: Sequence[str], sizes: Mapping[str, float]) -> str:
+    return weighted_owner(customer, nodes, sizes) if sizes else owner_of(customer, nodes)
+
+
 def _wait_s(now: float, demand: _Demand, fleet_size: int) -> float:
     """Estimate the seconds until this ingress admits the next request of a customer."""
     admitted_per_s = max(
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -8,6 +8,7 @@
 from roadpass.fleet import Fleet, Target
 from roadpass.notice_table import NoticeTable
 from roadpass.shutdown import Shutdown
+from roadpass.vm_size import VmSizes
 
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
 
@@ -65,12 +66,13 @@
         vm: This node's VM.
         hall: Data hall of the VM.
         region: Region of the VM.
+        cores: Processor cores of the VM, 0 if unknown.
 
     A node that is `leaving` announces it and closes its callers' connections; once it is `refusing`
     it also refuses their new requests.
     """
 
-    def __init__(self, vm: str, hall: str, region: str) -> None:
+    def __init__(self, vm: str, hall: str, region: str, cores: float = 0.0) -> None:
         self._vm = vm
         self._hall = hall
         self._region = region
@@ -83,6 +85,7 @@
         self.refusing = False
         self.shutdown = Shutdown()
         self.notices = NoticeTable()
+        self.sizes = VmSizes(vm, cores)
 
     @property
     def vm(self) -> str:
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -15,6 +15,7 @@
 from roadpass.quota import Allowance, Limit, QuotaPolicy, Report
 from roadpass.quota_gate import QuotaGate
 from roadpass.quota_ledger import QuotaLedger
+from roadpass.vm_size import SizeHandover
 
 TICK_S = 0.1
 """Seconds between a node's checks for reports to send."""
@@ -37,6 +38,7 @@
         apart: Partition of a node at a given time; nodes of different partitions are cut off from
             each other.
         restarts: Times and numbers of nodes that restart.
+        sizes: Sizes of the VMs that a node knows at a given time, by number.
         seconds: Length of the simulation.
     """
 
@@ -47,6 +49,7 @@
     lost: float = 0.0
     apart: Callable[[int, float], int] = lambda node, at: 0
     restarts: tuple[tuple[float, int], ...] = ()
+    sizes: Callable[[int, float], dict[int, float]] = lambda node, at: {}
     seconds: float = 30.0
 
     @property
@@ -74,6 +77,7 @@
         self._names = [f"10.0.0.{number}" for number in range(play.nodes)]
         self._gates = [QuotaGate(next(self._epochs)) for _ in self._names]
         self._ledgers = [QuotaLedger() for _ in self._names]
+        self._sizes = [SizeHandover() for _ in self._names]
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._requests: list[Request] = []
 
@@ -133,7 +137,10 @@
         self._at(now + self._rng.expovariate(max(per_s, 0.01)), self._arrive)
 
     def _tick(self, node: int, now: float) -> None:
-        for owner, reports in self._gates[node].due(now, self._alive_nodes(now, node)).items():
+        known = {self._names[vm]: cores for vm, cores in self.play.sizes(node, now).items()}
+        sizes = self._sizes[node].update(now, known)
+        due = self._gates[node].due(now, self._alive_nodes(now, node), sizes)
+        for owner, reports in due.items():
             for report in reports:
                 self._send(now, node, owner, partial(self._receive_report, node, owner, report))
         self._at(now + TICK_S, partial(self._tick, node))
@@ -174,3 +181,4 @@
     def _restart(self, node: int, _: float) -> None:
         self._gates[node] = QuotaGate(next(self._epochs))
         self._ledgers[node] = QuotaLedger()
+        self._sizes[node] = SizeHandover()
