Limit cold targets by what is left of their warm-up

Cause: a target that has just started gets all its slots' work and takes several times as long; its circuit breaker takes that for a failure period.

Change: `WarmUps` keeps what targets state in their entries (WarmupLeft) and responses (Warmup-Ms). Where `sharing.warm_up` is on, the sidecar's limit and the ingresses' weight rise from one slot to all over that time, and slowness, silence and time-outs of a cold target are no evidence against it. Updates between nodes have what is left in a field of its own, by place among the rows. Entries that differ in it alone build no new fleet. Quota owners are chosen without sizes while a living VM's node sends none.

--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -597,6 +597,9 @@
     targets: Required[list["TargetRow"]]
     r""" Required property """
 
+    warm_up: list["_NewsWarmUpItem"]
+    r""" Targets that are cold: place among the rows of targets, from 0, and milliseconds left when this was sent. What is no such number is ignored, with a log line. """
+
     withdrawn: Required[list[str]]
     r""" Required property """
 
@@ -1043,6 +1046,19 @@
 
 
 
+_NewsWarmUpItem = tuple["_NewsWarmUpItem0", str | int | float | dict[str, Any] | list[Any] | bool | None]
+r"""
+minItems: 2
+maxItems: 2
+"""
+
+
+
+_NewsWarmUpItem0 = int
+r""" minimum: 0 """
+
+
+
 _ParentRepeat = bool
 r""" Whether a repeated request makes this call, so that it counts as a repeat. """
 
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -181,6 +181,7 @@
         return True
 
     def _apply_target(self, entry: TargetEntry) -> bool:
+        entry = entry._replace(warm_up_ms=0.0, warm_up_invalid="")  # kept by `WarmUps`
         known = self._targets.get(entry.instance)
         if not entry.born and known is not None:  # without a start time, assume the known start
             entry = entry._replace(born=known.born)
--- a/roadpass/dialect.py
+++ b/roadpass/dialect.py
@@ -19,6 +19,7 @@
         not_run: Marks a target's response as "request not run".
         load: A target's running and waiting requests and its slots, separated by commas.
         limit: Requests a second that a target accepts from the whole fleet.
+        warm_up: Milliseconds for which a target is still cold.
         leaving: Marks the responses of a target that is shutting down.
         ends_by_close: Whether a response without a length is complete once its connection is closed
             cleanly.
@@ -39,6 +40,7 @@
     load: str = ""
     limit: str = ""
     leaving: str = ""
+    warm_up: str = ""
     ends_by_close: bool = False
     exact_retry_after: bool = False
     authorization: str = "Authorization"
--- a/roadpass/event_router.py
+++ b/roadpass/event_router.py
@@ -99,6 +99,7 @@
         """Put a new fleet configuration in force."""
         self._view.fleet = fleet
         self._view.sizes.enabled = fleet.sharing.vm_sizes
+        self._view.warm_ups.enable(clock.now(), fleet.sharing.warm_up)
         self.sidecar.configure(fleet)
         self.monitor.tell(FleetChanged(fleet))
         if self._settings.store is None:
@@ -207,7 +208,9 @@
         news = self._journal.since(Position(message.get("era", 0), message["after"]))
         if news is None:
             raise StreamError("This node has no data from the source yet.")
-        return news.to_message(clock.now())
+        now = clock.now()
+        aged = self._view.warm_ups.aged(now, news.changes.changes)
+        return news._replace(changes=news.changes._replace(changes=aged)).to_message(now)
 
     def on_offer(self, revision: RevisionOffer) -> None:
         """Forward a revision that was read from the platform or pulled from a peer."""
--- a/roadpass/exchange.py
+++ b/roadpass/exchange.py
@@ -32,6 +32,7 @@
     TargetTimeoutError,
 )
 from roadpass.target_notice import TargetNotice
+from roadpass.warm_up import WarmUps
 
 _SECONDS = re.compile(r"[0-9]{1,6}(?:\.[0-9]{1,6})?")
 
@@ -47,6 +48,7 @@
         calls: Outcomes of the requests that targets of this VM may have made.
         notices: What targets state about themselves; responses are recorded there.
         dialect: Header names and rules to talk to the target.
+        warm_ups: What targets state about their warm-up; responses are recorded there.
 
     Attributes:
         guard: Records the requests in flight, and those during which the target exited.
@@ -62,7 +64,9 @@
         notices: NoticeTable,
         *,
         dialect: Dialect = OWN,
+        warm_ups: WarmUps,
     ) -> None:
+        self._warm_ups = warm_ups
         self._notices = notices
         self._target = target
         self._service = service
@@ -149,6 +153,7 @@
             self._notices.hear(
                 clock.now(), self._target.name, notice, started, request=attempt.request_id
             )
+            self._warm_ups.hear(clock.now(), self._target.name, notice, request=attempt.request_id)
 
         return self._client.send(
             attempt.id,
--- a/roadpass/gossip.py
+++ b/roadpass/gossip.py
@@ -218,8 +218,8 @@
             message.get("on", ""),
             message["news"],
         )
-        if "size" in message and self._members.get(message["sender"]) is not None:
-            self._sizes.learn(message["sender"], message["size"])
+        if self._members.get(message["sender"]) is not None:
+            self._sizes.hear(message)
         for row in message.get("hints", ()):
             hint = self._hints.receive(now, row)
             if hint is not None:
--- a/roadpass/local_target.py
+++ b/roadpass/local_target.py
@@ -33,6 +33,7 @@
 from roadpass.slots import Slots
 from roadpass.start_limit import StartLimit
 from roadpass.target_admission import TargetAdmission
+from roadpass.warm_up import WarmUps
 
 MIN_START_MS = 2.0
 """Minimum time left, in milliseconds, to start an attempt."""
@@ -52,6 +53,7 @@
         starts: Limit of the target's starts; it outlives this object.
         shutdown: When this process ends.
         dialect: Header names and rules to talk to the target.
+        warm_ups: What targets state about their warm-up; `None` for a new table.
     """
 
     def __init__(
@@ -67,8 +69,11 @@
         shutdown: Shutdown,
         *,
         dialect: Dialect = OWN,
+        warm_ups: WarmUps | None = None,
     ) -> None:
         self.target = target
+        self._warm_ups = warm_ups or WarmUps()
+        self._was_cold = False
         self._service = service
         self._notices = notices
         self._notice_lock = threading.Lock()
@@ -92,9 +97,17 @@
             lock=self._lock,
             shutdown=shutdown,
             starts=starts,
+            bearable=self._bearable,
         )
         self._exchange = Exchange(
-            target, service, self._slots, quarantine, calls, notices, dialect=dialect
+            target,
+            service,
+            self._slots,
+            quarantine,
+            calls,
+            notices,
+            dialect=dialect,
+            warm_ups=self._warm_ups,
         )
         self._guard = self._exchange.guard
         self._evidence = Evidence(service.false_ejections_per_target_week, clock.now())
@@ -240,11 +253,19 @@
         return self._slots.cancel(attempt_id)
 
     def scan_running(self, now: float) -> None:
-        """Count overdue requests in flight as evidence against the target; called regularly."""
+        """Count overdue requests in flight as evidence against the target; called regularly.
+
+        Also applies the limit of a target that warms up.
+        """
+        cold = self._warm_ups.is_cold(now, self.target.name)
+        if cold or self._was_cold:
+            self._slots.apply_limit(now)
+        self._was_cold = cold
+        excused_until = self._excused_until(now)
         with self._lock:
-            self._estimator.discount_stall(self._pause.last_stall)
+            self._estimator.discount_stall(excused_until)
             self._estimator.count_unanswered(now)
-        for _ in range(self._evidence.find_overdue(now, self._pause.last_stall)):
+        for _ in range(self._evidence.find_overdue(now, excused_until)):
             with self._lock:
                 self._evidence.learn_pending()
 
@@ -253,6 +274,17 @@
         with self._lock:
             self._evidence.forget_old(now)
 
+    def _bearable(self, now: float) -> int:
+        """Return how many requests the target bears at once."""
+        return self._warm_ups.limit(now, self.target.name, self.target.slots)
+
+    def _excused_until(self, now: float) -> float:
+        """Return the clock seconds up to which slowness is no evidence against the target.
+
+        This process was stalled then, or the target was cold.
+        """
+        return max(self._pause.last_stall, self._warm_ups.cold_at(now, self.target.name))
+
     def _claim(
         self, attempt: Attempt, deadline: float, watch: CallerWatch | None
     ) -> Outcome | None:
@@ -292,8 +324,9 @@
             self._evidence.end(attempt.id)
             self._record_shedding(outcome)
             self._record_end(attempt, tracked, end)
-        if end is not End.DEPENDENCY_FAILED:
-            self._learn(attempt, outcome, running)
+        cold = self._warm_ups.cold_at(clock.now(), self.target.name) >= started
+        if end is not End.DEPENDENCY_FAILED and not (cold and end is End.NO_RESPONSE):
+            self._learn(attempt, outcome, running, cold=cold)
         return outcome
 
     def _record_start(self, attempt: Attempt, started: float) -> tuple[TrackedRequest, float]:
@@ -309,11 +342,16 @@
     def _record_end(self, attempt: Attempt, tracked: TrackedRequest, end: End) -> None:
         now = clock.now()
         with self._lock:
-            self._breaker.end(now, tracked, end, stalled_at=self._pause.last_stall)
+            self._breaker.end(now, tracked, end, stalled_at=self._excused_until(now))
         self._breaker_log.log_change(now, attempt)
 
-    def _learn(self, attempt: Attempt, outcome: Outcome, running: Running) -> None:
-        """Update scores and limit by an outcome; immediate losses count for the breaker only."""
+    def _learn(self, attempt: Attempt, outcome: Outcome, running: Running, *, cold: bool) -> None:
+        """Update scores and limit by an outcome; immediate losses count for the breaker only.
+
+        The slowness of a target that was cold meanwhile is no evidence.
+        """
+        if cold:
+            running.slow_ms = 0.0
         if isinstance(outcome, Answered) and outcome.status < SERVER_ERROR:
             self._guard.answered(attempt)
         service_ms = (clock.now() - running.started) * 1000.0
@@ -325,4 +363,4 @@
         with self._lock:
             self._evidence.learn(clock.now(), running, service_ms, failed=failed)
             if isinstance(outcome, Answered) and outcome.status != GATEWAY_TIMEOUT:
-                self._slots.learn(service_ms, attempt.slow_ms)
+                self._slots.learn(service_ms, running.slow_ms)
--- a/roadpass/monitor.py
+++ b/roadpass/monitor.py
@@ -181,10 +181,11 @@
         active = self._activate(now, seen.service)
         if active is None:
             return
-        if seen.sample is not None:
-            active.health.record(
-                seen.target, seen.sample, counted_slow=seen.counted_slow, at=seen.at
-            )
+        sample = seen.sample and self._view.warm_ups.excused(
+            now, seen.target, seen.sample, active.health.slow_ms(seen.target)
+        )
+        if sample is not None:
+            active.health.record(seen.target, sample, counted_slow=seen.counted_slow, at=seen.at)
         if seen.scores is not None:
             active.health.hint(now, seen.target, seen.scores, latency_ms=seen.latency_ms)
         active.dirty = True
@@ -208,7 +209,8 @@
             limit_ms = active.health.pending_ms(pending.target, times_overdue=pending.times_overdue)
             load = self._dispatcher.loads.load(pending.target, now)
             queue_ms = load.utilization * load.latency_ms
-            seen_since = max(pending.since, self._pause.last_stall)
+            cold_at = self._view.warm_ups.cold_at(now, pending.target)
+            seen_since = max(pending.since, self._pause.last_stall, cold_at)
             if limit_ms and (now - seen_since) * 1000.0 > limit_ms + queue_ms:
                 if pending.times_overdue == 0:
                     self._dispatcher.loads.mark_overdue(pending.target)
@@ -268,7 +270,10 @@
         candidates = {}
         slow_ms = {}
         for target in self._view.fleet.targets_of(name):
-            weight = health.weight(target.name, now)
+            weight = min(
+                health.weight(target.name, now),
+                self._view.warm_ups.weight(now, target.name, target.slots),
+            )
             slow_ms[target.name] = health.slow_ms(target.name)
             if weight > 0.0:
                 trial = health.state(target.name) is State.TRIAL
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -79,10 +79,14 @@
             dialect=self._dialect,
             shutdown=self._view.shutdown,
             notices=self._view.notices,
+            warm_ups=self._view.warm_ups,
             metrics=self.metrics,
         )
         self.metrics.add_gauge(Gauge("target_limit_per_s", "target", self._view.notices.limits))
         self.metrics.add_gauge(Gauge("vm_cores", "vm", self._view.sizes.known))
+        self.metrics.add_gauge(
+            Gauge("target_warm_up_s", "target", lambda: self._view.warm_ups.left_s(clock.now()))
+        )
         self._router.sidecar = self._sidecar
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         policy = settings.store.quota_policy if settings.store else QuotaPolicy()
@@ -187,6 +191,7 @@
                 on_confirmed=self._router.on_confirmed,
                 fetch_update=lambda address, after: fetch_update(self._peers, address, after),
                 reader_rank=lambda: self._router.reader_rank,
+                on_changes=self._view.warm_ups.apply,
             ),
             self.audit,
             self._rng,
--- a/roadpass/platform/decode.py
+++ b/roadpass/platform/decode.py
@@ -29,6 +29,7 @@
     TargetPublished,
     TargetWithdrawn,
 )
+from roadpass.target_notice import MAX_SHOWN, valid_warm_up_ms
 
 CONFIG_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
@@ -99,6 +100,7 @@
     except fastjsonschema.JsonSchemaValueException as error:
         raise PlatformError(f"The entry is invalid: {error.message:.200}.") from error
     info = value["Info"]
+    warm_up_ms, warm_up_invalid = _warm_up(value["Status"])
     return TargetEntry(
         instance=instance,
         service=info["Service"],
@@ -107,6 +109,8 @@
         slots=int(info["Capacity"]),
         leaving=value["Status"]["State"] == "draining",
         born=int(value.get("born", 0)),
+        warm_up_ms=warm_up_ms,
+        warm_up_invalid=warm_up_invalid,
     )
 
 
@@ -124,6 +128,18 @@
     raise ValueError(f"'{text}' is not a duration such as 1500ms or 2.5s")
 
 
+def _warm_up(status: Mapping[str, Any]) -> tuple[float, str]:
+    """Return the milliseconds for which a target is still cold, or how an invalid time is shown."""
+    if "WarmupLeft" not in status:
+        return 0.0, ""
+    value = status["WarmupLeft"]
+    try:
+        left_ms = seconds(value) * 1000.0
+    except _PARSE_ERRORS:
+        left_ms = math.nan
+    return (left_ms, "") if valid_warm_up_ms(left_ms) else (0.0, repr(value)[:MAX_SHOWN])
+
+
 def _value(item: Mapping[str, Any]) -> Any:
     try:
         return json.loads(str(base64.b64decode(item["Value"], validate=True), "utf-8"))
--- a/roadpass/platform/dialect.py
+++ b/roadpass/platform/dialect.py
@@ -14,6 +14,7 @@
     load="Instance-Load",
     limit="Server-Limit",
     leaving="Server-Leaving",
+    warm_up="Warmup-Ms",
     ends_by_close=True,
     exact_retry_after=True,
     authorization="Authorization",
--- a/roadpass/quota_coordinator.py
+++ b/roadpass/quota_coordinator.py
@@ -143,11 +143,12 @@
 
     def _on_tick(self) -> None:
         now = clock.now()
-        sizes = self._sizes.update(now, self._view.sizes.known())
+        owners = self._owners()
+        sizes = self._sizes.update(now, self._view.sizes.agreed(owners))
         if not self._view.fleet.customers:
             return
         self._ledger.expire_idle(now)
-        for owner, reports in self._quotas.due(now, self._owners(), sizes).items():
+        for owner, reports in self._quotas.due(now, owners, sizes).items():
             if owner == self._view.vm:
                 self._reply(owner, reports)
                 continue
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -23,6 +23,7 @@
 from roadpass.request import CallerWatch
 from roadpass.shutdown import Shutdown
 from roadpass.start_limit import StartLimit
+from roadpass.warm_up import WarmUps
 
 CLOCK_TOLERANCE_S = 5.0
 """Seconds by which a selector's time window is extended here, for clock differences between VMs."""
@@ -41,6 +42,7 @@
         shutdown: When this process ends, `None` if it has no planned shutdown.
         notices: What targets state about themselves, as this node knows it; `None` for a new table.
         metrics: Counts refusals by limits of targets; `None` to discard the counts.
+        warm_ups: What targets state about their warm-up; `None` for a new table.
 
     Attributes:
         calls: Outcomes of the requests that targets of this VM may have made.
@@ -59,7 +61,9 @@
         shutdown: Shutdown | None = None,
         notices: NoticeTable | None = None,
         metrics: Metrics | None = None,
+        warm_ups: WarmUps | None = None,
     ) -> None:
+        self._warm_ups = warm_ups or WarmUps()
         self._ending = shutdown or Shutdown()
         self._dialect = dialect
         self._vm = vm
@@ -121,6 +125,7 @@
                     self._start_limits.setdefault(target.name, StartLimit()),
                     self._ending,
                     dialect=self._dialect,
+                    warm_ups=self._warm_ups,
                 )
             targets[target.name] = local
         gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
--- a/roadpass/slots.py
+++ b/roadpass/slots.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from roadpass import clock
 from roadpass.adaptive_limit import AdaptiveLimit
@@ -31,6 +31,8 @@
         lock: The owner's lock, which guards the state; some methods expect the caller to hold it.
         shutdown: When this process ends.
         starts: Limit of the target's starts, `None` for no limit.
+        bearable: Returns how many requests the target bears at a time in clock seconds, such as
+            while it is cold; `None` for all its slots.
     """
 
     def __init__(
@@ -42,7 +44,9 @@
         lock: threading.Lock,
         shutdown: Shutdown,
         starts: StartLimit | None = None,
+        bearable: Callable[[float], int] | None = None,
     ) -> None:
+        self._bearable = bearable
         self._limit = AdaptiveLimit(slots)
         self._starts = starts or StartLimit()
         self._admission = Admission(
@@ -78,7 +82,7 @@
     @property
     def limit(self) -> int:
         """Current limit of concurrent requests."""
-        return self._limit.value
+        return self._limit_at(clock.now())
 
     @property
     def service_ms(self) -> float:
@@ -114,7 +118,7 @@
         with self._lock:
             if self._leaving or now >= self._shutdown.last_start(attempt.usual_ms):
                 return NotRun(Reason.LEAVING, RETRY_SOON_MS)
-            self._admission.set_limit(self._limit.value, self._limit.service_ms)
+            self._admission.set_limit(self._limit_at(now), self._limit.service_ms)
             decision = self._admission.offer(
                 now,
                 attempt.traffic_class,
@@ -144,7 +148,10 @@
             started: Whether the attempt was sent to the target.
         """
         with self._lock:
-            _wake_all(self._admission.release(clock.now(), traffic_class, started=started))
+            now = clock.now()
+            if self._limit_at(now) < self._limit.value:
+                self._admission.set_limit(self._limit_at(now), self._limit.service_ms)
+            _wake_all(self._admission.release(now, traffic_class, started=started))
 
     def cancel(self, attempt_id: str) -> bool:
         """End the wait of an attempt in the queue.
@@ -165,8 +172,20 @@
             service_ms: Time that the target had the request.
             slow_ms: Service time that counts as slow, 0 if unknown.
         """
-        self._limit.observe(clock.now(), service_ms, slow_ms, self._admission.in_use)
-        self._admission.set_limit(self._limit.value, self._limit.service_ms)
+        now = clock.now()
+        self._limit.observe(now, service_ms, slow_ms, self._admission.in_use)
+        self._admission.set_limit(self._limit_at(now), self._limit.service_ms)
+
+    def apply_limit(self, now: float) -> None:
+        """Apply a limit that changed with time alone, and grant the slots that it adds."""
+        with self._lock:
+            self._admission.set_limit(self._limit_at(now), self._limit.service_ms)
+            _wake_all(self._admission.grant_due(now))
+
+    def _limit_at(self, now: float) -> int:
+        """Return the limit of concurrent requests at a time in clock seconds."""
+        limit = self._limit.value
+        return limit if self._bearable is None else min(limit, self._bearable(now))
 
     def _max_wait_s(self, expected_ms: float) -> float:
         """Return the maximum wait in seconds for a given expected wait."""
--- a/roadpass/source.py
+++ b/roadpass/source.py
@@ -59,6 +59,9 @@
         leaving: Whether it accepts no new requests.
         born: Unix milliseconds of its start, which distinguish starts under one id; 0 if unknown,
             which is neither earlier nor later than any other.
+        warm_up_ms: Milliseconds for which it is still cold as of the read, 0 if it is warm or that
+            is unknown.
+        warm_up_invalid: An invalid warm-up as it is logged, empty if there is none.
     """
 
     instance: str
@@ -68,6 +71,8 @@
     slots: int
     leaving: bool
     born: int = 0
+    warm_up_ms: float = 0.0
+    warm_up_invalid: str = ""
 
     @property
     def name(self) -> str:
--- a/roadpass/source_update.py
+++ b/roadpass/source_update.py
@@ -23,6 +23,7 @@
     TargetPublished,
     TargetWithdrawn,
 )
+from roadpass.target_notice import MAX_SHOWN, valid_warm_up_ms
 
 FETCH_TIMEOUT_S = 0.35
 """Timeout of a request to a peer in seconds. A reply takes milliseconds, and what it contains must
@@ -77,7 +78,9 @@
         if "config" in message:
             uploads = frozenset(message.get("uploads", ()))
             changes.append(ConfigPublished(_read_config(message["config"], uploads)))
-        changes += [TargetPublished(TargetEntry(*row)) for row in message["targets"]]
+        left = dict(message.get("warm_up", ()))
+        rows = enumerate(message["targets"])
+        changes += [TargetPublished(_read_entry(row, left.get(i, 0.0))) for i, row in rows]
         changes += [TargetWithdrawn(instance) for instance in message["withdrawn"]]
         away_age_s = message.get("away_age_s")
         return cls(
@@ -87,7 +90,10 @@
         )
 
     def to_message(self, now: float) -> Message:
-        """Return the message to send at a time in clock seconds; ages are relative to it."""
+        """Return the message to send at a time in clock seconds; ages are relative to it.
+
+        What is left of the warm-ups in its entries must be as of that time.
+        """
         message: dict[str, Any] = {
             "t": "news",
             **self.changes.position.to_message(),
@@ -106,6 +112,9 @@
                     if uploads:
                         message["uploads"] = uploads
                 case TargetPublished(entry=entry):
+                    if entry.warm_up_ms > 0.0:
+                        row = [len(message["targets"]), entry.warm_up_ms]
+                        message.setdefault("warm_up", []).append(row)
                     message["targets"].append(_entry_row(entry))
                 case TargetWithdrawn(instance=instance):
                     message["withdrawn"].append(instance)
@@ -133,8 +142,16 @@
 
 
 def _entry_row(entry: TargetEntry) -> list[Any]:
-    """Return an entry's row; an unknown `born` is left out, so that older nodes can read it."""
-    return list(entry) if entry.born else list(entry[:-1])
+    """Return an entry's row; older nodes can read it without an unknown `born` and the warm-up."""
+    return list(entry[:7]) if entry.born else list(entry[:6])
+
+
+def _read_entry(row: list[Any], left_ms: Any) -> TargetEntry:
+    """Return the entry of a row, with what is left of its warm-up; an invalid one is left out."""
+    entry = TargetEntry(*row)
+    if valid_warm_up_ms(left_ms):
+        return entry._replace(warm_up_ms=float(left_ms))
+    return entry._replace(warm_up_invalid=repr(left_ms)[:MAX_SHOWN])
 
 
 def _config_row(config: PublishedConfig) -> list[Any]:
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -42,6 +42,7 @@
 )
 from roadpass.read_schedule import FIRST_REPLY_WAIT_S, ReaderRank, ReadSchedule
 from roadpass.source import (
+    Change,
     Changes,
     HistoryLostError,
     PublishedConfig,
@@ -82,6 +83,8 @@
         fetch_update: Fetches what came after a position from a peer; called by a separate actor.
             May raise `StreamError`.
         reader_rank: Returns this node's place among the readers.
+        on_changes: Called with each update before it is in force: as of when its times apply in
+            clock seconds, its changes, and the peer that sent it or `source`.
     """
 
     on_fleet: Callable[[Fleet, PublishedConfig], None]
@@ -89,6 +92,7 @@
     on_confirmed: Callable[[Position, float, bool], None]
     fetch_update: Callable[[Address, Position], SourceUpdate]
     reader_rank: Callable[[], ReaderRank]
+    on_changes: Callable[[float, Sequence[Change], str], None] = lambda at, changes, origin: None
 
 
 class StoreReader(Actor):
@@ -331,6 +335,8 @@
         changes = self._reads.apply(changes)
         self._journal.record(changes, at)
         self._report_peers(changes)
+        as_of = requested_at if origin else clock.now()
+        self._events.on_changes(as_of, changes.changes, origin or "source")
         changed, invalid = self._catalogue.apply(clock.now(), changes, confirmed_at=confirmed_at)
         self._invalid_items.report(changes.changes, invalid, full=changes.full and not origin)
         self._publish(changed, origin)
--- a/roadpass/target_notice.py
+++ b/roadpass/target_notice.py
@@ -1,13 +1,16 @@
 """What a target states about itself in its response headers: a rate limit, or that it leaves."""
 
 import re
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from roadpass.dialect import Dialect
 from roadpass.outcome import Headers
 
 MAX_SHOWN = 40
-"""Characters of an invalid header value that are logged."""
+"""Characters of an invalid value that are logged."""
+MAX_WARM_UP_MS = 86_400_000.0
+"""Longest warm-up that is accepted, a day; no target takes that long, so more is an error."""
+
 _LEAVING = "1"
 _DECIMAL = re.compile(r"(?:[0-9]{1,9}(?:\.[0-9]{0,20})?|\.[0-9]{1,20})")
 
@@ -21,12 +24,23 @@
         leaving: Whether the target is shutting down.
         limit_ignored: Whether it names an invalid limit, which neither sets a limit nor ends one.
         invalid: Names and values of the headers that were ignored.
+        warm_up_ms: Milliseconds for which the target is still cold, `None` if it does not say.
+        warm_up_invalid: An invalid warm-up as it is logged, empty if there is none.
     """
 
     rate_per_s: float | None = None
     leaving: bool = False
     limit_ignored: bool = False
     invalid: tuple[tuple[str, str], ...] = ()
+    warm_up_ms: float | None = None
+    warm_up_invalid: str = ""
+
+
+def valid_warm_up_ms(value: Any) -> bool:
+    """Return whether a value is a remaining warm-up in milliseconds."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return 0.0 <= value <= MAX_WARM_UP_MS  # also false for NaN
 
 
 def read_notice(headers: Headers, dialect: Dialect) -> TargetNotice:
@@ -49,7 +63,23 @@
     if not set(leaving) <= {_LEAVING, "0"}:
         invalid.append((dialect.leaving, ",".join(leaving)[:MAX_SHOWN]))
     rate_per_s = min(map(float, limits), default=None)
-    return TargetNotice(rate_per_s, _LEAVING in leaving, limit_ignored, tuple(invalid))
+    warm_up_ms, warm_up_invalid = _read_warm_up(_members(headers, dialect.warm_up))
+    return TargetNotice(
+        rate_per_s,
+        _LEAVING in leaving,
+        limit_ignored,
+        tuple(invalid),
+        warm_up_ms,
+        warm_up_invalid,
+    )
+
+
+def _read_warm_up(values: list[str]) -> tuple[float | None, str]:
+    """Return the longest of the warm-ups named, or how they are shown if one of them is invalid."""
+    valid = all(_DECIMAL.fullmatch(value) and valid_warm_up_ms(float(value)) for value in values)
+    if not valid:
+        return None, ",".join(values)[:MAX_SHOWN]
+    return max(map(float, values), default=None), ""
 
 
 def _members(headers: Headers, name: str) -> list[str]:
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -3,12 +3,14 @@
 from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
 
+from roadpass import clock
 from roadpass.balance import Candidate, Picker
 from roadpass.caller_limits import CallerLimits
 from roadpass.fleet import Fleet, Target
 from roadpass.notice_table import NoticeTable
 from roadpass.shutdown import Shutdown
 from roadpass.vm_size import VmSizes
+from roadpass.warm_up import WarmUps
 
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
 
@@ -86,6 +88,7 @@
         self.shutdown = Shutdown()
         self.notices = NoticeTable()
         self.sizes = VmSizes(vm, cores)
+        self.warm_ups = WarmUps()
 
     @property
     def vm(self) -> str:
@@ -118,7 +121,9 @@
 
     def _unjudged(self, service: str) -> dict[str, Candidate]:
         candidates = {}
+        now = clock.now()
         for target in self.fleet.targets_of(service):
             if not self.is_leaving(target):
-                candidates[target.name] = Candidate(target.name, self.tier(target), 1.0)
+                weight = self.warm_ups.weight(now, target.name, target.slots)
+                candidates[target.name] = Candidate(target.name, self.tier(target), weight)
         return candidates
--- a/roadpass/vm_size.py
+++ b/roadpass/vm_size.py
@@ -157,6 +157,13 @@
             sizes = {vm: peer.cores for vm, peer in self._peers.items() if peer.cores > 0.0}
         return {**sizes, self._vm: self._cores} if self._cores > 0.0 else sizes
 
+    def agreed(self, vms: Iterable[str]) -> dict[str, float]:
+        """Return the known sizes if the nodes on all these VMs send theirs, else none.
+
+        A node of an older release chooses owners without sizes, and all must follow one owner.
+        """
+        return self.known() if self._all_send(vms) else {}
+
     def reader_order(self, unweighted: Sequence[str]) -> list[str]:
         """Return the order of the readers of a data hall as one of its nodes follows it.
 
@@ -171,13 +178,21 @@
         if not sizes:
             return list(unweighted)
         order = weighted_order(unweighted, sizes)
-        if all(vm == self._vm or vm in self._peers for vm in unweighted):
+        if self._all_send(unweighted):
             return order
         place = min(order.index(self._vm), unweighted.index(self._vm))
         order.remove(self._vm)
         order.insert(place, self._vm)
         return order
 
+    def hear(self, message: Mapping[str, Any]) -> None:
+        """Record the size in a peer's datagram, or that its node sends none any more."""
+        vm = message["sender"]
+        if "size" in message:
+            self.learn(vm, message["size"])
+        elif message["t"] in PROBES:
+            self._forget(vm)
+
     def learn(self, vm: str, value: Any) -> None:
         """Record the size that a peer sent; an invalid one makes the size unknown.
 
@@ -228,6 +243,17 @@
             }
         return [alive[vm] for vm in chosen]
 
+    def _all_send(self, vms: Iterable[str]) -> bool:
+        return all(vm == self._vm or vm in self._peers for vm in vms)
+
+    def _forget(self, vm: str) -> None:
+        """Forget the size of a VM, whose node has gone back to an older release."""
+        with self._lock:
+            known = self._peers.pop(vm, None)
+        if known is not None:
+            decided("membership", "size-withdrawn", vm=vm, before=known.cores)
+            self.on_change()
+
     def _introductions(self, peer: Member) -> int:
         """Return how often this process of a peer got this node's size."""
         known, count = self._introduced.get(peer.vm, (peer.incarnation, 0))
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -29,13 +29,15 @@
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
 from roadpass.view import PeerNode, View
 from tests.crowd_target import CrowdClient, CrowdTarget
-from tests.load import Kind, Load, RequestResult
+from tests.load import ColdPeriod, Kind, Load, RequestResult
 from tests.machine_model import PLACES
 from tests.virtual import Process, Swap, World, virtual_modules
 
 PORT = 7000
 TICK_S = 0.1
 """Seconds between scans of a node for requests that its target has run for long."""
+ENTRIES_S = 0.5
+"""Seconds between two readings of the entries of targets that warm up."""
 GOSSIP_NEAR_PEERS = 3
 """Nodes of its own data hall to which a node sends each update; one of any hall gets it too."""
 FIRST_S = 100.0
@@ -118,7 +120,9 @@
                 pull=lambda message: message,
                 behind=lambda vm, revision: None,
                 notices=self.view.notices,
+                warm_ups=self.view.warm_ups,
             )
+            self.view.warm_ups.enable(crowd.world.now, crowd.load.warm_up)
             self.has_updates = False
             self.sidecar.quarantine.on_change = self._set_has_updates
             self.configure(fleet)
@@ -189,6 +193,8 @@
         names: Names of the kinds of requests, by path and body.
         crashed: Times at which a target crashed while running a request, by path and body.
         starts: Times at which requests reached each target.
+        in_use: The same with the slots in use by then, each target's own sidecar counting.
+        failure_risk: Failure probability of each target that warms up, at times of the load.
     """
 
     def __init__(self, load: Load, seed: int) -> None:
@@ -204,6 +210,9 @@
         self.crashed: dict[tuple[str, bytes], list[float]] = defaultdict(list)
         self.names: dict[tuple[str, bytes], str] = {}
         self.starts: dict[str, list[float]] = defaultdict(list)
+        self.in_use: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        self.failure_risk: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self._next_entries = FIRST_S
         self.nodes: dict[str, CrowdNode] = {}
         self._number = 0
 
@@ -296,6 +305,39 @@
                 return one.rate_per_s
         return None
 
+    def warm_up_ms(self, target: str) -> float | None:
+        """Return what is left of the warm-up of a target in milliseconds, `None` if it is warm."""
+        ends = [FIRST_S + one.begin + one.seconds for one in self._cold_periods(target)]
+        return max(ends) * 1000.0 - self.world.now * 1000.0 if ends else None
+
+    def slowness(self, target: str) -> float:
+        """Return the factor on the service times of a target now."""
+        factors = [1.0]
+        for one in self._cold_periods(target):
+            passed = (self.world.now - FIRST_S - one.begin) / one.seconds
+            factors.append(one.slowness - passed * (one.slowness - 1.0))
+        return max(factors)
+
+    def _cold_periods(self, target: str) -> list[ColdPeriod]:
+        now = self.world.now - FIRST_S
+        return [
+            one
+            for one in self.load.cold
+            if target in one.targets and one.begin <= now < one.begin + one.seconds
+        ]
+
+    def _publish_entries(self) -> None:
+        """Let all nodes read the warm-ups in the targets' entries, twice a second."""
+        if not self.load.cold or self.world.now < self._next_entries:
+            return
+        self._next_entries = self.world.now + ENTRIES_S
+        for target in {name for one in self.load.cold for name in one.targets}:
+            left_ms = self.warm_up_ms(target)
+            if left_ms is not None:
+                for node in self.nodes.values():
+                    warm_ups = node.view.warm_ups
+                    warm_ups.state(self.world.now, target, left_ms, source="source")
+
     def most_starts(self, target: str, begin: float, end: float, window_s: float) -> int:
         """Return the most requests that reached a target in any window.
 
@@ -353,6 +395,10 @@
                 self.restart(node.target)
             node.tick()
             self._gossip(node)
+            if self._cold_periods(node.target.name):
+                risk = node.local._estimator.bad(self.world.now)
+                self.failure_risk[node.target.name].append((self.world.now, risk))
+        self._publish_entries()
 
     def reaches(self, node: CrowdNode, peer: CrowdNode) -> bool:
         """Return whether two nodes can reach each other now."""
--- a/tests/load.py
+++ b/tests/load.py
@@ -82,6 +82,22 @@
     targets: frozenset[str] = frozenset()
 
 
+class ColdPeriod(NamedTuple):
+    """A warm-up of targets, during which they are slow.
+
+    Args:
+        begin: When they turn cold, in seconds since the first request.
+        seconds: How long they warm up.
+        slowness: Factor on their service times at the beginning; it falls to 1 until the end.
+        targets: Names of the targets.
+    """
+
+    begin: float
+    seconds: float
+    slowness: float
+    targets: frozenset[str]
+
+
 class Load(NamedTuple):
     """A load: requests, targets and faults.
 
@@ -97,6 +113,8 @@
         crash_records_lost: Begin and end, in seconds, of the time in which the nodes lose their
             crash records, one after the other, as on a restart.
         limits: Limits that targets name.
+        cold: Warm-ups of targets.
+        warm_up: Whether the nodes decide by warm-ups.
     """
 
     kinds: dict[str, Kind]
@@ -109,6 +127,8 @@
     partition: tuple[float, float] = (0.0, 0.0)
     crash_records_lost: tuple[float, float] = (0.0, 0.0)
     limits: tuple[TargetLimit, ...] = ()
+    cold: tuple[ColdPeriod, ...] = ()
+    warm_up: bool = False
 
 
 class RequestResult(NamedTuple):
--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -21,6 +21,7 @@
     target_admission,
     target_chooser,
     transport,
+    view,
 )
 from roadpass.fleet import Fleet
 from roadpass.request import Request
@@ -51,6 +52,7 @@
     transport: ("clock",),
     request_state: ("clock",),
     request_log: ("clock",),
+    view: ("clock",),
 }
 VMS = ("vm-1", "vm-2", "vm-3")
 TARGETS = {"t1": "vm-1", "t2": "vm-2", "t3": "vm-2", "t4": "vm-3"}
--- a/tests/test_vm_size.py
+++ b/tests/test_vm_size.py
@@ -188,6 +188,25 @@
     assert sizes.to_introduce([restarted, *peers[1:]]) == [restarted]
 
 
+def test_owners_are_chosen_without_sizes_while_an_older_node_is_there() -> None:
+    """It follows the owner without sizes, and two owners at once admit twice the limit."""
+    sizes = enabled_sizes()
+    sizes.learn(NODES[1], 2.0)
+    assert sizes.agreed(NODES[:3]) == {}
+    sizes.learn(NODES[2], 0)
+    assert sizes.agreed(NODES[:3]) == sizes.known() == {NODES[0]: 1.0, NODES[1]: 2.0}
+
+
+def test_node_that_goes_back_to_an_older_release_counts_as_one() -> None:
+    """Its probes carry no size any more; its announcements never did."""
+    sizes = enabled_sizes()
+    sizes.hear({"t": "ping", "sender": NODES[1], "size": 2.0})
+    sizes.hear({"t": "announce", "sender": NODES[1]})
+    assert sizes.agreed(NODES[:2]) == {NODES[0]: 1.0, NODES[1]: 2.0}
+    sizes.hear({"t": "ack", "sender": NODES[1]})
+    assert sizes.agreed(NODES[:2]) == {}
+
+
 def test_table_of_sizes_is_bounded() -> None:
     """Datagrams with made-up senders must not use up a small VM's memory."""
     sizes = enabled_sizes()
