--- a/roadpass/_generated/message_types.py
+++ b/roadpass/_generated/message_types.py
@@ -388,13 +388,8 @@
     loans: list["Loan"]
     r""" maxItems: 64 """
 
-    size: int | float
-    r"""
-    Processor cores that the sender may use; 0 or left out if unknown.
-
-    minimum: 0
-    maximum: 4096
-    """
+    size: str | int | float | dict[str, Any] | list[Any] | bool | None
+    r""" Processor cores that the sender may use, up to 4096; 0 if unknown, left out by nodes that send no sizes. What is no such number is ignored, with a log line; the rest of the datagram counts. """
 
 
 
@@ -641,6 +636,9 @@
     targets: Required[list["TargetRow"]]
     r""" Required property """
 
+    warm_up: list["_NewsWarmUpItem"]
+    r""" Targets that are cold: place among the rows of targets, from 0, and milliseconds left when this was sent. What is no such number is ignored, with a log line. """
+
     withdrawn: Required[list[str]]
     r""" Required property """
 
@@ -1087,6 +1085,19 @@
 
 
 
+_NewsWarmUpItem = tuple["_NewsWarmUpItem0", str | int | float | dict[str, Any] | list[Any] | bool | None]
+r"""
+minItems: 2
+maxItems: 2
+"""
+
+
+
+_NewsWarmUpItem0 = int
+r""" minimum: 0 """
+
+
+
 _ParentRepeat = bool
 r""" Whether a repeated request makes this call, so that it counts as a repeat. """
 
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -72,7 +72,7 @@
         self.metrics = Metrics()
         self._pause = PauseWatch()
         self._dialect = PLATFORM if settings.store else OWN
-        self._view = View(settings.vm, settings.hall, settings.region)
+        self._view = View(settings.vm, settings.hall, settings.region, settings.cores)
         self._gate = ByteGate(
             ByteBudget.of_memory(settings.memory_mb),
             lambda: self._view.fleet.sharing.streamed_bodies,
@@ -90,11 +90,16 @@
             dialect=self._dialect,
             shutdown=self._view.shutdown,
             notices=self._view.notices,
+            warm_ups=self._view.warm_ups,
             metrics=self.metrics,
         )
         self.metrics.add_gauge(Gauge("target_limit_per_s", "target", self._view.notices.limits))
         for gauge in repeat_gauges(self._sidecar.repeats):
             self.metrics.add_gauge(gauge)
+        self.metrics.add_gauge(Gauge("vm_cores", "vm", self._view.sizes.known))
+        self.metrics.add_gauge(
+            Gauge("target_warm_up_s", "target", lambda: self._view.warm_ups.left_s(clock.now()))
+        )
         self._router.sidecar = self._sidecar
         self._peers = PeerPool(self._sidecar.hello(), settings.keys, source=settings.address)
         policy = settings.store.quota_policy if settings.store else QuotaPolicy()
@@ -184,6 +189,7 @@
             self._rng,
             self._sidecar.quarantine,
             self._view.notices,
+            self._view.sizes,
         )
 
     def _start_monitor(self) -> Any:
@@ -221,6 +227,7 @@
                 on_confirmed=self._router.on_confirmed,
                 fetch_update=lambda address, after: fetch_update(self._peers, address, after),
                 reader_rank=lambda: self._router.reader_rank,
+                on_changes=self._view.warm_ups.apply,
             ),
             self.audit,
             self._rng,
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -27,6 +27,7 @@
 from roadpass.shutdown import Shutdown
 from roadpass.slot_offers import SlotOffers
 from roadpass.start_limit import StartLimit
+from roadpass.warm_up import WarmUps
 
 MAX_FIRST_SLOT = 1 << 31
 """Bound of the number of a process's first slot: messages hold the following numbers, too."""
@@ -48,6 +49,7 @@
         notices: What targets state about themselves, as this node knows it; `None` for a new table.
         metrics: Counts refusals by limits of targets; `None` to discard the counts.
         repeats: Accounts of repeats; `None` for new ones.
+        warm_ups: What targets state about their warm-up; `None` for a new table.
 
     Attributes:
         calls: Outcomes of the requests that targets of this VM may have made.
@@ -69,7 +71,9 @@
         notices: NoticeTable | None = None,
         metrics: Metrics | None = None,
         repeats: FleetRepeats | None = None,
+        warm_ups: WarmUps | None = None,
     ) -> None:
+        self._warm_ups = warm_ups or WarmUps()
         self._ending = shutdown or Shutdown()
         self._dialect = dialect
         self._vm = vm
@@ -145,6 +149,7 @@
                     self._repeats,
                     dialect=self._dialect,
                     parents=self.parents,
+                    warm_ups=self._warm_ups,
                 )
             targets[target.name] = local
         gone = [t for name, t in self._targets.items() if targets.get(name) is not t]
--- a/roadpass/view.py
+++ b/roadpass/view.py
@@ -3,12 +3,15 @@
 from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
 
+from roadpass import clock
 from roadpass.balance import Candidate, Picker
 from roadpass.caller_limits import CallerLimits
 from roadpass.fleet import Fleet, Target
 from roadpass.notice_table import NoticeTable
 from roadpass.room import RoomTable
 from roadpass.shutdown import Shutdown
+from roadpass.vm_size import VmSizes
+from roadpass.warm_up import WarmUps
 
 Groups: TypeAlias = tuple[tuple[str, ...], ...]
 
@@ -66,12 +69,13 @@
         vm: This node's VM.
         hall: Data hall of the VM.
         region: Region of the VM.
+        cores: Processor cores of the VM, 0 if unknown.
 
     A node that is `leaving` announces it and closes its callers' connections; once it is `refusing`
     it also refuses their new requests.
     """
 
-    def __init__(self, vm: str, hall: str, region: str) -> None:
+    def __init__(self, vm: str, hall: str, region: str, cores: float = 0.0) -> None:
         self._vm = vm
         self._hall = hall
         self._region = region
@@ -85,6 +89,8 @@
         self.shutdown = Shutdown()
         self.notices = NoticeTable()
         self.room = RoomTable()
+        self.sizes = VmSizes(vm, cores)
+        self.warm_ups = WarmUps()
 
     @property
     def vm(self) -> str:
@@ -122,7 +128,9 @@
 
     def _unjudged(self, service: str) -> dict[str, Candidate]:
         candidates = {}
+        now = clock.now()
         for target in self.fleet.targets_of(service):
             if not self.is_leaving(target):
-                candidates[target.name] = Candidate(target.name, self.tier(target), 1.0)
+                weight = self.warm_ups.weight(now, target.name, target.slots)
+                candidates[target.name] = Candidate(target.name, self.tier(target), weight)
         return candidates
--- a/tests/load.py
+++ b/tests/load.py
@@ -90,6 +90,22 @@
     targets: frozenset[str] = frozenset()
 
 
+class ColdPeriod(NamedTuple):
+    """A warm-up of targets, during which they are slow.
+
+    Args:
+        begin: When they turn cold, in seconds since the first request.
+        seconds: How long they warm up.
+        slowness: Factor on their service times at the beginning; it falls to 1 until the end.
+        targets: Names of the targets.
+    """
+
+    begin: float
+    seconds: float
+    slowness: float
+    targets: frozenset[str]
+
+
 class Load(NamedTuple):
     """A load: requests, targets and faults.
 
@@ -111,6 +127,8 @@
         datagrams_lost: Share of the datagrams on capacity and of loans that are lost; some others
             of loans are doubled.
         restarts: Times, in seconds, at which nodes restart, and their numbers.
+        cold: Warm-ups of targets.
+        warm_up: Whether the nodes decide by warm-ups.
     """
 
     kinds: dict[str, Kind]
@@ -128,6 +146,8 @@
     cut_off: frozenset[str] = frozenset()
     cut_off_s: tuple[float, float] = (0.0, 0.0)
     restarts: tuple[tuple[float, int], ...] = ()
+    cold: tuple[ColdPeriod, ...] = ()
+    warm_up: bool = False
 
 
 class RequestResult(NamedTuple):
--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -25,6 +25,7 @@
     target_admission,
     target_chooser,
     transport,
+    view,
     wait_announcer,
     waiting_requests,
 )
@@ -63,6 +64,7 @@
     slot_wait: ("clock", "time"),
     wait_announcer: ("clock",),
     waiting_requests: ("clock", "WakeSignal"),
+    view: ("clock",),
 }
 VMS = ("vm-1", "vm-2", "vm-3")
 TARGETS = {"t1": "vm-1", "t2": "vm-2", "t3": "vm-2", "t4": "vm-3"}
