Test that only connections from the own address are local

Cause: the flag by which calls are recognized was covered only by requests that tests build themselves.

--- a/tests/test_parent_requests.py
+++ b/tests/test_parent_requests.py
@@ -1,5 +1,7 @@
 """Calls get the class, customer and retry mark of the request that made them, and of no other."""
 
+import socket
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -7,6 +9,7 @@
 from roadpass import clock
 from roadpass.access import Access
 from roadpass.call_class import class_of_call
+from roadpass.caller_connection import CallerConnection
 from roadpass.customer import Customer
 from roadpass.dispatch import Dispatcher
 from roadpass.fleet import Fleet, Service
@@ -199,3 +202,17 @@
     assert request(access=Access(own), parent=parent).charged is None
     assert request(access=Access(other), parent=parent).charged == other
     assert request(parent=parent).charged is None
+
+
+@pytest.mark.parametrize(("source", "local"), [("127.0.0.1", True), ("127.0.0.2", False)])
+def test_connection_from_the_own_address_is_local(source: str, local: bool) -> None:
+    """Requests of callers elsewhere must not be matched, nor calls missed."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        socket.create_connection(server.getsockname(), source_address=(source, 0)),
+    ):
+        sock, address = server.accept()
+        with sock:
+            connection = CallerConnection(sock, address[0], None)  # type: ignore[arg-type]
+            assert connection._is_local is local
+        assert not CallerConnection(sock, address[0], None)._is_local  # type: ignore[arg-type]
