--- a/tests/machine_model.py
+++ b/tests/machine_model.py
@@ -15,6 +15,7 @@
     peer_pool,
     repeat_guide,
     request_log,
+    request_order,
     request_state,
     sidecar,
     slot_offers,
@@ -65,6 +66,7 @@
     wait_announcer: ("clock",),
     waiting_requests: ("clock", "WakeSignal"),
     view: ("clock",),
+    request_order: ("clock",),
 }
 VMS = ("vm-1", "vm-2", "vm-3")
 TARGETS = {"t1": "vm-1", "t2": "vm-2", "t3": "vm-2", "t4": "vm-3"}
