Stop the ticks of parts that are off

Cause: the tickers of free capacity (25 ms) and of loans (100 ms) woke every node 50 times a second, also where nothing calls for their parts.

--- a/roadpass/_ticker.py
+++ b/roadpass/_ticker.py
@@ -5,6 +5,10 @@
 
 import pykka
 
+DISABLED_CHECK_S = 1.0
+"""Seconds between checks whether a disabled ticker has been enabled. A part that is off must not
+cost the wake-ups of its ticks: small VMs have less than half a core."""
+
 
 class Ticker:
     """Calls a function periodically until the ticker or the actor is stopped.
@@ -13,11 +17,20 @@
         name: Name of the thread.
         interval_s: Seconds between calls.
         tick: Function to call; it may raise `ActorDeadError` to end the ticker.
+        enabled: Returns whether the function is called at all.
     """
 
-    def __init__(self, name: str, interval_s: float, tick: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        name: str,
+        interval_s: float,
+        tick: Callable[[], None],
+        *,
+        enabled: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._interval_s = interval_s
         self._tick = tick
+        self._enabled = enabled
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
@@ -30,8 +43,13 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        while not self._stopped.wait(self._interval_s):
+        while not self._stopped.wait(self._next_s()):
+            if not self._enabled():
+                continue
             try:
                 self._tick()
             except pykka.ActorDeadError:
                 return
+
+    def _next_s(self) -> float:
+        return self._interval_s if self._enabled() else DISABLED_CHECK_S
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -125,7 +125,12 @@
             metrics=self.metrics,
             rng=self._rng,
         )
-        self._capacity_ticker = Ticker("capacity-tick", CAPACITY_TICK_S, self._capacity.tick)
+        self._capacity_ticker = Ticker(
+            "capacity-tick",
+            CAPACITY_TICK_S,
+            self._capacity.tick,
+            enabled=lambda: self._view.fleet.sharing.room,
+        )
         self._platform = Platform(settings.platform_url, self.metrics)
         self._platform_queried = threading.Event()
         self._actors: list[pykka.ActorRef[Any]] = []
--- a/roadpass/repeat_coordinator.py
+++ b/roadpass/repeat_coordinator.py
@@ -42,7 +42,7 @@
         self._hall = hall
         self._send = send
         self._tick_queued = False
-        self._ticker = Ticker("repeat-tick", TICK_S, self._queue_tick)
+        self._ticker = Ticker("repeat-tick", TICK_S, self._queue_tick, enabled=lambda: repeats.on)
 
     def on_start(self) -> None:
         """Start the ticker."""
