Mark every attempt of an ingress that finds the parents of calls

Cause: sidecars reserved 0.35 repeats for each request from the VM's own address, until its ingress had marked a call of a repeat.

Change: attempts say whether a retry makes them, also that none does; only attempts that say neither have a reserve. A hierarchical request id names the parent of a call.

Unit tests of parents, repeats, room and dispatch pass.

--- a/roadpass/call_records.py
+++ b/roadpass/call_records.py
@@ -40,6 +40,11 @@
         self._parents = parents
         self._metrics = metrics
 
+    @property
+    def enabled(self) -> bool:
+        """Whether the parents of calls are looked for."""
+        return self._parents.enabled
+
     def with_parent(self, now: float, request: Request) -> Request:
         """Return a request with its parent, if a target of this VM made it for another request.
 
@@ -49,7 +54,7 @@
         """
         if not self._parents.enabled or not request.local or request.deadline is None:
             return request
-        parent = self._parents.find(now, request.deadline)
+        parent = self._parents.find(now, request.deadline, request.id)
         self._metrics.count("calls_unmatched" if parent is None else "calls_matched")
         if parent is None:
             return request
--- a/roadpass/fleet_repeats.py
+++ b/roadpass/fleet_repeats.py
@@ -19,8 +19,6 @@
 from roadpass.slack_share import SlackShare
 from roadpass.spare_table import MIN_LOAN, SpareTable
 
-MARKS_S = 60.0
-"""Seconds for which an ingress that marked a call of a repeat is taken to mark all of them."""
 CALL_RESERVE = 0.35
 """Repeats reserved for each call that a target makes while its ingress does not mark the calls of
 repeats. With 0.2, repeats of the called service passed the limit by 6 of 90 in `callee_sheds`."""
@@ -69,7 +67,6 @@
         self._services: dict[str, Service] = {}
         self._vms: dict[str, set[str]] = {}
         self._addresses: dict[str, set[str]] = {}
-        self._marking: dict[str, float] = {}
         self._wanted_at: dict[str, float] = {}
         self._announced: dict[str, tuple[float, float]] = {}
         self._known: set[str] = set()
@@ -172,14 +169,9 @@
         with self._lock:
             held = self._held.get(service)
             if held is not None:
-                reserved = CALL_RESERVE if self._is_unmarked_call(now, attempt) else 0.0
+                reserved = CALL_RESERVE if self._is_unmarked_call(attempt) else 0.0
                 held.account.record_first(now, reserved=reserved)
 
-    def record_marked(self, now: float, ingress: str) -> None:
-        """Record that an ingress has marked a call that a repeat makes."""
-        with self._lock:
-            self._marking[ingress] = now
-
     def record_refusal(self, now: float, service: str, vm: str) -> None:
         """Record that a sidecar replied to this ingress that it has no repeat left."""
         with self._lock:
@@ -266,11 +258,11 @@
         """Return whether there are less urgent classes, for which a share is not to be used."""
         return len(self._services[service].classes) > 1
 
-    def _is_unmarked_call(self, now: float, attempt: Attempt) -> bool:
+    def _is_unmarked_call(self, attempt: Attempt) -> bool:
         """Return whether a target may have sent a request, and its ingress would not say so."""
-        if attempt.caller not in self._addresses.get(attempt.ingress, ()):
+        if attempt.parent_repeat is not None:
             return False
-        return now - self._marking.get(attempt.ingress, -math.inf) > MARKS_S
+        return attempt.caller in self._addresses.get(attempt.ingress, ())
 
     def _borrow(self, now: float, service: str, known: set[str]) -> Iterable[LoanMessage]:
         """Return the request of an account that is short, for what it lacks of one repeat."""
--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -91,7 +91,8 @@
             for nothing.
         slot: Slot that the sidecar holds for it, `None` for none.
         wait: Its place in the waiting order, see `roadpass.wait_order`; `None` if it has none.
-        parent_repeat: Whether it is a call that a retry makes, so that it counts as a repeat.
+        parent_repeat: Whether it is a call that a retry makes, so that it counts as a repeat; `None`
+            if its ingress does not find the parents of calls.
         standing: Order within its class, see `roadpass.standing`.
         body_follows: Whether its body follows in parts; `body` is empty then.
         body_length: Length of a body that follows, `None` if it is not known before its end.
@@ -126,7 +127,7 @@
     notice: list[Any] | None = None
     slot: int | None = None
     wait: list[Any] | None = None
-    parent_repeat: bool = False
+    parent_repeat: bool | None = None
     standing: int = FRESH
     body_follows: bool = False
     body_length: int | None = None
@@ -163,11 +164,9 @@
         """Return the wire form."""
         message = {"t": "attempt", **self._asdict()}
         del message["wait"]  # its check has told it
-        for name in ("notice", "slot", "body_length"):
+        for name in ("notice", "slot", "body_length", "parent_repeat"):
             if message[name] is None:
                 del message[name]
-        if not self.parent_repeat:
-            del message["parent_repeat"]
         if self.standing == FRESH:
             del message["standing"]
         if not self.body_follows:
@@ -227,7 +226,7 @@
             attempt.notice,
             attempt.slot,
             attempt.wait,
-            attempt.parent_repeat,
+            bool(attempt.parent_repeat),
             attempt.standing,
         )
 
--- a/roadpass/parent_requests.py
+++ b/roadpass/parent_requests.py
@@ -1,9 +1,10 @@
 """The requests that run at the targets of one VM, and which of them made a call.
 
 A target calls other services through the node on its VM. Such a call looks like any other request:
-it names neither its parent nor a customer. But it comes from the VM's own address, begins after its
-parent began, and ends with the deadline that the parent's target was told. A caller on the same VM
-may come from that address too, so the deadline decides.
+it names no customer. But it comes from the VM's own address and begins after its parent began. Where
+targets make hierarchical request ids, its id begins with that of its parent and `ID_SEPARATOR`, which
+decides. Otherwise it ends with the deadline that the parent's target was told. A caller on the same
+VM may come from that address too, but it knows neither.
 """
 
 import threading
@@ -24,6 +25,8 @@
 """Share of the margin between the deadline of an attempt and the one told to its target that
 `MATCH_LATE_S` may use. Another request that the parent's caller sent at the same moment has the
 deadline of the attempt, so it is not taken for a call."""
+ID_SEPARATOR = "."
+"""Ends the parent's id in a hierarchical request id."""
 MAX_ENDED = 64
 """Requests remembered after their response was given up; more than a VM's targets have slots."""
 
@@ -67,7 +70,7 @@
 
     @property
     def repeat(self) -> bool:
-        return self.attempt.retry or self.attempt.repeat or self.attempt.parent_repeat
+        return self.attempt.retry or self.attempt.repeat or bool(self.attempt.parent_repeat)
 
     def may_have_made(self, began: float, deadline: float) -> bool:
         """Return whether it may have made a call that began then and has this deadline."""
@@ -145,7 +148,7 @@
                 del self._ended[next(iter(self._ended))]
             self._ended[attempt_id] = running
 
-    def find(self, began: float, deadline: float) -> Parent | None:
+    def find(self, began: float, deadline: float, request_id: str = "") -> Parent | None:
         """Return the request that made a call, `None` if none can have made it.
 
         If several may have made it, the most urgent class counts, and in it the closest deadline.
@@ -154,12 +157,16 @@
         Args:
             began: When the call began, in clock seconds.
             deadline: Its deadline in clock seconds.
+            request_id: Its id, empty if unknown.
         """
         if not self.enabled:
             return None
         with self._lock:
             known = [*self._running.values(), *self._ended.values()]
-        found = [one for one in known if one.may_have_made(began, deadline)]
+        named = request_id.rpartition(ID_SEPARATOR)[0]
+        found = [one for one in known if named and one.attempt.request_id == named]
+        if not found:
+            found = [one for one in known if one.may_have_made(began, deadline)]
         if not found:
             return None
         first = min(found, key=lambda one: (one.rank, abs(deadline - one.told)))
--- a/roadpass/repeat_guide.py
+++ b/roadpass/repeat_guide.py
@@ -7,7 +7,7 @@
 from roadpass import clock
 from roadpass.fleet import Service, Target
 from roadpass.fleet_repeats import FleetRepeats
-from roadpass.outcome import NotRun, Reason
+from roadpass.outcome import RETRY_SOON_MS, NotRun, Reason
 from roadpass.request_state import RequestState
 from roadpass.slot_wait import SlotWait
 from roadpass.target_chooser import TargetChooser
@@ -45,10 +45,12 @@
         """Pick the target that a request probes next; see `SlotWait.pick`.
 
         A repeat goes to a target whose account is known to have one, or else to one that is not
-        known to have none.
+        known to have none. If all are known to have none, it is refused instead of waiting.
         """
         if not self.on or not self._is_repeat(state):
             return self._slot_wait.pick(state, has_repeat=has_repeat)
+        if not self.has_repeat(state.service):
+            return NotRun(Reason.REPEATS_SPENT, RETRY_SOON_MS)
         now, service = clock.now(), state.service.name
         targets = self._view.fleet.targets_of(service)
         vms = {target.vm for target in targets}
--- a/roadpass/request_order.py
+++ b/roadpass/request_order.py
@@ -41,8 +41,11 @@
             state: State of the request.
             fair_shares: Whether customers have shares.
         """
-        call = state.request.parent is not None
+        parent = state.request.parent
+        call = parent is not None
         state.standing = CALL if call else FRESH
+        if self._calls.enabled:
+            state.parent_repeat = parent is not None and parent.repeat
         if not fair_shares:
             return
         key = ShareKey(state.service.name, state.traffic_class)
--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -94,6 +94,7 @@
         may_have_run: Latest outcome that does not prove that the request did not run.
         attempt_id: Id of the attempt that was sent last, empty before the first.
         standing: Its order within its class, see `roadpass.standing`.
+        parent_repeat: Whether a retry makes it as a call, `None` if parents are not looked for.
         share: Its part of its customer's share, `None` without shares.
     """
 
@@ -124,6 +125,7 @@
     may_have_run: Outcome | None = None
     attempt_id: str = ""
     standing: int = FRESH
+    parent_repeat: bool | None = None
     share: ShareTicket | None = None
 
     @classmethod
@@ -354,7 +356,7 @@
             notice=notice,
             slot=self.slot,
             wait=self.wait,
-            parent_repeat=self.request.parent is not None and self.request.parent.repeat,
+            parent_repeat=self.parent_repeat,
             standing=self.standing,
         )
 
--- a/roadpass/target_chooser.py
+++ b/roadpass/target_chooser.py
@@ -184,6 +184,11 @@
             return
         load, known = reply.load, room.get(now, target.name)
         free = load.limit - load.in_flight if not load.queued and load.wait_ms <= 0.0 else 0
+        match reply.outcome:
+            case NotRun(reason=Reason.BUSY):  # its free slots are for requests that wait elsewhere
+                free = 0
+            case _:
+                pass
         queued, service_ms = (known.queued, known.service_ms) if known else (load.queued, 0.0)
         report = RoomReport(target.name, max(0, free), queued, service_ms, load.bad)
         room.receive(now, report, idle=free >= target.slots)
--- a/roadpass/target_repeats.py
+++ b/roadpass/target_repeats.py
@@ -82,7 +82,5 @@
         self._allowance.record_arrival(now, repeat=attempt.retry)
         if not self._fleet.on:
             return
-        if attempt.parent_repeat:
-            self._fleet.record_marked(now, attempt.ingress)
-        elif not attempt.retry:
+        if not (attempt.retry or attempt.parent_repeat):
             self._fleet.record_first(now, self._service.name, attempt)
