--- a/roadpass/message.py
+++ b/roadpass/message.py
@@ -91,8 +91,8 @@
             for nothing.
         slot: Slot that the sidecar holds for it, `None` for none.
         wait: Its place in the waiting order, see `roadpass.wait_order`; `None` if it has none.
-        parent_repeat: Whether it is a call that a retry makes, so that it counts as a repeat; `None`
-            if its ingress does not find the parents of calls.
+        parent_repeat: Whether it is a call that a retry makes, so that it counts as a repeat;
+            `None` if its ingress does not find the parents of calls.
         standing: Order within its class, see `roadpass.standing`.
         body_follows: Whether its body follows in parts; `body` is empty then.
         body_length: Length of a body that follows, `None` if it is not known before its end.
--- a/roadpass/parent_requests.py
+++ b/roadpass/parent_requests.py
@@ -1,8 +1,8 @@
 """The requests that run at the targets of one VM, and which of them made a call.
 
-A target calls other services through the node on its VM. Such a call looks like any other request:
-it names no customer. But it comes from the VM's own address and begins after its parent began. Where
-targets make hierarchical request ids, its id begins with that of its parent and `ID_SEPARATOR`, which
+A target calls other services through the node on its VM. Such a call looks like any other request
+without a customer. But it comes from the VM's own address and begins after its parent began. Where
+targets make hierarchical request ids, its id is that of its parent, `ID_SEPARATOR` and more, which
 decides. Otherwise it ends with the deadline that the parent's target was told. A caller on the same
 VM may come from that address too, but it knows neither.
 """
--- a/tests/test_target_repeats.py
+++ b/tests/test_target_repeats.py
@@ -214,5 +214,7 @@
         one.learn(state, target, Reason.REPEATS_SPENT)
     assert one.should_give_up(state)
     assert not one.has_repeat(state.service)
-    assert one.pick(state, has_repeat=False) is None
+    refused = one.pick(state, has_repeat=False)
+    assert isinstance(refused, NotRun)
+    assert refused.reason is Reason.REPEATS_SPENT
     assert len(targets) < MAX_SPENT_REPLIES
