Count limits of targets in the expected wait for a slot

Cause: with sharing.queue on, requests waited for slots of targets whose limits of starts left none, and the refusal did not say so.

Change: the expected wait counts what each target takes a second, by slots and service time or by its limit. Where only starts are awaited, a request waits at a target or is refused with target-limit, as without the queue.

--- a/roadpass/request_state.py
+++ b/roadpass/request_state.py
@@ -241,7 +241,7 @@
     def accept_best(self, has_repeat: bool) -> str | None:
         """Accept the best offer and return its target; `None` if a refusal costs less.
 
-        A request that waits at its ingress accepts only offers of targets with a free slot.
+        One that waits at its ingress accepts a wait at a target only for a start, not for a slot.
         """
         costs = self._costs(has_repeat)
         left = {
@@ -249,7 +249,7 @@
             for name, offer in self.offers.items()
             if name not in self.tried
             and costs.accepts(offer)
-            and not (self.queues and offer.wait_ms > 0.0)
+            and not (self.queues and offer.wait_ms > 0.0 and not offer.limited)
         }
         if not left:
             return None
--- a/roadpass/slot_wait.py
+++ b/roadpass/slot_wait.py
@@ -52,8 +52,8 @@
         if state.last_resort or not self._waits.is_behind(state.service.name, order):
             wait_cost = self._waits.wait_cost(state.service.name, order)
             target = self._chooser.pick(state, has_repeat=has_repeat, wait_cost=wait_cost)
-            if target is not None or not state.offers:
-                return target
+            if target is not None or all(offer.limited for offer in state.offers.values()):
+                return target  # without any offer, or where starts are limited: slots do not help
         return self._wait(state, order, has_repeat)
 
     def _wait(
--- a/roadpass/target_chooser.py
+++ b/roadpass/target_chooser.py
@@ -121,7 +121,8 @@
         unreachable = set() if state.last_resort else self._loads.unreachable(now)
         known = state.tried | state.offers.keys() | unreachable
         if self._view.fleet.sharing.room and not state.last_resort:
-            known |= {report.target for report in self._view.room.known(now, picker.names)}
+            reports = self._view.room.known(now, picker.names)
+            known |= {report.target for report in reports if not self._is_limited(report.target)}
         repeatable = state.route.repeatable
         if state.may_probe_near:
             excluded = known | picker.far
@@ -163,12 +164,18 @@
             return chosen.report.target
         for option in options:
             target = self._view.fleet.targets.get(option.report.target)
-            if target is not None and (option.report.free == 0 or chosen is not None):
+            if target is None or self._is_limited(target.name):
+                continue  # how long it is full depends on its limit, which its sidecar tells
+            if option.report.free == 0 or chosen is not None:
                 far = target.name in picker.far
                 offer = room_choice.full_offer(option.report, target.slots, far=far)
                 state.offers.setdefault(target.name, offer)
         return None
 
+    def _is_limited(self, target: str) -> bool:
+        """Return whether a target names a limit of its starts."""
+        return self._view.notices.rate_per_s(target) is not None
+
     def _learn_room(self, now: float, target: Target, reply: Reply) -> None:
         """Learn the free capacity of a target from its reply, which is newer than any report."""
         room = self._view.room
--- a/roadpass/waiting_requests.py
+++ b/roadpass/waiting_requests.py
@@ -1,16 +1,19 @@
 """Requests that wait at this ingress until a target has a slot for them."""
 
+import math
 import threading
 from collections.abc import Callable
 from typing import NamedTuple
 
 from roadpass import clock
 from roadpass.decision import decided
+from roadpass.fleet import Target
 from roadpass.offer import LATE_LOSS
 from roadpass.outcome import RETRY_SOON_MS, NotRun, Reason
 from roadpass.request_state import RequestState
 from roadpass.return_schedule import ReturnSchedule
 from roadpass.room import TRIPPED_RISK
+from roadpass.start_limit import MIN_RATE_PER_S
 from roadpass.view import View
 from roadpass.wait_order import MIN_WAIT_S, WaitOrder, latest_start, standing_of
 from roadpass.wait_queue import Grant, Waiter, WaitQueue
@@ -29,17 +32,19 @@
 
     Args:
         slots: Slots of the targets that serve the waiting requests.
-        service_s: Mean service time in seconds, 0 if unknown.
+        per_s: Requests a second that these targets take, infinite if unknown.
         waiting: Requests that wait at all ingresses, as far as known.
+        limited: Whether all these targets name limits of their starts.
     """
 
     slots: int
-    service_s: float
+    per_s: float
     waiting: int
+    limited: bool
 
     def wait_s(self, ahead: float) -> float:
         """Return the expected wait in seconds of a request with others ahead of it."""
-        return (ahead + 1.0) * self.service_s / max(1, self.slots)
+        return (ahead + 1.0) / max(MIN_RATE_PER_S, self.per_s)
 
 
 class WaitingRequests:
@@ -225,10 +230,11 @@
             expected_ms=round(expected_s * 1000.0),
             waiting=shortage.waiting,
             slots=shortage.slots,
-            service_ms=round(shortage.service_s * 1000.0),
+            per_s=round(shortage.per_s, 2) if math.isfinite(shortage.per_s) else None,
             retry_ms=round(retry_s * 1000.0),
         )
-        return NotRun(Reason.BUSY, int(retry_s * 1000.0))
+        reason = Reason.LIMITED if shortage.limited else Reason.BUSY
+        return NotRun(reason, int(retry_s * 1000.0))
 
     def _expected_wait_s(
         self, now: float, service: str, order: WaitOrder, *, far: bool = False
@@ -258,18 +264,25 @@
         near = [target for target in targets if self._view.tier(target) == 0]
         targets = targets if far or not near else near
         reports = {one.target: one for one in self._view.room.known(now, [t.name for t in targets])}
-        slots, waiting = 0, {self._view.hall: self.counts().get(service, 0)}
+        times = [one.service_ms / 1000.0 for one in reports.values() if one.service_ms > 0.0]
+        service_s = sum(times) / len(times) if times else self._typical_s.get(service, 0.0)
+        serving: list[Target] = []
+        waiting = {self._view.hall: self.counts().get(service, 0)}
         for target in targets:
-            report = reports.get(target.name)
             is_near = self._view.tier(target) == 0
+            report = reports.get(target.name)
+            if report is None and (is_near or not near):
+                serving.append(target)
             if report is None:
-                slots += target.slots if is_near or not near else 0
                 continue
-            slots += target.slots if report.risk < TRIPPED_RISK else 0
+            if report.risk < TRIPPED_RISK:
+                serving.append(target)
             hall = self._view.hall if is_near else target.hall or ""
             waiting[hall] = max(waiting.get(hall, 0), report.queued)
-        times = [one.service_ms for one in reports.values() if one.service_ms > 0.0]
-        service_s = self._typical_s.get(service, 0.0)
-        if times:
-            service_s = sum(times) / len(times) / 1000.0
-        return Shortage(slots, service_s, sum(waiting.values()))
+        limits = [self._view.notices.rate_per_s(target.name) for target in serving]
+        per_s = sum(
+            min(target.slots / service_s if service_s > 0.0 else math.inf, limit or math.inf)
+            for target, limit in zip(serving, limits, strict=True)
+        )
+        slots = sum(target.slots for target in serving)
+        return Shortage(slots, per_s, sum(waiting.values()), limited=None not in limits)
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -17,6 +17,7 @@
 from roadpass.route import Route
 from roadpass.route_stats import RouteStats
 from roadpass.source import PublishedConfig, PublishedService, TargetEntry
+from roadpass.target_notice import TargetNotice
 from roadpass.view import View
 from roadpass.wait_queue import Grant
 from roadpass.waiting_requests import WaitingRequests
@@ -217,3 +218,15 @@
     waits._view.room.receive(time.now, RoomReport("t-0", 0, 40, 0.0, 0.0), idle=True)
     time.after(0.3, lambda: waits.hand("s", GRANT))
     assert wait(waits, state_of(waits, time)) == GRANT
+
+
+def test_limits_of_targets_count_at_the_door(time: Time) -> None:
+    """By slots alone a request would wait for a start that the target's limit does not allow."""
+    waits = waits_of(time, queued=2)
+    waits._view.notices.configure(time.now, {"t-0"})
+    waits._view.notices.hear(time.now, "t-0", TargetNotice(0.5), time.now)
+    outcome = wait(waits, state_of(waits, time))
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason is Reason.LIMITED
+    assert outcome.retry_after_ms >= 6000
+    assert time.waits == 0
