Wait for a healthy target rather than take the slot of a failing one

Cause: a waiting request took any slot of its own data hall up to a risk of 0.9.

Change: a free slot is taken unless the best known target costs less by more than the expected wait costs; for near and far targets alike.

--- a/roadpass/room_choice.py
+++ b/roadpass/room_choice.py
@@ -1,5 +1,6 @@
 """Chooses the target of a request by the free capacity that sidecars have reported."""
 
+import math
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -94,6 +95,29 @@
     return max(two, key=lambda one: one.report.free)
 
 
+def least_cost(options: Iterable[RoomOption], costs: RoomCosts) -> float:
+    """Return the cost of the best target, whether it has a free slot or not; infinite without any.
+
+    Targets that take trials only are left out.
+    """
+    return min(
+        (costs.of(one) for one in options if one.report.risk < TRIPPED_RISK), default=math.inf
+    )
+
+
+def is_worth_waiting(cost: float, least: float, wait_cost: float) -> bool:
+    """Return whether to wait for a slot of a better target instead of taking a free one.
+
+    A target that fails at once has free slots while the healthy ones are full.
+
+    Args:
+        cost: Cost of the target with the free slot.
+        least: Cost of the best target.
+        wait_cost: Cost of waiting for it.
+    """
+    return cost > least + wait_cost + COST_TOLERANCE
+
+
 def accepted_risk(report: RoomReport) -> float:
     """Return the risk that the admission check of a request accepts at the chosen target."""
     return min(1.0, report.risk + RISK_MARGIN)
--- a/roadpass/slot_wait.py
+++ b/roadpass/slot_wait.py
@@ -2,7 +2,7 @@
 
 import time
 
-from roadpass import clock
+from roadpass import clock, room_choice
 from roadpass.balance import Candidate
 from roadpass.fleet import Target
 from roadpass.load_table import LoadTable
@@ -70,8 +70,8 @@
                 return None
             near = any(self._may_get_slot(one) for one in usable)
 
-            def accepts(now: float, name: str, near: bool = near) -> bool:
-                return self._accepts(now, name, state, order, has_repeat, near)
+            def accepts(now: float, name: str) -> bool:
+                return self._accepts(now, name, state, order, has_repeat)
 
             given = self._waits.wait(state, accepts, near=near)
             if isinstance(given, NotRun):
@@ -116,7 +116,6 @@
         state: RequestState,
         order: WaitOrder,
         has_repeat: bool,
-        near: bool,
     ) -> bool:
         """Return whether a request takes a slot of a target instead of waiting on.
 
@@ -126,16 +125,23 @@
             state: State of the request.
             order: Its place in the order.
             has_repeat: Whether the retry budget allows another attempt after the next one.
-            near: Whether it may get a slot of the own data hall instead.
         """
         tier = next((one.tier for one in self._usable(state) if one.name == name), None)
         if tier is None or name in self._loads.avoided(now):
             return False
         report = self._report(now, name)
-        cost = room_costs(state, has_repeat).of(RoomOption(report, tier))
+        costs = room_costs(state, has_repeat)
+        cost = costs.of(RoomOption(report, tier))
         if report.risk >= TRIPPED_RISK or cost >= REFUSED_LOSS:
             return False
-        return tier == 0 or not near or cost < self._waits.wait_cost(state.service.name, order)
+        options = [
+            RoomOption(known, one.tier)
+            for one in self._usable(state)
+            if (known := self._view.room.get(now, one.name)) is not None
+        ]
+        least = room_choice.least_cost(options, costs)
+        wait_cost = self._waits.wait_cost(state.service.name, order)
+        return not room_choice.is_worth_waiting(cost, least, wait_cost)
 
     def _report(self, now: float, name: str) -> RoomReport:
         """Return what is known of a target that has a slot; unknown, it counts as healthy."""
--- a/roadpass/target_chooser.py
+++ b/roadpass/target_chooser.py
@@ -159,7 +159,10 @@
         ]
         costs = room_costs(state, has_repeat)
         chosen = room_choice.choose(options, costs, self._rng)
-        if chosen is not None and (chosen.tier == 0 or costs.of(chosen) < wait_cost):
+        least = room_choice.least_cost(options, costs)
+        if chosen is not None and not room_choice.is_worth_waiting(
+            costs.of(chosen), least, wait_cost
+        ):
             state.room = chosen.report
             return chosen.report.target
         for option in options:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -3,7 +3,14 @@
 import random
 
 from roadpass.room import IDLE_REPORT_TTL_S, REPORT_TTL_S, TRIPPED_RISK, RoomReport, RoomTable
-from roadpass.room_choice import RoomCosts, RoomOption, accepted_risk, choose
+from roadpass.room_choice import (
+    RoomCosts,
+    RoomOption,
+    accepted_risk,
+    choose,
+    is_worth_waiting,
+    least_cost,
+)
 from roadpass.room_publisher import BUSY_INTERVAL_S, IDLE_INTERVAL_S, RoomPublisher
 from roadpass.room_relay import REFRESH_S, RoomRelay
 
@@ -158,3 +165,15 @@
     assert chosen(options) == {"good"}
     assert chosen(options[:1]) == set()
     assert chosen(options, COSTS._replace(may_be_trial=True)) == {"bad", "good"}
+
+
+def test_request_waits_for_a_healthy_target_rather_than_take_a_failing_one() -> None:
+    """A target that fails at once has free slots while the healthy ones are full."""
+    costs = RoomCosts(failure=1.0, transfer=0.0, objective_ms=2000.0, may_be_trial=False)
+    full = RoomOption(RoomReport("healthy", 0, 2, 500.0, 0.02), 0)
+    failing = RoomOption(RoomReport("failing", 3, 0, 500.0, 0.5), 0)
+    least = least_cost([full, failing], costs)
+    assert is_worth_waiting(costs.of(failing), least, wait_cost=0.1)
+    assert not is_worth_waiting(costs.of(failing), least, wait_cost=0.6)
+    alone = least_cost([failing], costs)
+    assert not is_worth_waiting(costs.of(failing), alone, wait_cost=0.0)
