--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -252,12 +252,12 @@
     ref = start(
         Metrics(),
         nodes,
-        address="127.0.41.6",
+        address="127.0.41.21",
         on_capacity=lambda sender, fields: received.append((sender, fields)),
     )
     ref.tell(Begin())
     ref.proxy().agreeing_peers.get()  # returns once the socket is bound and read
-    peer = Member("vm-9", 1, MemberState.ALIVE, "127.0.41.12", 8081, 8082, "hall", "region")
+    peer = Member("vm-9", 1, MemberState.ALIVE, "127.0.41.22", 8081, 8082, "hall", "region")
     ref.tell(Seed((peer,), frozenset()))
     room, waiting = ["t", 2, 0, 700.0, 0.1, 3.0], ["s", 2, 0, 1, 500.0]
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
@@ -268,7 +268,7 @@
         sent = next(message for message in messages if "room" in message)
         assert (sent["room"], sent["waiting"], sent["news"]) == ([room], [waiting], [])
         content = pack({**sent, "sender": "vm-7"})
-        sock.sendto(content, ("127.0.41.6", PORTS.gossip))
+        sock.sendto(content, ("127.0.41.21", PORTS.gossip))
         assert eventually(lambda: bool(received))
     assert received == [("vm-7", {"room": [room], "waiting": [waiting]})]
     assert "vm-7" not in nodes
