--- a/roadpass/_generated/settings_types.py
+++ b/roadpass/_generated/settings_types.py
@@ -534,6 +534,9 @@
       []
     """
 
+    sharing: "_SettingsStoreSharing"
+    r""" Ways of sharing capacity under load that are on whatever the terms call for. """
+
 
 
 _SettingsStoreInForceSOneof0 = int | float
@@ -587,6 +590,19 @@
 
 
 
+class _SettingsStoreSharing(TypedDict, total=False):
+    r""" Ways of sharing capacity under load that are on whatever the terms call for. """
+
+    room: bool
+    queue: bool
+    fair_shares: bool
+    parents: bool
+    fleet_repeats: bool
+    streamed_bodies: bool
+    vm_sizes: bool
+    warm_up: bool
+
+
 _SettingsStoreTermsItem = str
 r""" maxLength: 64 """
 
--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -75,8 +75,8 @@
     @classmethod
     def from_settings(cls, store: StoreSettings, sharing: Sharing) -> "Policy":
         """Return the policy in a node's store settings, with the switches that these call for."""
-        shared = [name for name in cls._fields if name in store._fields]
-        return cls(**{name: getattr(store, name) for name in shared}, sharing=sharing)
+        same = [name for name in cls._fields if name != "sharing"]
+        return cls(**{name: getattr(store, name) for name in same}, sharing=sharing)
 
 
 class Catalogue:
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -224,7 +224,7 @@
         self._router.store_reader = self._start(
             StoreReader,
             StoreClient(store.address, self.metrics),
-            Catalogue(Policy.from_settings(store, sharing_of(store.terms))),
+            Catalogue(_policy(store)),
             self._journal,
             StoreEvents(
                 on_fleet=self._router.on_published,
@@ -269,8 +269,7 @@
         applied = own._replace(stop_limit_s=settings.stop_limit_s, log_level=settings.log_level)
         if own.store is not None and settings.store is not None:
             applied = applied._replace(store=settings.store._replace(address=own.store.address))
-            store = settings.store
-            self._router.store_reader.tell(Policy.from_settings(store, sharing_of(store.terms)))
+            self._router.store_reader.tell(_policy(settings.store))
             self._quotas.set_policy(settings.store.quota_policy)
         self._settings = applied
         pending = [
@@ -376,3 +375,8 @@
                 in_flight=self._in_flight,
             )
         )
+
+
+def _policy(store: StoreSettings) -> Policy:
+    """Return the policy in a node's store settings, with the switches that these call for."""
+    return Policy.from_settings(store, sharing_of(store.terms).union(store.sharing))
--- a/roadpass/platform/terms.py
+++ b/roadpass/platform/terms.py
@@ -10,4 +10,4 @@
 
 def sharing_of(terms: Collection[str]) -> Sharing:
     """Return the switches that the terms in the settings call for."""
-    return UNDER_PRESSURE._replace(fair_shares=True) if PRESSURE in terms else OFF
+    return UNDER_PRESSURE if PRESSURE in terms else OFF
--- a/roadpass/settings.py
+++ b/roadpass/settings.py
@@ -12,6 +12,7 @@
 from roadpass.errors import SettingsError
 from roadpass.offer import FAR_LOSS_PER_KB
 from roadpass.quota import WINDOW_S, QuotaPolicy
+from roadpass.sharing import OFF, Sharing
 
 
 class Ports(NamedTuple):
@@ -33,6 +34,7 @@
         quota_over: Tolerated excess as a share of the limit.
         quota_slack: Requests per window that are tolerated in addition.
         terms: Terms of the deployment as the users name them; the platform adapter translates them.
+        sharing: Ways of sharing capacity that are on whatever the terms call for.
     """
 
     address: str
@@ -46,6 +48,7 @@
     quota_over: float = 0.0
     quota_slack: float = 0.0
     terms: tuple[str, ...] = ()
+    sharing: Sharing = OFF
 
     @property
     def quota_policy(self) -> QuotaPolicy:
@@ -159,7 +162,8 @@
 def _store(value: Mapping[str, Any]) -> StoreSettings:
     times = {name: _seconds(value[name]) for name in _TIMES if name in value}
     terms = tuple(value.get("terms", ()))
-    return StoreSettings(**{**value, **times, "terms": terms})
+    sharing = Sharing.from_config(value.get("sharing", {}))
+    return StoreSettings(**{**value, **times, "terms": terms, "sharing": sharing})
 
 
 def _address(text: str) -> tuple[str, int]:
--- a/roadpass/sharing.py
+++ b/roadpass/sharing.py
@@ -40,9 +40,9 @@
 
 
 OFF = Sharing()
-UNDER_PRESSURE = Sharing(room=True, parents=True, fleet_repeats=True, vm_sizes=True, warm_up=True)
-"""What too little room for all callers calls for, whoever they are. Documents turn on `queue` by
-name: in shortages that targets cause by failing it served fewer requests than their own queues."""
+UNDER_PRESSURE = Sharing(room=True)
+"""What too little room for all callers calls for, whoever they are. The other parts are turned on
+by name: on real nodes they have not yet been shown to serve more requests."""
 
 
 def sharing_of_routes(routes: Iterable[Route]) -> Sharing:
--- a/soak/node.py
+++ b/soak/node.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from roadpass import clock
+from roadpass.sharing import Sharing
 from soak.checker import GRACE_S, MIN_SHARE
 from soak.history import Disturbance, History, NodeProcess
 from soak.target import SoakTarget
@@ -113,7 +114,7 @@
         "retry_slack": 10,
     }
     if pressure:
-        store_settings["terms"] = ["pressure"]
+        store_settings["sharing"] = dict.fromkeys(Sharing._fields, True)
     return {
         **{"vm": ip, "address": ip, "hall": "h", "region": "r", "origin_service": "soak"},
         **{"ports": PORTS, "store": store_settings, "stop_limit_s": GRACE_S, "log": LOG},
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -21,6 +21,7 @@
 
 EARLIER_TERMS = ("base", "drain", "config", "cost", "retry", "pool", "tenants", "quota")
 KEYS = (("k" * 20,),)
+ENTRY = TargetEntry("i-1", "desk", "10.0.0.1:80", "a", 4, False)
 
 
 def _route(name: str, *, upload: bool = False) -> Route:
@@ -39,8 +40,7 @@
 
 
 def _fleet(config: PublishedConfig, terms: tuple[str, ...] = ()) -> Fleet:
-    entry = TargetEntry("i-1", "desk", "10.0.0.1:80", "a", 4, False)
-    return build_fleet(config, [entry], Policy(sharing=sharing_of(terms)))
+    return build_fleet(config, [ENTRY], Policy(sharing=sharing_of(terms)))
 
 
 def test_terms_of_earlier_deployments_switch_nothing_on() -> None:
@@ -50,11 +50,20 @@
     assert fleet.sharing == OFF
 
 
-def test_pressure_shares_among_customers_only_where_there_are_some() -> None:
+def test_shares_are_kept_only_where_there_are_customers() -> None:
     """Without customers there is nobody to share among."""
     customers = Customers.from_keys([(Customer("c", None, 10.0, 10.0), KEYS[0])])
-    assert not _fleet(_config(_route("lookup")), ("pressure",)).sharing.fair_shares
-    assert _fleet(_config(_route("lookup"), customers=customers), ("pressure",)).sharing.fair_shares
+    policy = Policy(sharing=Sharing(fair_shares=True))
+    alone = build_fleet(_config(_route("lookup")), [ENTRY], policy)
+    shared = build_fleet(_config(_route("lookup"), customers=customers), [ENTRY], policy)
+    assert (alone.sharing.fair_shares, shared.sharing.fair_shares) == (False, True)
+
+
+def test_term_and_named_switches_add_up() -> None:
+    """Operators of a store must be able to turn a part on that no term calls for."""
+    assert sharing_of(("base", "pressure")) == Sharing(room=True)
+    both = sharing_of(("pressure",)).union(Sharing(queue=True))
+    assert both == Sharing(room=True, queue=True)
 
 
 def test_upload_route_calls_for_room_and_streaming_without_any_term() -> None:
