State what is measured and what is suspected of the processor time of free capacity

Cause: claim more than was seen. The step of a missing repeat that stood twice in `FleetRepeats` is one method; its behaviour is as before.

--- a/roadpass/fleet_repeats.py
+++ b/roadpass/fleet_repeats.py
@@ -130,8 +130,7 @@
             available = held.account.available(now, self._slack(now, service), urgent=urgent)
             if available + ROUNDING >= 1.0:
                 return True
-            self._book.record_short(now, service)
-            self._wanted_at[service] = now
+            self._record_short(now, service)
         decided("repeats", "refused", service=service, left=round(available, 3), urgent=urgent)
         return False
 
@@ -151,8 +150,7 @@
             slack = self._slack(now, service)
             taken = held.account.take(now, slack, urgent=urgent)
             if not taken:
-                self._book.record_short(now, service)
-                self._wanted_at[service] = now
+                self._record_short(now, service)
         decided("repeats", "taken" if taken else "refused", service=service, slack=round(slack, 3))
         return taken
 
@@ -246,6 +244,11 @@
                 for name, held in self._held.items()
             }
 
+    def _record_short(self, now: float, service: str) -> None:
+        """Record that a repeat was wanted and not left; called with the lock held."""
+        self._book.record_short(now, service)
+        self._wanted_at[service] = now
+
     def _slack(self, now: float, service: str) -> float:
         held = self._held[service]
         share = held.slack.share(now, held.account.window_s, self._confirmed_at)
--- a/roadpass/platform/terms.py
+++ b/roadpass/platform/terms.py
@@ -6,9 +6,8 @@
 from roadpass.sharing import OFF, Sharing
 
 SWITCHES = {"pressure": OFF}
-"""Switches that a term calls for. `pressure` (callers compete for too little room) is to call for
-`room`, once its reports cost less in data halls of 20 nodes: a day there took more processor time
-than it is given."""
+"""Switches that a term calls for. `pressure` (callers compete for too little room) calls for
+none: it is open whether `room` stays within the processor time of a node in data halls of 20."""
 
 
 def sharing_of(terms: Collection[str]) -> Sharing:
--- a/roadpass/sharing.py
+++ b/roadpass/sharing.py
@@ -41,9 +41,8 @@
 
 OFF = Sharing()
 STREAMED = Sharing(streamed_bodies=True)
-"""What routes of uploads call for. The other parts are turned on by name: their reports cost
-processor time with the square of the nodes of a data hall, too much where a hall has 20, and `room`
-alone has been shown to serve more requests, in small fleets."""
+"""What routes of uploads call for. The other parts are turned on by name: on whole fleets none has
+been shown to serve more requests, nor to stay within the processor time of a node."""
 
 
 def sharing_of_routes(routes: Iterable[Route]) -> Sharing:
