Have two cases of the review exit with 2 if nothing is served

Cause: cases 1 and 3 exited with 0, as if the rule held, where no request was answered with success.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -123,6 +123,8 @@
         f"that closed without an answer; memory of the node {platform.peak_mb:.0f} MB at most"
     )
     record.write(verdict)
+    if not any(answer.status == 200 for _, answer, _ in ended):
+        return 2
     return 1 if len(lost) > MOST_LOST and platform.killed_at else 0
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -133,6 +133,8 @@
         f"was gone, the last after {max(after.values(), default=0.0):.3f} s; {len(late)} later "
         f"than Drain, 2 s, of which {len(lost)} were lost when it ended"
     )
+    if 200 not in load.statuses.values():
+        return 2
     return 1 if late else 0
 
 
