Bound the bytes kept for callers in every configuration, and stream large bodies

Ten callers that sent a body of 14 MiB each took a node over its 300 MB.

Cause: the byte budget was tied to the switch that streams uploads. Without an upload route nothing was counted, and every body up to MaxBodyBytes was read whole and copied about four times. One random body of 1, 8, 14, 40 and 64 MiB took the ingress to 41, 69, 93, 198 and 294 MB, and the last two got 503, as their frame is longer than a frame may be. Memory that is not returned is not needed to explain that.

Change: the budget always holds. A body longer than an eighth of it, or one that does not fit in now, is streamed on any route, 192 KB at each node. One long response at a time may go beyond the limit, as two that were received in part waited for each other until their deadlines. Pipelined bytes are counted, receive buffers have a fixed size, no more callers wait than their unread bytes fit into the limit, and a wait takes a quarter of a request's time at most. The rest of a refused body is read for 5 s, so that the refusal arrives.

--- a/roadpass/body_stream.py
+++ b/roadpass/body_stream.py
@@ -18,7 +18,7 @@
     is_closed,
     step_s,
 )
-from roadpass.byte_gate import NoBytesError, current
+from roadpass.byte_gate import NoBytesError
 from roadpass.disconnect_watch import SocketWatch
 from roadpass.errors import FrameError, StreamError
 from roadpass.message import Attempt, Message
@@ -48,6 +48,7 @@
         codec: Has parsed the head, and may have received a part of the body.
         length: Length of the body, `None` if it is chunked.
         max_bytes: Most bytes of a chunked body.
+        received: The part of the body that was read already.
 
     Attributes:
         compressible: Whether its parts are compressed between nodes.
@@ -55,7 +56,12 @@
     """
 
     def __init__(
-        self, sock: socket.socket, codec: h11.Connection, length: int | None, max_bytes: int
+        self,
+        sock: socket.socket,
+        codec: h11.Connection,
+        length: int | None,
+        max_bytes: int,
+        received: bytes = b"",
     ) -> None:
         SocketWatch.__init__(self, sock, codec)
         BodySource.__init__(self)
@@ -63,8 +69,7 @@
         self._max_bytes = max_bytes
         self._received = 0
         self._stalled_since: float | None = None
-        self._kept = current()
-        self._rest = b""
+        self._rest = received
         self.compressible = True
         self.error = ""
 
@@ -173,7 +178,7 @@
 
     def _finish(self) -> None:
         self.complete = True
-        self._ahead = len(self._codec.trailing_data[0])
+        self._keep_ahead(len(self._codec.trailing_data[0]))
         if self._kept is not None:
             self._kept.expect_none()
 
--- a/roadpass/byte_budget.py
+++ b/roadpass/byte_budget.py
@@ -14,6 +14,11 @@
 parsed, packed and sent, so these may take a quarter of it."""
 DEFAULT_LIMIT_BYTES = 32 * 1024 * 1024
 """Limit where the memory of the process is unknown: that of 512 MB."""
+OVERDRAFT_SHARE = 1 / 12
+MAX_OVERDRAFT_BYTES = 16 * 1024 * 1024
+"""Bytes beyond the limit for one request at a time, as a share of the memory and at most. Without
+them several long responses, each received in part, would wait for each other; the maximum is that
+of a response and of a frame."""
 SMALL_BYTES = 16 * 1024
 """Most bytes of a small request; most requests without an upload, and all control messages."""
 SMALL_SHARE = 0.05
@@ -24,6 +29,10 @@
 WAIT_LIMIT_S = 3.0
 """Seconds to wait for bytes before the request is rejected; slow callers are disconnected within
 `STALL_S`, so a longer wait means that more is needed than there is."""
+WAIT_SHARE = 0.25
+"""Share of a request's remaining time for which it may wait, so that it can still be served."""
+WAITING_BYTES = 128 * 1024
+"""Bytes that a waiting request may leave unread in its connection, which are in memory too."""
 STALL_S = 1.0
 """Seconds in which a caller must read or send `PROGRESS_BYTES` while others wait for its bytes."""
 PROGRESS_BYTES = 4 * 1024
@@ -74,6 +83,7 @@
 
     Args:
         limit: Most bytes to keep.
+        overdraft: Bytes beyond the limit for one request that was let in.
 
     Attributes:
         kept: Bytes kept now.
@@ -81,16 +91,21 @@
     """
 
     limit: int
+    overdraft: int = 0
     kept: int = 0
     peak: int = 0
-    _holdings: list[Holding] = field(default_factory=list)
+    _holdings: dict[Holding, None] = field(default_factory=dict)
     _waiters: list[_Waiter] = field(default_factory=list)
+    _overdrawn: Holding | None = None
 
     @classmethod
     def of_memory(cls, memory_mb: float) -> "ByteBudget":
         """Return the account of a process that may use so many megabytes, 0 if unknown."""
-        share = int(memory_mb * 1024 * 1024 * MEMORY_SHARE)
-        return cls(share if share > 0 else DEFAULT_LIMIT_BYTES)
+        if memory_mb <= 0.0:
+            return cls(DEFAULT_LIMIT_BYTES, MAX_OVERDRAFT_BYTES)
+        memory = memory_mb * 1024 * 1024
+        overdraft = min(MAX_OVERDRAFT_BYTES, int(memory * OVERDRAFT_SHARE))
+        return cls(int(memory * MEMORY_SHARE), overdraft)
 
     @property
     def waiting(self) -> int:
@@ -99,13 +114,15 @@
 
     def open(self, holding: Holding) -> None:
         """Add the holding of a request, which keeps nothing yet."""
-        self._holdings.append(holding)
+        self._holdings[holding] = None
 
     def close(self, holding: Holding) -> None:
         """Release all bytes of a request that has ended."""
         self.withdraw(holding)
         self.release(holding, holding.kept)
-        self._holdings.remove(holding)
+        del self._holdings[holding]
+        if self._overdrawn is holding:
+            self._overdrawn = None
 
     def ask(
         self,
@@ -131,17 +148,15 @@
         """
         waiter = self._waiter(holding)
         small = size + (0 if separate else holding.kept) <= SMALL_BYTES
-        bound = self._bound(holding, small=small)
-        if holding.kept + size > bound:
+        if holding.kept + size > self._most(holding, small=small):
             self.withdraw(holding)
             return Verdict.NEVER
-        if self.kept + size <= bound and not self._is_behind(holding, small=small):
+        if self._has_room(holding, size, small=small):
             self.withdraw(holding)
-            holding.admitted = True
-            holding.kept += size
-            self.kept += size
-            self.peak = max(self.peak, self.kept)
+            self._grant(holding, size)
             return Verdict.GRANTED
+        if waiter is None and not holding.admitted and self._is_full_of_waiters():
+            return Verdict.NEVER
         if waiter is None:
             self._waiters.append(_Waiter(holding, now))
         elif now - waiter.since >= (WAIT_LIMIT_S if limit_s is None else limit_s):
@@ -149,6 +164,13 @@
             return Verdict.NEVER
         return Verdict.WAIT
 
+    def add(self, holding: Holding, size: int) -> bool:
+        """Keep more bytes if they fit now; return whether they did."""
+        if not self._has_room(holding, size, small=False):
+            return False
+        self._grant(holding, size)
+        return True
+
     def withdraw(self, holding: Holding) -> None:
         """Stop waiting for bytes."""
         self._waiters = [one for one in self._waiters if one.holding is not holding]
@@ -158,6 +180,8 @@
         size = min(size, holding.kept)
         holding.kept -= size
         self.kept -= size
+        if self.kept <= self.limit:
+            self._overdrawn = None
 
     def expect(self, now: float, holding: Holding) -> None:
         """Record that the caller is to read or to send from now on."""
@@ -190,6 +214,32 @@
     def _waiter(self, holding: Holding) -> _Waiter | None:
         return next((one for one in self._waiters if one.holding is holding), None)
 
+    def _grant(self, holding: Holding, size: int) -> None:
+        holding.admitted = True
+        holding.kept += size
+        self.kept += size
+        self.peak = max(self.peak, self.kept)
+        if self.kept > self.limit:
+            self._overdrawn = holding
+
+    def _has_room(self, holding: Holding, size: int, *, small: bool) -> bool:
+        """Return whether more bytes may be kept now."""
+        if self._is_behind(holding, small=small):
+            return False
+        if self.kept + size <= self._bound(holding, small=small):
+            return True
+        may_overdraw = holding.admitted and self._overdrawn in (None, holding)
+        return may_overdraw and self.kept + size <= self.limit + self.overdraft
+
+    def _is_full_of_waiters(self) -> bool:
+        """Return whether the unread bytes of those that wait may already fill the limit."""
+        return (len(self._waiters) + 1) * WAITING_BYTES > self.limit
+
+    def _most(self, holding: Holding, *, small: bool) -> int:
+        """Return the most bytes that this request can ever keep."""
+        bound = self._bound(holding, small=small)
+        return max(bound, self.overdraft) if holding.admitted else bound
+
     def _bound(self, holding: Holding, *, small: bool) -> int:
         """Return up to how many bytes this request may fill the account."""
         if small:
@@ -198,7 +248,7 @@
 
     def _is_behind(self, holding: Holding, *, small: bool) -> bool:
         """Return whether another request that waits goes first."""
-        if small:
+        if small or self._overdrawn is holding:
             return False
         if not holding.admitted and any(one.holding.admitted for one in self._waiters):
             return True
--- a/roadpass/byte_gate.py
+++ b/roadpass/byte_gate.py
@@ -14,6 +14,8 @@
 from roadpass.decision import decided
 from roadpass.metric import Gauge, Metrics
 
+WHOLE_SHARE = 1 / 8
+"""Share of the budget that a body may take to be kept whole, so that it can be sent again."""
 POLL_S = 0.05
 """Seconds after which a thread that waits asks again; a release wakes it at once."""
 
@@ -86,6 +88,10 @@
         """Give back all but so many bytes."""
         self.release(max(0, self._holding.kept - size))
 
+    def add(self, size: int) -> bool:
+        """Keep more bytes if they fit now; return whether they did."""
+        return self._gate.add(self._holding, size)
+
     def admit(self) -> None:
         """Record that the request was let in: its further bytes go before those of new ones."""
         self._holding.admitted = True
@@ -112,21 +118,23 @@
 
     Args:
         budget: The account.
-        is_on: Returns whether bytes are to be accounted for now.
         metrics: Counts disconnected callers and rejected requests, and shows the bytes kept.
+        whole_bytes: Longest body to keep whole, `None` for a share of the budget.
     """
 
-    def __init__(self, budget: ByteBudget, is_on: Callable[[], bool], metrics: Metrics) -> None:
+    def __init__(
+        self, budget: ByteBudget, metrics: Metrics, *, whole_bytes: int | None = None
+    ) -> None:
         self._budget = budget
-        self._is_on = is_on
         self._metrics = metrics
+        self._whole_bytes = int(budget.limit * WHOLE_SHARE) if whole_bytes is None else whole_bytes
         self._changed = threading.Condition()
         metrics.add_gauge(Gauge("bytes_kept", "which", self._figures))
 
     @property
-    def is_on(self) -> bool:
-        """Whether bytes are accounted for and uploads streamed."""
-        return self._is_on()
+    def whole_bytes(self) -> int:
+        """Longest body to keep whole, in bytes; a longer one is streamed, on any route."""
+        return self._whole_bytes
 
     @property
     def peak(self) -> int:
@@ -134,15 +142,12 @@
         return self._budget.peak
 
     @contextmanager
-    def holding(self, cut: Callable[[], None] | None = None) -> Iterator[KeptBytes | None]:
-        """Account for what the current thread keeps in this context; `None` if that is off.
+    def holding(self, cut: Callable[[], None] | None = None) -> Iterator[KeptBytes]:
+        """Account for what the current thread keeps in this context.
 
         Args:
             cut: Disconnects the caller, `None` if the bytes are not kept for one.
         """
-        if not self._is_on():
-            yield None
-            return
         holding = Holding(cut)
         with self._changed:
             self._budget.open(holding)
@@ -173,6 +178,11 @@
             raise NoBytesError(f"{size} bytes cannot be kept.")
         return verdict is Verdict.GRANTED
 
+    def add(self, holding: Holding, size: int) -> bool:
+        """Keep more bytes for a request if they fit now; return whether they did."""
+        with self._changed:
+            return self._budget.add(holding, size)
+
     def wait(self) -> None:
         """Wait until bytes may have been released."""
         with self._changed:
--- a/roadpass/caller_bytes.py
+++ b/roadpass/caller_bytes.py
@@ -1,5 +1,6 @@
 """Bytes kept for a caller: of the body that it sends, and of the response that it reads."""
 
+import math
 import socket
 
 import h11
@@ -7,6 +8,7 @@
 from roadpass import clock
 from roadpass.body_source import BUFFER_BYTES, UPLOAD_BYTES
 from roadpass.body_stream import CallerBody
+from roadpass.byte_budget import WAIT_LIMIT_S, WAIT_SHARE
 from roadpass.byte_gate import KeptBytes, NoBytesError, current
 from roadpass.decision import decided
 from roadpass.metric import Metrics
@@ -17,50 +19,54 @@
 """Minimum socket timeout; 0 would make the socket non-blocking."""
 
 
-def take_body(kept: KeptBytes | None, size: int) -> None:
+def take_body(kept: KeptBytes | None, size: int, deadline: float | None = None) -> None:
     """Keep the bytes of a body, and expect the caller to send them.
 
+    Args:
+        kept: What is kept for the request.
+        size: Further bytes.
+        deadline: Clock seconds at which the request expires, `None` if it does not.
+
     Raises:
-        RefusedError: They cannot be kept.
+        RefusedError: They cannot be kept, or not soon enough to serve the request.
     """
     if kept is None or not size:
         return
+    left_s = math.inf if deadline is None else max(0.0, deadline - clock.now())
     try:
-        kept.take(size)
+        kept.take(size, min(WAIT_LIMIT_S, WAIT_SHARE * left_s))
     except NoBytesError as error:
         raise RefusedError(503, Reason.NO_MEMORY) from error
     kept.expect_caller()
 
 
-def begin_upload(
-    sock: socket.socket, codec: h11.Connection, head: Head, max_bytes: int
-) -> CallerBody | None:
-    """Return the body of an upload, which is read once a target has accepted the request.
+def begin_stream(
+    sock: socket.socket,
+    codec: h11.Connection,
+    head: Head,
+    max_bytes: int,
+    *,
+    deadline: float | None,
+    received: bytes = b"",
+) -> CallerBody:
+    """Return a body whose rest is read once a target has accepted the request.
 
     Args:
         sock: The caller's socket.
         codec: Has parsed the head.
         head: Head of the request.
         max_bytes: Most bytes of a body.
-
-    Returns:
-        `None` if the request has no body.
+        deadline: Clock seconds at which the request expires, `None` if it does not.
+        received: The part of the body that was read already, and is accounted for.
 
     Raises:
-        RefusedError: The body is too long, or there is no memory for its parts.
+        RefusedError: There is no memory for its parts.
     """
-    length = int(head.header("Content-Length") or 0)
-    is_chunked = bool(head.header("Transfer-Encoding"))
-    if not length and not is_chunked:
-        return None
-    if length > max_bytes:
-        raise RefusedError(413, Reason.TOO_LARGE)
     kept = current()
-    take_body(kept, UPLOAD_BYTES)
+    take_body(kept, UPLOAD_BYTES, deadline)
     if kept is not None:
         kept.expect_none()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    return CallerBody(sock, codec, None if is_chunked else length, max_bytes)
+    return CallerBody(sock, codec, head.body_length, max_bytes, received)
 
 
 def log_broken(upload: CallerBody, request_id: str, metrics: Metrics) -> None:
--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -11,9 +11,10 @@
 from roadpass import clock
 from roadpass.access import Access
 from roadpass.active_count import ActiveCount
+from roadpass.body_source import UPLOAD_BYTES
 from roadpass.body_stream import CallerBody
 from roadpass.byte_gate import ByteGate, KeptBytes, current
-from roadpass.caller_bytes import begin_upload, log_broken, take_body, write_kept
+from roadpass.caller_bytes import begin_stream, log_broken, take_body, write_kept
 from roadpass.caller_limits import CallerLimits
 from roadpass.caller_response import (
     generated_response,
@@ -47,7 +48,7 @@
 """Seconds to go on reading after the last response. Closing a socket with unread data sends a
 reset, which may discard the response before the caller reads it."""
 UPLOAD_LINGER_S = 5.0
-"""The same for an upload: 360 KB take that long at 600 kbit/s."""
+"""The same behind a body that was not read whole: 360 KB take that long at 600 kbit/s."""
 IDLE_POLL_S = 0.4
 """Interval at which an idle connection checks whether the node is shutting down."""
 READ_MIN_S = 0.001
@@ -154,7 +155,9 @@
             self._refuse(refused, head.method, head.read_at)
             return False
         self._sock.settimeout(0)
-        watch = self._upload or SocketWatch(self._sock, self._codec)
+        watch = self._upload or SocketWatch(
+            self._sock, self._codec, ahead=len(self._codec.trailing_data[0])
+        )
         answer, kept = self._dispatch(request._replace(watch=watch), head)
         if self._upload is not None:
             log_broken(self._upload, request.id, self._context.metrics)
@@ -228,22 +231,59 @@
             raise RefusedError(400, Reason.BAD_REQUEST)
         return Head.from_event(event, clock.now())
 
-    def _read_body(self, head: Head) -> bytes:
-        max_bytes = self._limits.max_body_bytes
-        length = int(head.header("Content-Length") or 0)
-        if length > max_bytes:
+    def _take_body(self, head: Head, deadline: float | None, *, is_upload: bool) -> bytes:
+        """Return the body; one that is streamed is set as `_upload` instead, and stays unread."""
+        length = head.body_length
+        if length is not None and length > self._limits.max_body_bytes:
             raise RefusedError(413, Reason.TOO_LARGE)
         kept = current()
-        take_body(kept, length)
+        if (is_upload and length != 0) or not self._keeps_whole(kept, length):
+            self._stream_body(head, deadline)
+            return b""
+        if length is not None and length <= UPLOAD_BYTES:
+            take_body(kept, length, deadline)
+        return self._read_body(head, deadline)
+
+    def _keeps_whole(self, kept: KeptBytes | None, length: int | None) -> bool:
+        """Return whether a body is kept whole, so that it can be sent to a second target.
+
+        The bytes of one that takes more than streaming it does are accounted for here.
+        """
+        if kept is None or length is None or length <= UPLOAD_BYTES:
+            return True
+        return length <= self._whole_bytes and kept.add(length)
+
+    @property
+    def _whole_bytes(self) -> int:
+        gate = self._context.gate
+        return self._limits.max_body_bytes if gate is None else gate.whole_bytes
+
+    def _stream_body(self, head: Head, deadline: float | None, received: bytes = b"") -> None:
+        self._upload = begin_stream(
+            self._sock,
+            self._codec,
+            head,
+            self._limits.max_body_bytes,
+            deadline=deadline,
+            received=received,
+        )
+
+    def _read_body(self, head: Head, deadline: float | None) -> bytes:
+        """Read a body that is to be kept whole; stream a chunked one that gets too long for it."""
+        length = head.body_length
+        kept = current()
         until = head.read_at + max(self._limits.header_timeout_s, BODY_MIN_S)
         body = bytearray()
         while not isinstance(event := self._event(), h11.EndOfMessage):
             if isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > max_bytes:
+                if len(body) > self._limits.max_body_bytes:
                     raise RefusedError(413, Reason.TOO_LARGE)
-                if not length:
-                    take_body(kept, len(event.data))
+                if length is None:
+                    take_body(kept, len(event.data), deadline)
+                if len(body) > self._whole_bytes:
+                    self._stream_body(head, deadline, bytes(body))
+                    return b""
                 continue
             if self._codec.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
@@ -308,7 +348,8 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError as error:
             raise _ConnectionEndedError from error
-        until = clock.now() + (LINGER_S if self._upload is None else UPLOAD_LINGER_S)
+        has_rest = self._upload is not None or self._codec.their_state is h11.SEND_BODY
+        until = clock.now() + (UPLOAD_LINGER_S if has_rest else LINGER_S)
         while (left_s := until - clock.now()) > 0:
             self._receive(left_s)
 
@@ -319,10 +360,8 @@
         access = self._identify(head, host, path)
         deadline = head.deadline(dialect.deadline)
         key = head.key()
-        if self._context.is_upload(host, path, head.method):
-            max_bytes = self._limits.max_body_bytes
-            self._upload = begin_upload(self._sock, self._codec, head, max_bytes)
-        body = b"" if self._upload is not None else self._read_body(head)
+        is_upload = self._context.is_upload(host, path, head.method)
+        body = self._take_body(head, deadline, is_upload=is_upload)
         if body:  # it may have taken long, and the key may have been revoked meanwhile
             access = self._identify(head, host, path)
         named, proof = self._caller(head, access)
--- a/roadpass/disconnect_watch.py
+++ b/roadpass/disconnect_watch.py
@@ -4,6 +4,8 @@
 
 import h11
 
+from roadpass.byte_gate import current
+
 MAX_AHEAD_BYTES = 256 * 1024
 """Maximum bytes buffered for pipelined requests; bounds the memory used by a connection."""
 READ_BYTES = 64 * 1024
@@ -16,18 +18,22 @@
     Args:
         sock: The caller's socket, non-blocking.
         codec: Receives the bytes that arrive.
+        ahead: Bytes behind the request that were received with it.
     """
 
-    def __init__(self, sock: socket.socket, codec: h11.Connection) -> None:
+    def __init__(self, sock: socket.socket, codec: h11.Connection, *, ahead: int = 0) -> None:
         self._sock = sock
         self._codec = codec
-        self._ahead = len(codec.trailing_data[0])
+        self._kept = current()
+        self._ahead = 0
+        self._is_full = False
         self._gone = False
+        self._keep_ahead(ahead)
 
     @property
     def watchable(self) -> bool:
         """Whether polling `fileno` for input can still reveal a change."""
-        return not self._gone and self._ahead < MAX_AHEAD_BYTES
+        return not (self._gone or self._is_full) and self._ahead < MAX_AHEAD_BYTES
 
     @property
     def was_gone(self) -> bool:
@@ -48,8 +54,14 @@
             except OSError:
                 data = b""
             if data:
-                self._ahead += len(data)
+                self._keep_ahead(len(data))
                 self._codec.receive_data(data)
             else:
                 self._gone = True
         return self._gone
+
+    def _keep_ahead(self, size: int) -> None:
+        """Account for bytes of later requests; read no more of them once there is no memory."""
+        self._ahead += size
+        if self._kept is not None and size:
+            self._is_full = not self._kept.add(size)
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -9,6 +9,7 @@
 from roadpass._actor import Actor
 from roadpass.access import identify
 from roadpass.active_count import ActiveCount
+from roadpass.body_source import BUFFER_BYTES
 from roadpass.byte_gate import ByteGate
 from roadpass.caller_connection import CallerConnection, ConnectionContext
 from roadpass.dialect import OWN, Dialect
@@ -84,7 +85,7 @@
             origin=origin,
             identify=lambda *what: identify(view.fleet, *what),
             gate=gate,
-            is_upload=lambda *what: gate is not None and _is_streamed(gate, view, *what),
+            is_upload=lambda *what: gate is not None and _is_upload(view, *what),
         )
 
     @property
@@ -114,6 +115,7 @@
         """Open the listening socket and start to accept connections."""
         family = socket.AF_INET6 if ":" in self._address[0] else socket.AF_INET
         listener = socket.create_server(self._address, family=family, backlog=BACKLOG)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)  # inherited
         listener.settimeout(ACCEPT_POLL_S)
         self._listener = listener
         self._address = listener.getsockname()[:2]
@@ -181,6 +183,7 @@
             self._connections.add(-1)
 
 
-def _is_streamed(gate: ByteGate, view: View, host: str, path: str, method: str) -> bool:
-    route = view.fleet.find_route(host, path, method)
-    return gate.is_on and route is not None and route.upload
+def _is_upload(view: View, host: str, path: str, method: str) -> bool:
+    fleet = view.fleet
+    route = fleet.find_route(host, path, method)
+    return fleet.sharing.streamed_bodies and route is not None and route.upload
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -73,11 +73,7 @@
         self._pause = PauseWatch()
         self._dialect = PLATFORM if settings.store else OWN
         self._view = View(settings.vm, settings.hall, settings.region, settings.cores)
-        self._gate = ByteGate(
-            ByteBudget.of_memory(settings.memory_mb),
-            lambda: self._view.fleet.sharing.streamed_bodies,
-            self.metrics,
-        )
+        self._gate = ByteGate(ByteBudget.of_memory(settings.memory_mb), self.metrics)
         self._store = Store()
         self._journal = Journal()
         self._router = EventRouter(settings, self._view, self._store, self._journal, self.audit)
--- a/roadpass/request_head.py
+++ b/roadpass/request_head.py
@@ -60,6 +60,16 @@
         tokens = connection_tokens(self.headers)
         return "close" not in tokens and (not self.is_http_10 or "keep-alive" in tokens)
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the body is sent in chunks, so that its length is known only at its end."""
+        return bool(self.header("Transfer-Encoding"))
+
+    @property
+    def body_length(self) -> int | None:
+        """Bytes of the body, `None` if it is sent in chunks."""
+        return None if self.is_chunked else int(self.header("Content-Length") or 0)
+
     def header(self, name: str) -> str:
         """Return a header, empty if it is missing; repeated ones are joined with commas."""
         wanted = name.lower()
--- a/roadpass/sharing.py
+++ b/roadpass/sharing.py
@@ -15,7 +15,7 @@
         fair_shares: Customers of one class share too little room by max-min fairness.
         parents: Calls of targets have the class and customer of the request that makes them.
         fleet_repeats: Sidecars lend each other repeats within the retry budget of the fleet.
-        streamed_bodies: Bodies of uploads are streamed, and bytes in memory are bounded.
+        streamed_bodies: Bodies of uploads are streamed whatever their length.
         vm_sizes: Duties of a node depend on the size of its VM.
         warm_up: A target's limit depends on what is left of its warm-up.
     """
@@ -48,6 +48,6 @@
 def sharing_of_routes(routes: Iterable[Route]) -> Sharing:
     """Return the switches that published routes call for.
 
-    A streamed body must not wait at a target, and its bytes in memory must stay bounded.
+    An upload is never repeated, so nothing is gained by keeping its body.
     """
     return STREAMED if any(route.upload for route in routes) else OFF
--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -184,7 +184,7 @@
         notice = self._notices.row(clock.now(), check.target)
         match refusal:
             case None:
-                return self._accepted(check)
+                return {"t": "accepted", "takes_parts": True}
             case NotRun(reason=Reason.BUSY | Reason.DOUBTFUL | Reason.LIMITED):
                 report = local.report(self._fleet.revision, check.traffic_class, check.route)
                 return Reply(refusal, report, notice=notice).to_message()
@@ -220,13 +220,6 @@
             for local in self._targets.values():
                 self.slot_offers.assign(local)
 
-    def _accepted(self, check: AdmissionCheck) -> Message:
-        """Return the reply to an accepted check; of an upload it says how the body may come."""
-        route = self._fleet.routes.get(check.route)
-        if self._fleet.sharing.streamed_bodies and route is not None and route.upload:
-            return {"t": "accepted", "takes_parts": True}
-        return {"t": "accepted"}
-
     def run(self, attempt: Attempt, age_s: float = 0.0, watch: CallerWatch | None = None) -> Reply:
         """Run one attempt and return its outcome with a load report.
 
--- a/roadpass/stream.py
+++ b/roadpass/stream.py
@@ -33,6 +33,8 @@
 READ_MIN_S = 0.001
 """Minimum socket timeout, so that data that has already arrived is read after the deadline."""
 READ_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 256 * 1024
+"""Size of the kernel's receive buffer, whose bytes are in memory while nobody reads them."""
 _HEADER = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
 _NS = 1e9
@@ -316,6 +318,7 @@
 
     def _handshake(self, deadline: float) -> None:
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._sock.settimeout(max(READ_MIN_S, deadline - clock.now()))
         own = secrets.token_bytes(NONCE_BYTES)
         self._sock.sendall(MAGIC + own)
--- a/roadpass/target_connection.py
+++ b/roadpass/target_connection.py
@@ -226,6 +226,7 @@
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
         self._sock = sock
         self._unsent: list[memoryview] = []
         self._broken = False
