Adapt two tests to replies that take parts and to fixed receive buffers

test_held_requests compares the whole reply to an admission check, which now always says takes_parts.

Measured: test_held_requests and test_machine fail before, pass after.

--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -36,7 +36,10 @@
         case other:
             pytest.fail(f"not held back: {other}")
     assert bench.runs == 0
-    assert bench.sidecar.check(AdmissionCheck.of(attempt(route="old"))) == {"t": "accepted"}
+    assert bench.sidecar.check(AdmissionCheck.of(attempt(route="old"))) == {
+        "t": "accepted",
+        "takes_parts": True,
+    }
     bench.configure()  # the fleet of the bench has the part off
     assert reason(bench, attempt(2)) is None
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -369,7 +369,13 @@
     clock = SimpleNamespace(now=now, now_ns=lambda: int(now() * 1e9), STEP_S=STEP_S)
     wall = SimpleNamespace(time=lambda: EPOCH_S + world.now, sleep=sleep)
     sockets = SimpleNamespace(
-        create_connection=world.connect, socket=Any, IPPROTO_TCP=0, TCP_NODELAY=0, SHUT_RDWR=0
+        create_connection=world.connect,
+        socket=Any,
+        IPPROTO_TCP=0,
+        TCP_NODELAY=0,
+        SOL_SOCKET=0,
+        SO_RCVBUF=0,
+        SHUT_RDWR=0,
     )
     return {
         "clock": clock,
