Take only a time in which the store answered nobody for an outage of it

Cause: the reader recorded every error of a call as an outage of the store, and withdrawn targets are kept until 2.5 s after one, as their entries may only have lapsed. Updates to peers carried that moment along, so it counted at nodes whose own calls were all answered.

Change: an outage is a time of 2.5 s or more in which the store is not known to have answered any node, and left a call of this one unanswered that does not wait; a shorter one lets no entry lapse. What failed at a peer is neither sent nor read. After a failure the next call waits for nothing. The grace runs from the first answer after the outage: it ran from the last failed call, up to a second earlier, so targets that were back 1.9 s after an outage of 3.2 s had left the fleet meanwhile.

--- a/roadpass/catalogue.py
+++ b/roadpass/catalogue.py
@@ -29,8 +29,8 @@
 MAX_WITHDRAWN_AGE_S = 1.6
 """Limit in seconds on the same, counted from the last time its entry is known to have existed."""
 REPUBLISH_GRACE_S = 2.5
-"""Seconds after a failed call in which withdrawn targets are kept: entries that lapsed while the
-source was unavailable are written again about 2 s after its return."""
+"""Seconds after an outage of the source in which withdrawn targets are kept: entries that lapsed in
+it are written again about 2 s after its end."""
 FALSE_EJECTIONS_PER_TARGET_WEEK = 0.1
 """Accepted rate of false ejections, for each target and week."""
 ATTEMPT_TIMEOUT_MS = 60_000
@@ -110,9 +110,13 @@
         """Use another policy for the fleets that are built from now on."""
         self._policy = policy
 
-    def mark_source_unavailable(self, now: float) -> None:
-        """Record that the source could not be read: entries withdrawn now may only have lapsed."""
-        self._unavailable_until = max(self._unavailable_until, now)
+    def mark_source_unavailable(self, until: float) -> None:
+        """Record an outage of the source: entries withdrawn now may only have lapsed.
+
+        Args:
+            until: Clock seconds at which it ended.
+        """
+        self._unavailable_until = max(self._unavailable_until, until)
 
     def apply(
         self, now: float, changes: Changes, *, confirmed_at: float = math.inf
--- a/roadpass/journal.py
+++ b/roadpass/journal.py
@@ -34,7 +34,6 @@
         self._lock = threading.Lock()
         self._position = START
         self._at = float("-inf")
-        self._unavailable_at: float | None = None
         self._config: ConfigPublished | None = None
         self._targets: dict[str, TargetPublished] = {}
         self._updates: deque[_Update] = deque(maxlen=MAX_UPDATES)
@@ -62,13 +61,6 @@
         with self._lock:
             self._at = max(self._at, at)
 
-    def mark_source_unavailable(self, at: float) -> None:
-        """Record the clock seconds at which the source could not be read."""
-        with self._lock:
-            self._unavailable_at = (
-                at if self._unavailable_at is None else max(self._unavailable_at, at)
-            )
-
     def since(self, after: Position) -> SourceUpdate | None:
         """Return what came after a position, or a full snapshot if that history is no longer kept.
 
@@ -83,7 +75,7 @@
                 changes = Changes(self._position, self._changes_after(after))
             else:
                 changes = Changes(self._position, self._all_changes(), full=True)
-            return SourceUpdate(changes, self._at, self._unavailable_at)
+            return SourceUpdate(changes, self._at)
 
     def _apply(self, change: Change) -> None:
         match change:
--- a/roadpass/source_fetcher.py
+++ b/roadpass/source_fetcher.py
@@ -9,8 +9,13 @@
 from roadpass._actor import Actor
 from roadpass.errors import PlatformError
 from roadpass.position import Position
+from roadpass.read_schedule import MIN_WATCH_S
 from roadpass.source import Changes, Source
 
+SOURCE_GRACE_S = 0.25
+"""Seconds to wait for a call in flight, once a peer has announced more, before peers are asked. The
+call returns the same changes within that time, even from a slow source, unless it hangs."""
+
 _log = logging.getLogger("roadpass.reader")
 
 
@@ -27,6 +32,15 @@
     wait_s: float
     requested_at: float
 
+    @property
+    def is_immediate(self) -> bool:
+        """Whether the source should answer at once; a call that waits may be cut at any time."""
+        return self.after is None or self.wait_s <= MIN_WATCH_S
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether it should have been answered, if it is still in flight."""
+        return self.is_immediate and now - self.requested_at > SOURCE_GRACE_S
+
 
 class SourceResult(NamedTuple):
     """Outcome of a read.
--- a/roadpass/source_update.py
+++ b/roadpass/source_update.py
@@ -55,12 +55,10 @@
     Args:
         changes: As read from the source.
         confirmed_at: Clock seconds at which the source is known to have had nothing newer.
-        unavailable_at: Clock seconds of the last failed read of the source, `None` if none failed.
     """
 
     changes: Changes
     confirmed_at: float
-    unavailable_at: float | None = None
 
     @classmethod
     def from_message(cls, message: Message, requested_at: float) -> "SourceUpdate":
@@ -82,11 +80,9 @@
         rows = enumerate(message["targets"])
         changes += [TargetPublished(_read_entry(row, left.get(i, 0.0))) for i, row in rows]
         changes += [TargetWithdrawn(instance) for instance in message["withdrawn"]]
-        away_age_s = message.get("away_age_s")
         return cls(
             Changes(Position.from_message(message), tuple(changes), full=message["whole"]),
             requested_at - message["age_s"],
-            None if away_age_s is None else requested_at - away_age_s,
         )
 
     def to_message(self, now: float) -> Message:
@@ -102,8 +98,6 @@
             "targets": [],
             "withdrawn": [],
         }
-        if self.unavailable_at is not None:
-            message["away_age_s"] = max(0.0, now - self.unavailable_at)
         for change in self.changes.changes:
             match change:
                 case ConfigPublished(config=config):
--- a/roadpass/store_reader.py
+++ b/roadpass/store_reader.py
@@ -40,7 +40,7 @@
     log_source_failed,
     logged,
 )
-from roadpass.read_schedule import FIRST_REPLY_WAIT_S, ReaderRank, ReadSchedule
+from roadpass.read_schedule import FIRST_REPLY_WAIT_S, MIN_WATCH_S, ReaderRank, ReadSchedule
 from roadpass.source import (
     Change,
     Changes,
@@ -50,7 +50,13 @@
     TargetEntry,
     TargetPublished,
 )
-from roadpass.source_fetcher import SourceFetcher, SourceRequest, SourceResult
+from roadpass.source_fetcher import (
+    SOURCE_GRACE_S,
+    SourceFetcher,
+    SourceRequest,
+    SourceResult,
+)
+from roadpass.source_outage import OutageDetector
 from roadpass.source_update import PeerPosition, SourceUpdate
 
 TICK_S = 0.1
@@ -59,9 +65,6 @@
 RETRY_MAX_S = 0.8
 """Back-off in seconds after a failed call, doubled up to the maximum. It is short, since changes
 have to be in force within a bound that also runs while the source is unavailable."""
-SOURCE_GRACE_S = 0.25
-"""Seconds to wait for a call in flight, once a peer has announced more, before peers are asked. The
-call returns the same changes within that time, even from a slow source, unless it hangs."""
 DEFAULT_BOUND_S = 2.0
 
 _log = logging.getLogger("roadpass.reader")
@@ -129,6 +132,7 @@
         self._schedule = ReadSchedule(bound_s, rng.random())
         self._peers = PeerPositions()
         self._reads = MonotonicReads()
+        self._outages = OutageDetector()
         self._position: Position | None = None
         self._history_lost_at = START
         self._confirmed_at = -math.inf
@@ -267,8 +271,6 @@
                 )
             case update:
                 self._peers.fetch_succeeded(peer.vm)
-                if update.unavailable_at is not None:
-                    self._mark_source_unavailable(update.unavailable_at)
                 if update.changes.position > self._watermark:
                     self._apply(
                         update.changes,
@@ -281,6 +283,8 @@
     def _start_read(self, now: float) -> None:
         """Start a call to the source; its result arrives as a message."""
         wait_s = self._schedule.wait_s(now - self._confirmed_at)
+        if self._failures:  # an answer at once shows whether the source is available
+            wait_s = MIN_WATCH_S
         self._source_request = SourceRequest(
             self._position, 0.0 if self._position is None else wait_s, now
         )
@@ -292,13 +296,15 @@
         request = response.request
         match response.result:
             case HistoryLostError() as error if request.after == self._position:
+                self._record_answer(response.at)
                 self._history_lost_at = self._position or self._history_lost_at
                 self._position = None
                 self._failed(error, request.requested_at)
             case HistoryLostError():
                 self._log_superseded(response)
             case PlatformError() as error:
-                self._mark_source_unavailable(clock.now())
+                if request.is_immediate:
+                    self._outages.record_failure(request.requested_at)
                 self._failed(error, request.requested_at)
             case changes:
                 self._succeeded()
@@ -319,6 +325,7 @@
 
     def _apply(self, changes: Changes, at: float, *, origin: str, requested_at: float) -> None:
         """Apply an update of the source or of a peer; an empty `origin` is the source."""
+        self._record_answer(at)
         confirmed_at = self._confirmed_at
         config = self._catalogue.config
         log_read(
@@ -342,8 +349,18 @@
         self._publish(changed, origin)
         self._confirm(at, own=not origin)
 
+    def _record_answer(self, at: float) -> None:
+        """Record that the source answered this node or a peer, and find out whether it was away."""
+        call = self._source_request
+        if call is not None and call.is_overdue(clock.now()):
+            self._outages.record_failure(call.requested_at)
+        if self._outages.record_answer(at):
+            self._catalogue.mark_source_unavailable(at)
+            decided("reader", "outage-ended", away_s=round(at - self._confirmed_at, 3))
+
     def _confirm(self, at: float, *, own: bool) -> None:
         """Record that the source had nothing newer at a given time, and report it."""
+        self._record_answer(at)
         if self._position is None:
             return
         self._confirmed_at = max(self._confirmed_at, at)
@@ -364,10 +381,6 @@
         pause = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(8, self._failures - 1))
         self._pause_until = clock.now() + pause * self._rng.uniform(0.7, 1.3)
 
-    def _mark_source_unavailable(self, at: float) -> None:
-        self._catalogue.mark_source_unavailable(at)
-        self._journal.mark_source_unavailable(at)
-
     def _succeeded(self) -> None:
         if self._failures:
             evidence = f"can be read again after {self._failures} failures"
