Route a path only by a prefix that begins it

Cause: the route table stripped the slashes behind prefixes and paths before it compared them. Excluded: a path that is changed before it is looked up, as the table alone answers so, and a mix of versions, as it lasted.

Change: prefixes are compared as they are. One without a slash at its end, which only documents of the product's own have, still stands for whole segments. `*` is begun by no prefix, and a host is cut at its last colon only before a port.

--- a/roadpass/route.py
+++ b/roadpass/route.py
@@ -1,11 +1,13 @@
 """Routes map host, path and method to a service, or to several services by weight."""
 
-from collections.abc import Iterable, Mapping
+import re
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
 from roadpass.label import Labels
 
 ANY_HOST = "*"
+_PORT = re.compile(r":[0-9]*\Z")
 
 
 class Part(NamedTuple):
@@ -71,15 +73,18 @@
 class RouteTable:
     """Finds the most specific route: exact host first, then the longest path prefix.
 
-    Prefixes match whole path segments: `/opac` matches `/opac` and `/opac/x`, not `/opacity`. Among
-    routes with the same prefix, those that name methods take precedence over those for any method.
+    A prefix that ends with a slash matches the paths that it begins: `/opac/` matches `/opac/x` and
+    `/opac/`, not `/opac`. One without matches whole path segments: `/opac` matches `/opac` and
+    `/opac/x`, not `/opacity`. Paths are compared as they are sent; nothing is decoded or resolved.
+    Among routes with the same prefix, those that name methods take precedence over those for any
+    method.
     """
 
     def __init__(self, routes: Iterable[Route]) -> None:
         self._by_host: dict[str, dict[str, list[Route]]] = {}
         for route in sorted(routes, key=lambda route: (not route.methods, route.name)):
             prefixes = self._by_host.setdefault(route.host, {})
-            prefixes.setdefault(_normal(route.path), []).append(route)
+            prefixes.setdefault(route.path, []).append(route)
 
     def find(self, host: str, path: str, method: str) -> Route | None:
         """Return the route of a request, `None` if no route matches.
@@ -89,7 +94,7 @@
             path: Path, with or without query.
             method: HTTP method in capitals.
         """
-        name = host.rsplit(":", 1)[0].lower()
+        name = _PORT.sub("", host).lower()
         plain = path.partition("?")[0]
         for prefixes in (self._by_host.get(name), self._by_host.get(ANY_HOST)):
             if prefixes is None:
@@ -104,16 +109,18 @@
     return tuple(Part(service, weight) for service, weight in value.items() if weight > 0.0)
 
 
-def _longest(prefixes: dict[str, list[Route]], path: str, method: str) -> Route | None:
-    prefix = _normal(path)
-    while True:
+def _longest(prefixes: Mapping[str, list[Route]], path: str, method: str) -> Route | None:
+    for prefix in _prefixes(path):
         for route in prefixes.get(prefix, ()):
             if not route.methods or method in route.methods:
                 return route
-        if not prefix:
-            return None
-        prefix = prefix[: prefix.rfind("/")]
+    return None
 
 
-def _normal(path: str) -> str:
-    return path.rstrip("/")
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield all prefixes that match a path, the longest first."""
+    yield path
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
+        yield path[:end]
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -63,17 +63,20 @@
 
 
 def find_route(routes: Sequence[Route], host: str, path: str, method: str) -> Route | None:
-    """Return the best of all matching routes."""
+    """Return the best of the routes of a host: the one with the longest prefix that begins a path.
+
+    A prefix without a slash at its end stands for itself, and for what it begins with a slash.
+    """
     best: tuple[tuple[bool, int, bool], str, Route] | None = None
     for route in routes:
-        prefix = route.path.rstrip("/")
         if route.host not in (host, ANY_HOST):
             continue
-        if path.rstrip("/") != prefix and not path.startswith(prefix + "/"):
+        begins = path.startswith(route.path if route.path.endswith("/") else f"{route.path}/")
+        if not begins and (route.path.endswith("/") or path != route.path):
             continue
         if route.methods and method not in route.methods:
             continue
-        rank = (route.host != ANY_HOST, len(prefix), bool(route.methods))
+        rank = (route.host != ANY_HOST, len(route.path), bool(route.methods))
         if best is None or rank > best[0] or (rank == best[0] and route.name < best[1]):
             best = (rank, route.name, route)
     return best[2] if best else None
