Cancel work at replaced and withdrawn targets when it is fenced

Cause: the fence by which an ingress cancels an attempt reached the targets of the configuration only, not those that were replaced while they still work; `keep` and `recall` reach these, too.

Change: the fence goes to all targets that the sidecar still knows.

Test that failed before: test_fence_cancels_work_at_a_withdrawn_target.

--- a/roadpass/sidecar.py
+++ b/roadpass/sidecar.py
@@ -289,7 +289,7 @@
     def fence(self, attempt_id: str) -> Verdict:
         """Guarantee that an attempt never starts here; if it has started, cancel it."""
         verdict = self._fences.fence(clock.now(), attempt_id)
-        for local in self._targets.values():
+        for local in self._known_targets():
             local.cancel(attempt_id)
         return verdict
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -129,6 +129,23 @@
     assert bench.sidecar.fence("vm-2/1/2") is Verdict.STARTED
 
 
+def test_fence_cancels_work_at_a_withdrawn_target(bench: Bench) -> None:
+    """Guards against the failure "cancels do not arrive": a withdrawn target went on working."""
+    bench.state.behaviour.median_ms = 3000.0
+    outcomes: list[Outcome] = []
+    thread = threading.Thread(
+        target=lambda: outcomes.append(bench.sidecar.run(attempt(remaining_ms=4000.0)).outcome)
+    )
+    thread.start()
+    until = clock.now() + 2.0
+    while not bench.runs and clock.now() < until:
+        time.sleep(0.01)
+    bench.sidecar.configure(Fleet.empty())
+    assert bench.sidecar.fence("vm-2/1/1") is Verdict.STARTED
+    thread.join(1.0)
+    assert outcomes == [Unknown(Reason.CANCELLED)]
+
+
 class Interleaved(dict[str, Any]):
     """Runs another thread for a while during the first look-up."""
 
