Reject an encoded body where the caller accepts none

Cause: any Accept-Encoding counted as leave to encode.

Change: only a coding other than identity with a weight above zero does.

Test that failed before: test_encoded_answer_to_a_caller_that_accepts_none, for four headers.

--- a/roadpass/target.py
+++ b/roadpass/target.py
@@ -67,6 +67,7 @@
 limit doubles again every this many seconds, as targets drop connections only for seconds at a
 time."""
 _WITH_LENGTH = ("POST", "PUT", "PATCH")
+_CODING = re.compile(r"\s*([^\s;]+)\s*(?:;\s*q\s*=\s*([0-9]+(?:\.[0-9]*)?)\s*)?")
 _KEEP_ALIVE = re.compile(r"(?:^|[,;\s])timeout\s*=\s*([0-9]{1,6})(?![0-9])", re.IGNORECASE)
 
 
@@ -280,12 +281,11 @@
         on_notice: OnNotice | None,
     ) -> tuple[RawAnswer, float]:
         dialect = self._dialect
-        encoded = bool(values_of(call.headers, "accept-encoding"))
         rules = AnswerRules(
             ends_by_close=dialect.ends_by_close,
             echo=dialect.request_id if dialect.echoes_id else "",
             id=call.id,
-            reject_encoded=dialect.echoes_id and not encoded,
+            reject_encoded=dialect.echoes_id and not _accepts_encoding(call.headers),
         )
         started = clock.now()
         if started >= deadline:
@@ -327,6 +327,20 @@
     return left_s - min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * left_s)
 
 
+def _accepts_encoding(headers: Headers) -> bool:
+    """Return whether the caller accepts a body with a content encoding."""
+    codings = ",".join(values_of(headers, "accept-encoding")).lower().split(",")
+    return any(
+        found is not None and found[1] != "identity" and not _is_zero(found[2])
+        for found in map(_CODING.fullmatch, codings)
+    )
+
+
+def _is_zero(weight: str | None) -> bool:
+    """Return whether a weight says that its coding is not accepted."""
+    return weight is not None and float(weight) == 0.0
+
+
 def _sent_headers(
     call: _Call, dialect: Dialect, address: str, left_s: float, source: BodySource | None = None
 ) -> Headers:
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -345,12 +345,22 @@
     fleet = Fleet(listener, PLAIN)
     with pytest.raises(TargetProtocolError):
         exchange(fleet, answer)
-    asked = [("accept-encoding", "gzip")]
-    got = exchange(fleet, answer, headers=asked).answer
-    assert ("Content-Encoding", "gzip") in got.headers
+    for accepted in ("gzip", "identity, gzip;q=0.5", "*"):
+        got = exchange(fleet, answer, headers=[("accept-encoding", accepted)]).answer
+        assert ("Content-Encoding", "gzip") in got.headers
     assert exchange(Fleet(listener), answer).answer.body == b"hi"
 
 
+@pytest.mark.parametrize("accepted", ["identity", "identity;q=1.0", "gzip;q=0, identity", ""])
+def test_encoded_answer_to_a_caller_that_accepts_none(
+    listener: socket.socket, accepted: str
+) -> None:
+    """Guards against the failure "a foreign body": `identity` counted as leave to encode."""
+    answer = OK + b"X-Id: r1\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi"
+    with pytest.raises(TargetProtocolError):
+        exchange(Fleet(listener, PLAIN), answer, headers=[("accept-encoding", accepted)])
+
+
 @pytest.mark.parametrize("echo", [b"", b"X-Id: r0\r\n", b"X-Id: r1\r\nX-Id: r0\r\n"])
 def test_answer_to_another_request(listener: socket.socket, echo: bytes) -> None:
     """On a new connection it is an error, and the connection is closed."""
