Route no request by a version that does not admit it

A request without a key is admitted if its route is public. In the moment of a new version it could be admitted by one and routed by the next, in which its path needs a key and leads to another service; no version allows that.

Change: the dispatcher, which routes by one fleet, refuses such a request as not ready, as it does where customers are new.

Test that failed before: test_request_admitted_without_a_key_is_routed_by_no_version_that_needs_one.

--- a/roadpass/dispatch.py
+++ b/roadpass/dispatch.py
@@ -163,7 +163,7 @@
         route = fleet.find_route(request.host, request.path, request.method)
         if route is None:
             return self._refused(request, NotRun(Reason.NO_ROUTE))
-        if fleet.customers and request.access is None:  # they were configured after it was read
+        if fleet.customers and not _is_admitted(request, route):  # by an earlier version it was
             return self._refused(request, NotRun(Reason.NOT_READY, RETRY_SOON_MS))
         quarantined_s = self._quarantine.quarantined_s(started, request.fingerprint)
         if quarantined_s > 0.0:
@@ -398,6 +398,12 @@
             self._waiting[class_key] -= 1
 
 
+def _is_admitted(request: Request, route: Route) -> bool:
+    """Return whether a request showed a key, or its route needs none."""
+    access = request.access
+    return access is not None and (access.customer is not None or route.public)
+
+
 def _given_up(outcome: Outcome) -> Outcome:
     """Return the outcome of a request that was given up.
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,6 +8,8 @@
 from hypothesis import strategies as st
 
 from roadpass import clock
+from roadpass.access import Access
+from roadpass.customer import Customer, Customers
 from roadpass.dispatch import SPENT_TTL_S
 from roadpass.errors import ReplyTimeoutError, StreamError
 from roadpass.fence import Verdict
@@ -194,6 +196,22 @@
     assert outcome == NotRun(Reason.NO_CAPACITY, 2000)
 
 
+@pytest.mark.parametrize("access", [None, Access()])
+def test_request_admitted_without_a_key_is_routed_by_no_version_that_needs_one(
+    access: Access | None,
+) -> None:
+    """Guards against a mix of two versions: a public route of one, a service of the next."""
+    one = dispatcher(FakeSidecar([]))
+    value = {"services": {"s": {"floor_slots": 0}}, "routes": {"r": {"path": "/", "service": "s"}}}
+    fleet = Fleet.from_documents([("all", json.dumps(value))], revision=2)
+    customers = Customers.from_keys([(Customer("library"), ("a828m82thhkmgjqnirth",))])
+    one._view.fleet = Fleet(
+        fleet.services, fleet.targets, fleet.routes, (), revision=2, customers=customers
+    )
+    outcome = one.dispatch(request("GET")._replace(access=access)).outcome
+    assert outcome == NotRun(Reason.NOT_READY, 500)
+
+
 class FakeStream(Stream):
     """Accepts the check, then loses every reply; records whether it was closed."""
 
