Have the soak send large bodies and near paths, cut watches and withdraw targets

Change: `--bounds`. Nodes have 200 MB, and one that takes more is killed and reported; bodies and responses have up to 14 MiB, some are read slowly; paths that a prefix nearly begins must get 404 or the outer route's service, while a route below another comes and goes with the versions; single watches are cut, refused or late, and targets whose entry is gone must get nothing 2 s later. These faults are drawn apart, so seeds keep their others.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
     restorations: bool = False,
     limits: bool = False,
     pressure: bool = False,
+    bounds: bool = False,
 ) -> list[Violation]:
     """Run one soak and print its violations and a summary.
 
@@ -33,8 +34,17 @@
     folder = logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     history = History()
-    faults = plan(seed, seconds, processes, restorations=restorations, limits=limits)
-    harness = Harness(folder, history, processes, net, seed, ending=ending, pressure=pressure)
+    faults = plan(seed, seconds, processes, restorations=restorations, limits=limits, bounds=bounds)
+    harness = Harness(
+        folder,
+        history,
+        processes,
+        net,
+        seed,
+        ending=ending,
+        pressure=pressure,
+        bounds=bounds,
+    )
     try:
         harness.run(faults, seconds)
     finally:
@@ -83,6 +93,12 @@
         action="store_true",
         help="also send uploads, to nodes that share capacity under pressure",
     )
+    parser.add_argument(
+        "--bounds",
+        action="store_true",
+        help="also bound the nodes' memory, send large bodies and paths near a prefix, fail single "
+        "watches and withdraw targets",
+    )
     parser.add_argument("--logs", type=Path, help="folder for the logs, which are then always kept")
     return 1 if run_soak(**vars(parser.parse_args())) else 0
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -18,7 +18,9 @@
 LONG_ROUTES = {"e": "GET", "f": "POST", "g": "GET", "h": "POST"}
 """Method by route; requests of a GET route are repeatable. Requests of long routes take seconds or
 hang, and their callers wait longer than a node may take to stop."""
-DEADLINE_S, LONG_DEADLINE_S, PAUSE_ALLOWANCE_S = 1.5, 15.0, 4.5
+DEADLINE_S: float = 1.5
+LONG_DEADLINE_S: float = 15.0
+PAUSE_ALLOWANCE_S: float = 4.5
 """Deadlines of requests, and what a pause of three seconds adds to the wait for a response."""
 LONG_WORK_S, LONGEST_WORK_S, HANG_S = (0.2, 2.0), (2.0, 6.0), 30.0
 LONGEST_SHARE, HANG_SHARE = 0.25, 0.08
@@ -104,14 +106,16 @@
         request.ended_at = clock.now()
         return not request.error and bool(connection.sock)
 
-    @staticmethod
-    def _read_response(connection: http.client.HTTPConnection, request: Request) -> None:
+    def _read_response(self, connection: http.client.HTTPConnection, request: Request) -> None:
         response = connection.getresponse()
         request.status = response.status
         request.answered_by = response.getheader("Server-Signature") or ""
         request.told_limit = response.getheader("Server-Limit") is not None
         request.told_leaving = response.getheader("Server-Leaving") is not None
-        request.body_matches = response.read() == response_body(request.id, request.path)
+        request.body_matches = self._read_body(response) == response_body(request.id, request.path)
+
+    def _read_body(self, response: http.client.HTTPResponse) -> bytes:
+        return response.read()
 
     def _choose_key(self) -> tuple[str, str]:
         """Return the customer, empty for an unknown key, and the key of the next request."""
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -35,6 +35,9 @@
 limit, as both are measured from outside. `CLOSE_RACE_S` allows for it where a node closes an idle
 connection while a request is on its way, so that nobody reads the request; without load that takes
 1 ms."""
+WITHDRAWN_SLACK_S = 0.1
+"""The same for a target whose entry is gone. A delay counts only where it outlasts the time that is
+left when nodes stop sending to the target, a second or more."""
 NOT_RUN_STATUSES, TARGET_STATUSES, NODE_STATUSES = (
     (400, 401, 404, 408, 413, 421, 429, 503),
     (200, 500),
@@ -52,6 +55,8 @@
 """Seconds after SIGTERM. From the first on, a node may cut requests that a target is still working
 on, if they were sent by the second. A pause that lasts beyond the third leaves too little time for
 an orderly shutdown."""
+MEMORY_MB = 200
+"""Memory of a node in runs with bounds, that of the smallest VM; one that takes more is killed."""
 SLOTS = 2
 """Requests that a target serves at once."""
 POISON_THRESHOLD = 3
@@ -74,6 +79,7 @@
     """Return all violations by time."""
     violations = [*_exits(history), *_configurations(history), *_shares(history), *_poison(history)]
     violations += [*_withdrawn_keys(history), *_quota(history), *_statements(history)]
+    violations += _memory(history)
     violations += [
         _violation(invariant, r)
         for r in history.requests.values()
@@ -82,13 +88,13 @@
     return sorted(violations)
 
 
-def in_force_by(history: History, at: float, *subjects: str) -> float:
+def in_force_by(history: History, at: float, *subjects: str, slack_s: float = SLACK_S) -> float:
     """Return when a change made at `at` must be in force, given the disturbances of `subjects`."""
     since = at
     for disturbance in history.disturbances:
-        if disturbance.subject in subjects and disturbance.begin < since + IN_FORCE_S + SLACK_S:
+        if disturbance.subject in subjects and disturbance.begin < since + IN_FORCE_S + slack_s:
             since = max(since, disturbance.end + SETTLE_S)
-    return since + IN_FORCE_S + SLACK_S
+    return since + IN_FORCE_S + slack_s
 
 
 def _violations(history: History, request: Request) -> Iterator[str]:
@@ -118,6 +124,10 @@
             history, instance.draining_at, STORE, instance.node
         ):
             yield "leaving"
+        if at > instance.withdrawn_at and at > in_force_by(
+            history, instance.withdrawn_at, STORE, instance.node, slack_s=WITHDRAWN_SLACK_S
+        ):
+            yield "withdrawn"
 
 
 def _may_be_cut(history: History, request: Request) -> bool:
@@ -177,6 +187,8 @@
 
 def _expected_statuses(history: History, request: Request) -> tuple[int, ...]:
     """Return the statuses that a request may get, by its key and its customer's limit."""
+    if not request.route:
+        return (404, 503)
     if request.body_matches:
         return TARGET_STATUSES
     statuses: tuple[int, ...] = NODE_STATUSES
@@ -270,6 +282,14 @@
             )
 
 
+def _memory(history: History) -> Iterator[Violation]:
+    """Check that no node takes more memory than its VM has."""
+    for process in history.node_processes:
+        if process.over_memory_mb:
+            text = f"{process.over_memory_mb:.0f} MB, {MEMORY_MB} MB are allowed"
+            yield Violation(process.exited_at, "memory", process.node, "", text)
+
+
 def _has_work(history: History, process: NodeProcess) -> bool:
     """Return whether a target on the node's VM, or one for its callers, worked until the cut."""
     last = process.sigterm_at + CUT_FROM_S
@@ -307,6 +327,9 @@
             continue
         oldest = before[request]
         for arrival in request.arrivals:
+            if not request.route:
+                yield _violation("route", request)
+                continue
             at, instance = arrival.at, arrival.instance
             written = [c for c in history.configurations if c.version >= oldest and c.at <= at]
             versions = [c.version for c in written if c.services[request.route] == instance.service]
@@ -355,7 +378,7 @@
     registered = (
         instance.service == service
         and instance.published_at <= since
-        and min(instance.draining_at, instance.leaving_at) > until
+        and min(instance.draining_at, instance.leaving_at, instance.withdrawn_at) > until
         and lowest_limit(instance, since, until) == math.inf
     )
     return registered and not _was_disturbed(
--- a/soak/history.py
+++ b/soak/history.py
@@ -17,7 +17,7 @@
     """One process of a node.
 
     `killed` is set if a fault killed it, `overdue` if it was killed because it was still running
-    at the end of the grace period.
+    at the end of the grace period, `over_memory_mb` if it was killed with that much memory.
     """
 
     node: str
@@ -27,6 +27,7 @@
     exit_code: int = 0
     killed: bool = False
     overdue: bool = False
+    over_memory_mb: float = 0.0
 
 
 @dataclass(eq=False)
@@ -35,6 +36,7 @@
 
     Args:
         draining_at: When the store accepted its draining state.
+        withdrawn_at: When the store accepted that its entry is gone, although it goes on serving.
         leaving_at: When it began to say in its responses that it leaves.
         limits: The limits that it names in its responses, in requests a second, and since when; inf
             for none.
@@ -45,6 +47,7 @@
     node: str
     published_at: float = inf
     draining_at: float = inf
+    withdrawn_at: float = inf
     leaving_at: float = inf
     limits: list[tuple[float, float]] = field(default_factory=list)
 
--- a/soak/node.py
+++ b/soak/node.py
@@ -11,7 +11,7 @@
 
 from roadpass import clock
 from roadpass.sharing import Sharing
-from soak.checker import GRACE_S, MIN_SHARE
+from soak.checker import GRACE_S, MEMORY_MB, MIN_SHARE
 from soak.history import Disturbance, History, NodeProcess
 from soak.target import SoakTarget
 
@@ -37,13 +37,16 @@
         history: History,
         *,
         pressure: bool = False,
+        bounds: bool = False,
     ) -> None:
+        self._memory_mb = MEMORY_MB if bounds else 0
         self.name = name = target.instance.node
         self.restarts = True
         self._ip = ip = target.ip
         self._history = history
         self._settings = folder / f"{name}.jsonc"
-        self._settings.write_text(json.dumps(_settings(ip, store, pressure=pressure)))
+        settings = _settings(ip, store, pressure=pressure) | {"memory_mb": self._memory_mb}
+        self._settings.write_text(json.dumps(settings))
         self._log = (folder / f"{name}.log").open("ab")
         self.downtime: Disturbance | None = None
         self._start()
@@ -76,6 +79,7 @@
 
         Starts the node again after an exit, and kills it at the end of the grace period.
         """
+        self._enforce_memory()
         if self._popen.poll() is not None:
             self.process.exited_at = min(clock.now(), self.process.exited_at)
             self.process.exit_code = self._popen.returncode
@@ -92,6 +96,14 @@
                 self.downtime.end = clock.now()
                 self.downtime = None
 
+    def _enforce_memory(self) -> None:
+        """Kill the process if it has more memory than a run with bounds allows."""
+        if self._memory_mb and not self.process.killed:
+            used_mb = _memory_mb(self._popen.pid)
+            if used_mb > self._memory_mb:
+                self.process.over_memory_mb = used_mb
+                self.kill()
+
     def close(self) -> None:
         """Kill the process, whatever its state."""
         self._popen.kill()
@@ -106,6 +118,15 @@
         self._popen = subprocess.Popen(command, stdout=self._log, stderr=subprocess.STDOUT)
 
 
+def _memory_mb(pid: int) -> float:
+    """Return the memory of a process without shared files, 0 once it has ended."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) / 1024.0
+    return 0.0
+
+
 def _settings(ip: str, store: str, *, pressure: bool) -> dict[str, object]:
     store_settings: dict[str, object] = {
         "address": store,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -50,6 +50,15 @@
     variant: int
 
 
+WATCH_FAULTS, WITHDRAW = ("watch-cut", "watch-late", "watch-error"), "withdraw"
+"""A fault of a single watch, and the removal of the entry of a target that goes on serving, which
+only runs with `bounds` have."""
+WATCH_GAP_S, WITHDRAW_GAP_S = 0.7, 1.2
+"""Mean seconds between faults of watches, and between withdrawals."""
+WITHDRAWAL_DELAYS_S = (0.0, 0.05, 0.3)
+"""Seconds from a watch that is cut to the withdrawal of a target."""
+WITHDRAWN_S = 3.0
+"""Seconds for which a withdrawn target goes on serving, longer than it may get requests."""
 LIMIT, LIMIT_CHANGES, LEAVE = "limit", "limit-changes", "leave"
 """Statements of targets in their responses, which only runs with `limits` have."""
 LIMITED_SHARE, LEAVING_SHARE = 0.7, 0.4
@@ -67,11 +76,12 @@
     *,
     restorations: bool = False,
     limits: bool = False,
+    bounds: bool = False,
 ) -> list[PlannedFault]:
     """Return the faults of a run by time; each group affects at most half of the nodes at once.
 
-    With restorations of the store, even seeds have no other faults of the store: the bounds on
-    changes that the store accepted run only while the store is healthy.
+    With restorations of the store, even seeds have no other faults of the store, and with bounds no
+    seeds have: the bounds on changes that the store accepted run only while the store is healthy.
     """
     rng = random.Random(seed)
     faults: list[PlannedFault] = []
@@ -94,6 +104,9 @@
             fault for fault in faults if seed % 2 or fault.fault not in FAULT_GROUPS[0].faults
         ]
         faults = sorted([*faults, *_restores(seed, at)])
+    if bounds:
+        faults = [fault for fault in faults if fault.fault not in FAULT_GROUPS[0].faults]
+        faults = sorted([*faults, *_withdrawals(seed, seconds, processes)])
     if limits:
         faults = sorted([*faults, *_statements(seed, seconds, processes)])
     return faults
@@ -115,6 +128,21 @@
     return faults
 
 
+def _withdrawals(seed: int, seconds: float, processes: int) -> list[PlannedFault]:
+    """Return faults of watches and withdrawals, some right behind, drawn apart from the others."""
+    rng = random.Random(f"{WITHDRAW} {seed}")
+    faults: list[PlannedFault] = []
+    for gap_s in (WATCH_GAP_S, WITHDRAW_GAP_S):
+        at = FIRST_FAULT_S + rng.expovariate(1.0 / gap_s)
+        while at < seconds - WITHDRAWN_S:
+            faults.append(PlannedFault(at, rng.choice(WATCH_FAULTS), 0, 0.0, 0))
+            if gap_s == WITHDRAW_GAP_S:
+                delay_s, node = rng.choice(WITHDRAWAL_DELAYS_S), rng.randrange(processes)
+                faults.append(PlannedFault(at + delay_s, WITHDRAW, node, WITHDRAWN_S, 0))
+            at += rng.expovariate(1.0 / gap_s)
+    return faults
+
+
 def _restores(seed: int, until: float) -> list[PlannedFault]:
     """Return the restorations of the store from backups, drawn apart from the other faults."""
     rng = random.Random(f"{STORE_RESTORED} {seed}")
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -9,6 +9,14 @@
 
 from roadpass import clock
 from soak import customer, plan
+from soak.bounds import (
+    LARGE_ROUTES,
+    MAX_BODY_BYTES,
+    NESTED_PREFIX,
+    NESTED_ROUTE,
+    LargeCaller,
+    NearPathCaller,
+)
 from soak.caller import (
     HOST,
     LONG_DEADLINE_S,
@@ -35,10 +43,12 @@
 CALLERS, TICK_S, STORE_PORT = 12, 0.03, 8104
 LONG_ROUTE_CALLERS = 2
 """Callers of long routes for each target."""
+LARGE_CALLERS, NEAR_PATH_CALLERS = 6, 3
+"""Callers of large bodies and of near paths, in runs with bounds."""
 UPLOAD_CALLERS = 6
 """Callers of the upload route, in runs whose nodes share capacity under pressure."""
 LONG_TIMEOUT = f"{LONG_DEADLINE_S + 5.0:g}s"
-OBJECTIVES = {"e": "12s", "f": "12s", "g": "4s", "h": "4s"}
+OBJECTIVES = {"e": "12s", "f": "12s", "g": "4s", "h": "4s", "l": "12s", "m": "12s"}
 """Latency objectives of long routes. Requests queue for a slot for a share of them: longer than a
 stop takes on the first two routes, shorter on the others."""
 START_LIMIT_S, END_LIMIT_S = 30.0, GRACE_S + 6.0
@@ -77,14 +87,16 @@
         *,
         ending: bool = False,
         pressure: bool = False,
+        bounds: bool = False,
     ) -> None:
-        self._history = history
+        self._history, self._bounds = history, bounds
         self._log = (folder / "faults.log").open("w", buffering=1)
         self._scheduler = sched.scheduler(clock.now, time.sleep)
         self._store = FaultyStore()
         self._server = store_server((f"127.0.{net}.250", STORE_PORT), self._store)
         self._server.start_thread()
         self._routes = ROUTES | LONG_ROUTES | (UPLOAD_ROUTES if pressure else {})
+        self._routes |= LARGE_ROUTES if bounds else {}
         self._services = dict.fromkeys(self._routes, "blue") | {"b": "red", "g": "red"}
         self._services |= {"e": OVERLOADED, "f": OVERLOADED}
         self._movable_routes = [
@@ -99,7 +111,8 @@
             self._publish(self._targets[-1])
         store = f"127.0.{net}.250:{STORE_PORT}"
         self._nodes = [
-            SoakNode(target, folder, store, history, pressure=pressure) for target in self._targets
+            SoakNode(target, folder, store, history, pressure=pressure, bounds=bounds)
+            for target in self._targets
         ]
         self._callers = [Caller(f"c{n}", history, self._nodes, seed) for n in range(CALLERS)]
         long_route_callers = range(LONG_ROUTE_CALLERS * processes)
@@ -110,6 +123,14 @@
             self._callers += [
                 UploadCaller(f"u{n}", history, self._nodes, seed) for n in range(UPLOAD_CALLERS)
             ]
+        if bounds:
+            self._callers += [
+                LargeCaller(f"l{n}", history, self._nodes, seed) for n in range(LARGE_CALLERS)
+            ]
+            self._callers += [
+                NearPathCaller(f"n{n}", history, self._nodes, seed)
+                for n in range(NEAR_PATH_CALLERS)
+            ]
         if ending:
             self._callers.append(PoisonCaller("e", history, self._nodes, seed))
 
@@ -148,8 +169,9 @@
         self._log.write(
             f"{clock.now():.3f} {planned.fault} {node.name} {planned.duration_s:.2f} s\n"
         )
-        ends_target = planned.fault in ("drain", "crash", plan.LEAVE)
-        if ends_target and (target.down or target.instance.leaving_at < inf):
+        ends_target = planned.fault in ("drain", "crash", plan.LEAVE, plan.WITHDRAW)
+        ends_at = min(target.instance.leaving_at, target.instance.withdrawn_at)
+        if ends_target and (target.down or ends_at < inf):
             return
         match planned.fault:
             case "term" | "term-repeated":
@@ -165,6 +187,15 @@
                 self._schedule(REMOVAL_DELAY_S, self._store.delete, _entry(target)[0])
                 self._schedule(planned.duration_s, target.restart)
                 self._schedule(planned.duration_s, self._publish, target)
+            case plan.WITHDRAW if target.instance.draining_at == inf:
+                self._store.delete(_entry(target)[0])
+                target.instance.withdrawn_at = clock.now()
+                self._schedule(planned.duration_s, target.restart)
+                self._schedule(planned.duration_s, self._publish, target)
+            case plan.WITHDRAW:
+                pass
+            case fault if fault in plan.WATCH_FAULTS:
+                self._store.fail_watch(fault)
             case "crash":
                 self._history.begin_disturbance(target.instance.name, "crash")
                 self._schedule(EXPIRY_DELAY_S, self._store.delete, _entry(target)[0])
@@ -253,15 +284,20 @@
         route = self._movable_routes[route_number % len(self._movable_routes)]
         self._services[route] = SERVICES[self._services[route] == SERVICES[0]]
         version = len(self._history.configurations) + 1
-        services, methods = self._services, self._routes.items()
+        services, methods = dict(self._services), self._routes.items()
         rows = [[r, HOST, f"/{r}/", _kind(r, m), services[r], None] for r, m in methods]
-        written = ConfigWrite(clock.now(), version, dict(self._services))
+        services[NESTED_ROUTE] = services["a"]
+        if self._bounds and version % 2 == 0:
+            services[NESTED_ROUTE] = SERVICES[services["a"] == SERVICES[0]]
+            nested = [NESTED_ROUTE, HOST, NESTED_PREFIX, "idempotent", services[NESTED_ROUTE], None]
+            rows.append(nested)
+        written = ConfigWrite(clock.now(), version, services)
         self._history.configurations.append(written)
         value = config(version, rows, (*SERVICES, OVERLOADED), customer.rows(version))
-        value["Limits"]["MaxBodyBytes"] = 2 * BODY_BYTES[1]
+        value["Limits"]["MaxBodyBytes"] = MAX_BODY_BYTES if self._bounds else 2 * BODY_BYTES[1]
         columns = value["Routes"]["Columns"]
         for row in value["Routes"]["Rows"]:
-            if row[0] in LONG_ROUTES:
+            if row[0] in LONG_ROUTES | LARGE_ROUTES:
                 row[columns.index("Timeout")] = LONG_TIMEOUT
                 row[columns.index("TargetLatency")] = OBJECTIVES[row[0]]
         self._store.put("op/config", value)
--- a/soak/store.py
+++ b/soak/store.py
@@ -85,6 +85,12 @@
         stale_copy = self._delay()
         return (stale_copy.watch if stale_copy else super().watch)(prefix, after, wait_s)
 
+    def fail_watch(self, fault: str) -> None:
+        """Cut, delay or refuse the one watch that wakes next; all other calls are answered."""
+        with self.changed:
+            self.watch_faults.append(fault.removeprefix("watch-"))
+            self.changed.notify_all()
+
     def _delay(self) -> StoreState | None:
         """Delay a call as the fault requires; return the copy that a stale store answers from."""
         with self.changed:
--- a/soak/target.py
+++ b/soak/target.py
@@ -17,6 +17,8 @@
 
 POISON_PATH = "/ending"
 """Part of the path of the poison request, which crashes each target that runs it."""
+SIZE_PATH = "/kb-"
+"""Part of a path that is followed by the kilobytes of the response's body."""
 FAULT_SHARE = 0.6
 """Share of requests to which a fault applies: a faulty target still serves the others."""
 NOT_RUN = ("reset-early", "shed", "foreign")
@@ -28,7 +30,9 @@
 
 def response_body(request: str, path: str) -> bytes:
     """Return the response body of a request; its content and length depend on the request."""
-    return f"{request} {path} ".encode() + b"x" * (sum(request.encode()) % 997)
+    _, _, size_kb = path.partition(SIZE_PATH)
+    filler = sum(request.encode()) % 997 + int(size_kb or 0) * 1024
+    return f"{request} {path} ".encode() + b"x" * filler
 
 
 class SoakTarget(ThreadingTCPServer):
--- a/soak/upload.py
+++ b/soak/upload.py
@@ -19,16 +19,17 @@
 class UploadCaller(Caller):
     """Sends uploads on new connections and breaks some of them off."""
 
-    routes, deadline_s = UPLOAD_ROUTES, UPLOAD_DEADLINE_S
+    routes, deadline_s, broken_off_share = UPLOAD_ROUTES, UPLOAD_DEADLINE_S, BROKEN_OFF_SHARE
 
     def _send(
         self, process: NodeProcess, connection: http.client.HTTPConnection, request_id: str
     ) -> bool:
         route, path = self._choose_path(request_id)
         customer, key = self._choose_key()
-        body = upload_body(request_id, self._rng.randrange(*BODY_BYTES))
-        broken_off = self._rng.random() < BROKEN_OFF_SHARE
-        request = Request(request_id, route, False, process, clock.now(), path=path)
+        body = upload_body(request_id, self._body_bytes(route))
+        broken_off = bool(body) and self._rng.random() < self.broken_off_share
+        repeatable = self.routes[route] == "GET"
+        request = Request(request_id, route, repeatable, process, clock.now(), path=path)
         request.customer, request.key = customer, key
         request.deadline_s, request.body_bytes = self.deadline_s, body
         self._history.requests[request_id] = request
@@ -46,6 +47,10 @@
         connection.close()
         return False
 
+    def _body_bytes(self, route: str) -> int:
+        """Return the length of the next body."""
+        return self._rng.randrange(*BODY_BYTES)
+
     def _exchange(
         self,
         connection: http.client.HTTPConnection,
@@ -56,7 +61,8 @@
     ) -> None:
         body = request.body_bytes
         try:
-            connection.putrequest("POST", request.path, skip_host=True, skip_accept_encoding=True)
+            method = self.routes[request.route]
+            connection.putrequest(method, request.path, skip_host=True, skip_accept_encoding=True)
             for name, value in headers.items():
                 connection.putheader(name, value)
             connection.endheaders()
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -2,7 +2,9 @@
 
 import base64
 import json
+import socket
 import threading
+import time
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
@@ -14,6 +16,14 @@
 """Items of a page: few, so that every test gets more than one page."""
 
 
+LATE_S = 0.6
+"""Seconds by which the answer to a delayed watch is late."""
+
+
+class WatchFault(Exception):
+    """Ends a watch that waits; the text says how: `cut`, `late` or `error`."""
+
+
 class StoreBackup(NamedTuple):
     """A copy of the store's contents."""
 
@@ -40,6 +50,8 @@
         self.calls = 0
         self.page_items = PAGE_ITEMS
         self.era: int | None = 0
+        self.watch_faults: list[str] = []
+        """How the next watches that wait end, see `WatchFault`."""
 
     def put(self, key: str, value: Any) -> None:
         """Write an item; `bytes` are stored as they are, other values as JSON."""
@@ -109,6 +121,8 @@
                 remaining_s = deadline - clock.now()
                 if found or remaining_s <= 0.0:
                     return {"events": found, "AtRev": self.revision}
+                if self.watch_faults:
+                    raise WatchFault(self.watch_faults.pop(0))
                 self.changed.wait(remaining_s)
 
 
@@ -127,8 +141,12 @@
         if parts.path == "/v1/kv-range":
             response: dict[str, Any] | None = state.range(prefix, query.get("after", ""))
         else:
-            wait_s = int(query["WaitMs"]) / 1000.0
-            response = state.watch(prefix, int(query["after"]), wait_s)
+            try:
+                wait_s = int(query["WaitMs"]) / 1000.0
+                response = state.watch(prefix, int(query["after"]), wait_s)
+            except WatchFault as fault:
+                self._end_watch(state, str(fault), prefix, int(query["after"]))
+                return
         if state.status != 200:  # the store became unavailable while a watch waited
             self._reply(state, state.status, b"")
         elif response is None:
@@ -136,6 +154,19 @@
         else:
             self._reply(state, 200, json.dumps(response).encode())
 
+    def _end_watch(self, state: StoreState, fault: str, prefix: str, after: int) -> None:
+        """End a watch that waited as a fault requires."""
+        match fault:
+            case "cut":
+                self.req.sent_headers = self.req.close_connection = True
+                self.sock.shutdown(socket.SHUT_RDWR)
+            case "late":
+                time.sleep(LATE_S)
+                response = state.watch(prefix, after, 0.0)
+                self._reply(state, 410 if response is None else 200, json.dumps(response).encode())
+            case _:
+                self._reply(state, 503, b"")
+
     def _reply(self, state: StoreState, status: int, body: bytes) -> None:
         headers = [("Content-Type", "application/json")] if body else []
         if state.era is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,17 +33,27 @@
     Request,
 )
 from soak.limit_checker import CONTACT_S, DRAIN_S, EXCESS_REQUESTS
-from soak.plan import FAULT_GROUPS, LEAVE, LIMIT, LIMIT_CHANGES, STORE_RESTORED, plan
+from soak.plan import (
+    FAULT_GROUPS,
+    LEAVE,
+    LIMIT,
+    LIMIT_CHANGES,
+    STORE_RESTORED,
+    WATCH_FAULTS,
+    WITHDRAW,
+    plan,
+)
 from soak.seeds import REGRESSIONS
 from soak.store import FaultyStore
 from soak.target import POISON_PATH
 
 SHORT, NET = (1, 8.0, 4), 61
-PLAIN = {"ending": False, "restorations": False, "limits": False, "pressure": False}
+PLAIN = dict.fromkeys(("ending", "restorations", "limits", "pressure", "bounds"), False)
 POISON_RUN = (501, 12.0, 6, PLAIN | {"ending": True})
 RESTORE_RUN = (1002, 15.0, 5, PLAIN | {"restorations": True})
 LIMIT_RUN = (2, 15.0, 5, PLAIN | {"limits": True})
 PRESSURE_RUN = (3, 15.0, 5, PLAIN | {"pressure": True})
+BOUNDS_RUN = (4, 15.0, 5, PLAIN | {"bounds": True})
 REPLACED = "replaced"
 Violations = list[Violation]
 
@@ -136,6 +146,16 @@
         self.instances[0].leaving_at = told.sent_at
         self.add(told.ended_at + sent_s)
 
+    def withdraw(self, sent_s: float) -> None:
+        """Withdraw the entry of a target, and send it a request so many seconds after that."""
+        self.instances[0].withdrawn_at = 20.0
+        self.add(20.0 + sent_s)
+
+    def stray(self) -> None:
+        """Let a request without a route reach a target, which turns it away."""
+        request = self.add(11.0, 404)
+        request.route, request.arrivals[0].ran = "", False
+
     def crash_targets(self, at: float) -> Request:
         """Let the poison request crash three targets, and return the request."""
         self.poison_crashes += [at - 2.0, at - 1.0, at]
@@ -189,6 +209,10 @@
     ("body broken off", lambda history: setattr(history.upload(b"s", b"s"), "error", BROKEN_OFF)),
     ("limit", lambda history: history.name_limit(9 + EXCESS_REQUESTS)),
     ("leaving-named", lambda history: history.leave(DRAIN_S + 0.1)),
+    ("withdrawn", lambda history: history.withdraw(IN_FORCE_S + 0.2)),
+    ("memory", lambda history: setattr(history.node_processes[0], "over_memory_mb", 201.0)),
+    ("answer", lambda history: setattr(history.add(11.0, runs=0), "route", "")),
+    ("route", lambda history: history.stray()),
     (
         "share",
         lambda history: [history.add(12.0 + n / 12.0) for n in range(4 * MIN_REQUESTS_PER_TARGET)],
@@ -201,6 +225,8 @@
     lambda history: history.name_limit(3 + EXCESS_REQUESTS),
     lambda history: history.name_limit(9 + EXCESS_REQUESTS, told_s=19.0),
     lambda history: history.leave(DRAIN_S - 0.1),
+    lambda history: history.withdraw(IN_FORCE_S - 0.1),
+    lambda history: setattr(history.add(11.0, 404, runs=0), "route", ""),
     lambda history: history.add_cut_request(50.0, 0.0, 504),
     lambda history: setattr(history.add_cut_request(50.0, -2.0, 504), "deadline_s", 3.6),
     lambda history: setattr(history.kill(10.6).request, "error", CLOSED),
@@ -264,11 +290,13 @@
         ({}, set()),
         ({"restorations": True}, {STORE_RESTORED}),
         ({"limits": True}, {LIMIT, LIMIT_CHANGES, LEAVE}),
+        ({"bounds": True}, {*WATCH_FAULTS, WITHDRAW}),
     ):
         plans = [plan(seed, 15.0, 5, **options) for seed in range(40)]
-        assert {
-            fault.fault for faults_of_plan in plans for fault in faults_of_plan
-        } == faults | more
+        left_out = set(FAULT_GROUPS[0].faults) if "bounds" in options else set()
+        assert {fault.fault for faults_of_plan in plans for fault in faults_of_plan} == (
+            faults - left_out
+        ) | more
 
 
 def test_statements_of_targets_change_no_other_fault() -> None:
@@ -279,14 +307,14 @@
 
 
 RUNS = [*((*run, PLAIN) for run in (SHORT, *REGRESSIONS)), POISON_RUN, RESTORE_RUN]
-RUNS += [LIMIT_RUN, PRESSURE_RUN]
+RUNS += [LIMIT_RUN, PRESSURE_RUN, BOUNDS_RUN]
 
 
 @pytest.fixture(scope="module", params=RUNS, ids=lambda run: f"seed{run[0]}-{run[2]}")
 def violations(
     request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
 ) -> Violations:
-    """Run a short soak, seeds of past faults, a poison request, restorations, limits, pressure."""
+    """Run a short soak, seeds of past faults, and one with each of the further options."""
     seed, seconds, processes, options = request.param
     logs = tmp_path_factory.mktemp(f"seed{seed}")
     return run_soak(seed, seconds, processes, net=NET, logs=logs, **options)
