Disconnect no caller as slow for a stall of the node itself

A caller that was reading a response of 14 MiB found its connection closed in the middle of it.

Cause: the time without progress of a caller was measured across the pause, in which the node read and sent nothing.

Change: that time begins at the end of the latest stall that the pause watch knows, or now if a stall has not been noticed yet.

Test that failed before: test_caller_is_not_slow_for_a_stall_of_the_node (there was no such argument).

--- a/roadpass/byte_budget.py
+++ b/roadpass/byte_budget.py
@@ -5,6 +5,7 @@
 and does not read on until they are granted, so TCP slows the sender down. The time is an argument.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -193,10 +194,15 @@
         if holding.moved >= PROGRESS_BYTES:
             self.expect(now, holding)
 
-    def stalled(self, now: float) -> Holding | None:
+    def stalled(self, now: float, resumed_at: float = -math.inf) -> Holding | None:
         """Return the caller to disconnect, `None` if no request waits or every caller progresses.
 
         It is the one that has made no progress for the longest time.
+
+        Args:
+            now: Clock seconds.
+            resumed_at: When this process last resumed after a stall, in which no caller could
+                progress.
         """
         if not self._waiters:
             return None
@@ -207,7 +213,7 @@
             and one.cut is not None
             and not one.was_cut
             and one.waits_since is not None
-            and now - one.waits_since >= STALL_S
+            and now - max(one.waits_since, resumed_at) >= STALL_S
         ]
         return min(slow, key=lambda one: one.waits_since or 0.0, default=None)
 
--- a/roadpass/byte_gate.py
+++ b/roadpass/byte_gate.py
@@ -120,11 +120,18 @@
         budget: The account.
         metrics: Counts disconnected callers and rejected requests, and shows the bytes kept.
         whole_bytes: Longest body to keep whole, `None` for a share of the budget.
+        resumed_at: Returns when this process last resumed after a stall, by the clock seconds now.
     """
 
     def __init__(
-        self, budget: ByteBudget, metrics: Metrics, *, whole_bytes: int | None = None
+        self,
+        budget: ByteBudget,
+        metrics: Metrics,
+        *,
+        whole_bytes: int | None = None,
+        resumed_at: Callable[[float], float] = lambda now: -math.inf,
     ) -> None:
+        self._resumed_at = resumed_at
         self._budget = budget
         self._metrics = metrics
         self._whole_bytes = int(budget.limit * WHOLE_SHARE) if whole_bytes is None else whole_bytes
@@ -169,7 +176,7 @@
         now = clock.now()
         with self._changed:
             verdict = self._budget.ask(now, holding, size, limit_s, separate=separate)
-            stalled = self._budget.stalled(now)
+            stalled = self._budget.stalled(now, self._resumed_at(now))
             if stalled is not None:
                 self._disconnect(now, stalled)
         if verdict is Verdict.NEVER:
--- a/roadpass/node.py
+++ b/roadpass/node.py
@@ -73,7 +73,11 @@
         self._pause = PauseWatch()
         self._dialect = PLATFORM if settings.store else OWN
         self._view = View(settings.vm, settings.hall, settings.region, settings.cores)
-        self._gate = ByteGate(ByteBudget.of_memory(settings.memory_mb), self.metrics)
+        self._gate = ByteGate(
+            ByteBudget.of_memory(settings.memory_mb),
+            self.metrics,
+            resumed_at=self._pause.resumed_at,
+        )
         self._store = Store()
         self._journal = Journal()
         self._router = EventRouter(settings, self._view, self._store, self._journal, self.audit)
--- a/roadpass/pause.py
+++ b/roadpass/pause.py
@@ -39,6 +39,14 @@
         """Clock seconds at which this process last resumed after a stall, `-inf` if never."""
         return self._last_stall
 
+    def resumed_at(self, now: float) -> float:
+        """Return when this process last resumed after a stall, `-inf` if never.
+
+        Args:
+            now: Clock seconds; a stall that has not been noticed yet ends then.
+        """
+        return now if now - self._last_tick > STALL_S else self._last_stall
+
     def start(self) -> None:
         """Start the thread."""
         self._last_tick = clock.now()
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -2,6 +2,7 @@
 
 import random
 
+from roadpass import clock
 from roadpass.byte_budget import (
     DEFAULT_LIMIT_BYTES,
     NEW_SHARE,
@@ -14,6 +15,7 @@
     Holding,
     Verdict,
 )
+from roadpass.pause import PauseWatch
 
 KB = 1024
 LIMIT = 1000 * KB
@@ -117,6 +119,19 @@
     assert budget.stalled(now) is None
 
 
+def test_caller_is_not_slow_for_a_stall_of_the_node() -> None:
+    """Guards against the failure "a paused node": it woke, and disconnected a caller as slow."""
+    budget, pause = ByteBudget(LIMIT), PauseWatch()
+    reader = opened(budget)
+    budget.ask(0.0, reader, NEW)
+    budget.expect(clock.now() - 3.0 * STALL_S, reader)
+    budget.ask(0.0, opened(budget), BODY)
+    now = clock.now() + 2.0 * STALL_S  # the watch has not ticked for that long
+    assert pause.resumed_at(now) == now
+    assert budget.stalled(now, pause.resumed_at(now)) is None
+    assert budget.stalled(now, now - STALL_S) is reader
+
+
 def test_caller_of_a_running_request_is_not_slow() -> None:
     """Guards against disconnecting a caller that waits for its response."""
     budget = ByteBudget(LIMIT)
