Return long buffers to the system when they are freed

Cause: memory that is freed and not returned. The C library raises the size from which a buffer is a mapping of its own to the longest one freed, up to 32 MB, and keeps up to twice that in the arena of each thread. Eight callers with bodies and responses of up to 14 MiB for 20 s took two nodes to 112 and 229 MB; with MALLOC_MMAP_THRESHOLD_=131072 to 82 and 103, with MALLOC_ARENA_MAX=2 to 121 and 174, so the copies that are in use at once explain less than half.

Change: the daemon sets the threshold to 1 MiB, which also keeps it from rising.

--- a/roadpass/daemon.py
+++ b/roadpass/daemon.py
@@ -37,6 +37,7 @@
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from roadpass import log
+    from roadpass.allocator import return_freed_buffers
     from roadpass.errors import SettingsError
     from roadpass.node import Node
     from roadpass.settings import Settings
@@ -61,6 +62,7 @@
         return EXIT_SETTINGS
     log.set_up(settings.log_level, settings.log_format)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
+    return_freed_buffers()
     _run(Node(settings), SettingsFile(options.settings, settings))
 
 
