Call nothing too long while a node has no configuration

Cause: a node without a configuration goes by default limits, 8 MiB for a body and 16 KB for a head.

Change: such a refusal is sent as 503, not ready, until the first configuration is in force. It is as true: the request has not run.

Test that failed before: test_node_without_a_configuration_calls_nothing_too_long.

--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -65,6 +65,7 @@
     Args:
         dispatch: Processes a request and returns its outcome.
         limits: Returns the limits currently in force.
+        ready: Returns whether these are of a configuration.
         leaving: Returns whether connections should be closed because the node is leaving.
         metrics: Counts outcomes.
         active: Counts the requests being handled.
@@ -89,6 +90,7 @@
     identify: Callable[[str, str, str, Credential], Access | None] = lambda *_: None
     gate: ByteGate | None = None
     is_upload: Callable[[str, str, str], bool] = lambda *_: False
+    ready: Callable[[], bool] = lambda: True
 
 
 class CallerConnection:
@@ -197,6 +199,8 @@
             return False
 
     def _refuse(self, refused: RefusedError, method: str, since: float) -> None:
+        if refused.reason is Reason.TOO_LARGE and not self._context.ready():
+            refused = RefusedError(503, Reason.NOT_READY)  # a configuration may allow it
         outcome = NotRun(refused.reason)
         self._count(_key(Served(outcome)), since)
         headers = outcome_headers(outcome, self._context.dialect)
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -86,6 +86,7 @@
             identify=lambda *what: identify(view.fleet, *what),
             gate=gate,
             is_upload=lambda *what: gate is not None and _is_upload(view, *what),
+            ready=lambda: view.ready,
         )
 
     @property
--- a/tests/calling.py
+++ b/tests/calling.py
@@ -107,7 +107,7 @@
         self.requests: list[Request] = []
         self.serve: Dispatch = lambda _: Served(Answered(200, [], b"ok"))
         self.view = LimitedView("vm-1", "hall-1", "region-1")
-        self.view.limits = limits
+        self.view.limits, self.view.ready = limits, True
         self.metrics = Metrics()
         settings = Settings(
             "vm-1", "hall-1", "region-1", "127.0.0.1", "127.0.0.1", Ports(port, 0, 0, 0), ""
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -217,6 +217,16 @@
         assert bench.caller().ask(post(b"x" * 100)).status == 200
 
 
+def test_node_without_a_configuration_calls_nothing_too_long() -> None:
+    """Guards against the failure "a starting node": it said 413, after which no caller asks again."""
+    for data in (post(b"x" * 101), b"GET /a HTTP/1.1\r\nHost: shop\r\nX: " + b"x" * 300):
+        with opened(limits=CallerLimits(max_body_bytes=100, max_header_bytes=200)) as bench:
+            bench.view.ready = False
+            reply = refused(bench, data)
+            assert (reply.status, reply.header("Roadpass-Reason")) == (503, "not-ready")
+            assert reply.header("Retry-After") is not None
+
+
 def test_limits_are_read_for_each_request(bench: Bench) -> None:
     """A changed limit applies to the next request on an open connection."""
     caller = bench.caller()
