--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -218,7 +218,7 @@
 
 
 def test_node_without_a_configuration_calls_nothing_too_long() -> None:
-    """Guards against the failure "a starting node": it said 413, after which no caller asks again."""
+    """Guards against the failure "a starting node": it said 413, and no caller asks again then."""
     for data in (post(b"x" * 101), b"GET /a HTTP/1.1\r\nHost: shop\r\nX: " + b"x" * 300):
         with opened(limits=CallerLimits(max_body_bytes=100, max_header_bytes=200)) as bench:
             bench.view.ready = False
