Keep the overdraft for responses, and set a caller's buffers once

Bytes of pipelined requests could take the overdraft that is meant for long responses, so a caller that sends ahead could have made them wait. Found by reading the diff. They are now kept only within the limit.

The send buffer of a caller's connection was set before each response; the listening socket now passes both buffers on to accepted connections, one system call less for a response. Two names changed: `_streamed` for the body that a connection streams, which need not be an upload, and `_try_keep_whole` for what also grants bytes.

--- a/roadpass/byte_budget.py
+++ b/roadpass/byte_budget.py
@@ -166,8 +166,9 @@
         return Verdict.WAIT
 
     def add(self, holding: Holding, size: int) -> bool:
-        """Keep more bytes if they fit now; return whether they did."""
-        if not self._has_room(holding, size, small=False):
+        """Keep more bytes if they fit within the limit now; return whether they did."""
+        bound = self._bound(holding, small=False)
+        if self._is_behind(holding, small=False) or self.kept + size > bound:
             return False
         self._grant(holding, size)
         return True
--- a/roadpass/caller_bytes.py
+++ b/roadpass/caller_bytes.py
@@ -6,7 +6,7 @@
 import h11
 
 from roadpass import clock
-from roadpass.body_source import BUFFER_BYTES, UPLOAD_BYTES
+from roadpass.body_source import UPLOAD_BYTES
 from roadpass.body_stream import CallerBody
 from roadpass.byte_budget import WAIT_LIMIT_S, WAIT_SHARE
 from roadpass.byte_gate import KeptBytes, NoBytesError, current
@@ -89,7 +89,6 @@
     Raises:
         OSError: The caller left, or did not read it in time.
     """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
     kept.keep_at_most(len(data))
     kept.expect_caller()
     until = clock.now() + limit_s
--- a/roadpass/caller_connection.py
+++ b/roadpass/caller_connection.py
@@ -110,7 +110,7 @@
         self._limits = CallerLimits()
         self._codec = h11.Connection(h11.SERVER)
         self._ahead = b""
-        self._upload: CallerBody | None = None
+        self._streamed: CallerBody | None = None
 
     def run(self) -> None:
         """Handle requests until the caller or this node ends the connection; never raises."""
@@ -157,12 +157,12 @@
             self._refuse(refused, head.method, head.read_at)
             return False
         self._sock.settimeout(0)
-        watch = self._upload or SocketWatch(
+        watch = self._streamed or SocketWatch(
             self._sock, self._codec, ahead=len(self._codec.trailing_data[0])
         )
         answer, kept = self._dispatch(request._replace(watch=watch), head)
-        if self._upload is not None:
-            log_broken(self._upload, request.id, self._context.metrics)
+        if self._streamed is not None:
+            log_broken(self._streamed, request.id, self._context.metrics)
         if watch.was_gone:
             raise _ConnectionEndedError
         self._write(answer)
@@ -173,7 +173,7 @@
         """Return the response, and whether to keep the connection open after it."""
         try:
             served = self._context.dispatch(request)
-            is_read = self._upload is None or self._upload.complete
+            is_read = self._streamed is None or self._streamed.complete
             kept = (
                 head.wants_keep_alive
                 and is_read
@@ -221,7 +221,7 @@
                 raise _ConnectionEndedError
 
     def _read_head(self, since: float) -> Head:
-        self._upload = None
+        self._streamed = None
         self._limits = self._context.limits()
         max_bytes = self._limits.max_header_bytes
         self._codec = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
@@ -236,22 +236,23 @@
         return Head.from_event(event, clock.now())
 
     def _take_body(self, head: Head, deadline: float | None, *, is_upload: bool) -> bytes:
-        """Return the body; one that is streamed is set as `_upload` instead, and stays unread."""
+        """Return the body; one that is streamed is set as `_streamed` instead, and stays unread."""
         length = head.body_length
         if length is not None and length > self._limits.max_body_bytes:
             raise RefusedError(413, Reason.TOO_LARGE)
         kept = current()
-        if (is_upload and length != 0) or not self._keeps_whole(kept, length):
+        if (is_upload and length != 0) or not self._try_keep_whole(kept, length):
             self._stream_body(head, deadline)
             return b""
         if length is not None and length <= UPLOAD_BYTES:
             take_body(kept, length, deadline)
         return self._read_body(head, deadline)
 
-    def _keeps_whole(self, kept: KeptBytes | None, length: int | None) -> bool:
-        """Return whether a body is kept whole, so that it can be sent to a second target.
+    def _try_keep_whole(self, kept: KeptBytes | None, length: int | None) -> bool:
+        """Return whether to keep a body whole, so that it can be sent to a second target.
 
-        The bytes of one that takes more than streaming it does are accounted for here.
+        The bytes of a body that takes more of them than streaming does are granted here or not at
+        all; those of a short one are asked for later, as it may wait for them.
         """
         if kept is None or length is None or length <= UPLOAD_BYTES:
             return True
@@ -263,7 +264,7 @@
         return self._limits.max_body_bytes if gate is None else gate.whole_bytes
 
     def _stream_body(self, head: Head, deadline: float | None, received: bytes = b"") -> None:
-        self._upload = begin_stream(
+        self._streamed = begin_stream(
             self._sock,
             self._codec,
             head,
@@ -352,7 +353,7 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError as error:
             raise _ConnectionEndedError from error
-        has_rest = self._upload is not None or self._codec.their_state is h11.SEND_BODY
+        has_rest = self._streamed is not None or self._codec.their_state is h11.SEND_BODY
         until = clock.now() + (UPLOAD_LINGER_S if has_rest else LINGER_S)
         while (left_s := until - clock.now()) > 0:
             self._receive(left_s)
@@ -384,7 +385,7 @@
             id=head.header(dialect.request_id) if dialect.caller_sets_id else "",
             origin=self._context.origin,
             fingerprint=""
-            if self._upload is not None
+            if self._streamed is not None
             else fingerprint(host, head.method, path, named or proof, body),
             access=access,
             local=self._is_local,
--- a/roadpass/caller_limits.py
+++ b/roadpass/caller_limits.py
@@ -8,7 +8,7 @@
 
     Args:
         max_header_bytes: Maximum size of the request line and all headers.
-        max_body_bytes: Maximum size of a body, which is held in memory.
+        max_body_bytes: Maximum size of a body; a long one is streamed.
         header_timeout_s: Seconds from the first byte of a request to the end of its headers.
         idle_timeout_s: Seconds that a connection may wait for the first byte of a request.
     """
--- a/roadpass/ingress.py
+++ b/roadpass/ingress.py
@@ -116,7 +116,8 @@
         """Open the listening socket and start to accept connections."""
         family = socket.AF_INET6 if ":" in self._address[0] else socket.AF_INET
         listener = socket.create_server(self._address, family=family, backlog=BACKLOG)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)  # inherited
+        for buffer in (socket.SO_RCVBUF, socket.SO_SNDBUF):  # accepted connections inherit them
+            listener.setsockopt(socket.SOL_SOCKET, buffer, BUFFER_BYTES)
         listener.settimeout(ACCEPT_POLL_S)
         self._listener = listener
         self._address = listener.getsockname()[:2]
