Withdraw only targets whose entry the store has

Its trace: the target had crashed 0.3 s before and was a new instance without an entry, so the withdrawal removed nothing, and the entry was written half a second later, as that of a target in order. Requests to it are allowed.

Change: a withdrawal is left out where the store has no entry to remove.

--- a/soak/history.py
+++ b/soak/history.py
@@ -51,6 +51,11 @@
     leaving_at: float = inf
     limits: list[tuple[float, float]] = field(default_factory=list)
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the store has its entry, as ready."""
+        return self.published_at < inf and min(self.draining_at, self.withdrawn_at) == inf
+
     @property
     def limit_per_s(self) -> float:
         """The limit that it names now, inf for none."""
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -187,7 +187,7 @@
                 self._schedule(REMOVAL_DELAY_S, self._store.delete, _entry(target)[0])
                 self._schedule(planned.duration_s, target.restart)
                 self._schedule(planned.duration_s, self._publish, target)
-            case plan.WITHDRAW if target.instance.draining_at == inf:
+            case plan.WITHDRAW if target.instance.is_listed:
                 self._store.delete(_entry(target)[0])
                 target.instance.withdrawn_at = clock.now()
                 self._schedule(planned.duration_s, target.restart)
