Let the soak know the timeouts of the nested route and of uploads

Its trace: the route's timeout is 2 s (the node had 97 ms left), and an answer that ends at the timeout is allowed, within 0.2 s before it. The checker took the caller's deadline of 3 s, as its table of timeouts had four routes only.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -47,7 +47,7 @@
 and without it."""
 FAILURE_FROM, EARLY_END_S = 500, 0.2
 """Lowest status of a failure, and how long before its deadline a request may be given up."""
-ROUTE_TIMEOUT_S = dict.fromkeys("abcd", 2.0)
+ROUTE_TIMEOUT_S = dict.fromkeys("abcdnu", 2.0)
 """Timeouts of the routes whose timeout may end before their callers' deadline."""
 GRACE_S = 6.0
 """Seconds from SIGTERM to SIGKILL, which is also the stop limit of the nodes."""
