--- a/soak/checker.py
+++ b/soak/checker.py
@@ -36,8 +36,8 @@
 connection while a request is on its way, so that nobody reads the request; without load that takes
 1 ms."""
 WITHDRAWN_SLACK_S = 0.1
-"""The same for a target whose entry is gone. A delay counts only where it outlasts the time that is
-left when nodes stop sending to the target, a second or more."""
+"""Slack for a target whose entry is gone: nodes stop sending to it a second or more before the time
+limit, so a delay of a busy machine seldom shows."""
 NOT_RUN_STATUSES, TARGET_STATUSES, NODE_STATUSES = (
     (400, 401, 404, 408, 413, 421, 429, 503),
     (200, 500),
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -286,7 +286,7 @@
         version = len(self._history.configurations) + 1
         services, methods = dict(self._services), self._routes.items()
         rows = [[r, HOST, f"/{r}/", _kind(r, m), services[r], None] for r, m in methods]
-        services[NESTED_ROUTE] = services["a"]
+        services[NESTED_ROUTE] = services["a"]  # that takes its paths while there is no such route
         if self._bounds and version % 2 == 0:
             services[NESTED_ROUTE] = SERVICES[services["a"] == SERVICES[0]]
             nested = [NESTED_ROUTE, HOST, NESTED_PREFIX, "idempotent", services[NESTED_ROUTE], None]
