Reuse the raw target and one way to fail calls in two new tests

test_body_memory had a listening target of its own beside that of upload_path, and test_source_outage began an outage in four places.

--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -21,7 +21,7 @@
 from stand_ins.store import StoreState, config, entry, store_server
 from tests.calling import Caller, post
 from tests.test_body_stream import CHUNKED, chunks, record_bodies
-from tests.upload_path import Received, opened
+from tests.upload_path import Handler, RawTarget, Received, opened
 
 BODY = bytes(range(256)) * 80_000
 """More than a frame may have."""
@@ -63,11 +63,10 @@
 class SmallNode:
     """A daemon on a VM with little memory, and its target."""
 
-    def __init__(self, ip: str, folder: Path, handle: Any) -> None:
+    def __init__(self, ip: str, folder: Path, handle: Handler) -> None:
         self.ip = ip
-        self.listener = socket.create_server((ip, 8110), backlog=64)
-        self.handle = handle
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._target = RawTarget((ip, 8110))
+        self._target.handle = handle
         path = folder / f"{ip}.jsonc"
         path.write_text(json.dumps(self._settings()))
         self._log = (folder / f"{ip}.log").open("wb")
@@ -97,26 +96,7 @@
         self.daemon.kill()
         self.daemon.wait()
         self._log.close()
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
-    def _serve(self, sock: socket.socket) -> None:
-        with sock:
-            try:
-                while True:
-                    received = Received(sock)
-                    received.read_head()
-                    self.handle(received)
-            except (EOFError, OSError):
-                return
+        self._target.close()
 
     def _settings(self) -> dict[str, Any]:
         return {
@@ -133,7 +113,8 @@
 
 
 def answer(received: Received, body: bytes) -> None:
-    """Drop a request's body and send a response."""
+    """Read the head of a request, drop its body and send a response."""
+    received.read_head()
     head = received.head.lower()
     left = int(head.partition(b"content-length:")[2].split(b"\r\n")[0] or 0) - len(received.data)
     while left > 0:
@@ -147,6 +128,7 @@
         % (identity, len(body))
         + body
     )
+    received.data = b""
 
 
 class Stage:
@@ -172,10 +154,14 @@
             store.put(f"servers/{ip}", item)
         self.server = store_server(STORE, store)
         self.server.start_thread()
-        self.nodes = [SmallNode(ip, folder, lambda got: answer(got, self.body)) for ip in IPS]
+        self.nodes = [SmallNode(ip, folder, self._answer_all) for ip in IPS]
         for node in self.nodes:
             node.wait_ready()
 
+    def _answer_all(self, received: Received) -> None:
+        while True:
+            answer(received, self.body)
+
     def ask(self, number: int, method: str, body: bytes, pause_s: float) -> tuple[int, int]:
         """Send a request, read its response slowly; return its status and the bytes of its body."""
         path = "/b/x" if method == "POST" else "/a/x"
--- a/tests/test_source_outage.py
+++ b/tests/test_source_outage.py
@@ -4,6 +4,7 @@
 heard of it, and all sent requests to a withdrawn target until 2.5 s later, where 2 s are allowed.
 """
 
+import math
 import random
 import threading
 import time
@@ -87,6 +88,12 @@
             self.cuts += 1
             self.changed.notify_all()
 
+    def fail_calls(self, number: float = math.inf) -> None:
+        """Have so many calls fail from now on, also one that waits."""
+        with self.changed:
+            self.failing = number
+            self.changed.notify_all()
+
     def wait_for_failure(self) -> None:
         """Wait until a call has failed."""
         with self.changed:
@@ -239,9 +246,7 @@
     """Guards against taking two failed calls in a row for an outage in which entries lapse."""
     source = SourceOfTargets()
     reader = start(source)
-    with source.changed:
-        source.failing = 2.0
-        source.changed.notify_all()
+    source.fail_calls(2)
     time.sleep(0.1)
     source.write("t1")
     reader.wait_for({"t2"}, BOUND_S)
@@ -251,7 +256,7 @@
     """Guards against taking one's own cut way for an outage while peers are answered."""
     own, source = SourceOfTargets(), SourceOfTargets()
     reader = start(own, peer=source)
-    own.failing = float("inf")
+    own.fail_calls()
     reader.hear_peer()
     time.sleep(LAPSE_S)
     own.wait_for_failure()
@@ -265,9 +270,7 @@
     source = SourceOfTargets()
     reader = start(source, rank)
     reader.hear_peer()
-    with source.changed:
-        source.failing = float("inf")
-        source.changed.notify_all()
+    source.fail_calls()
     time.sleep(LAPSE_S)
     source.write("t1")
     source.failing = 0.0
@@ -281,9 +284,7 @@
     """Guards against targets that are kept in service for good once there was an outage."""
     source = SourceOfTargets()
     reader = start(source)
-    with source.changed:
-        source.failing = float("inf")
-        source.changed.notify_all()
+    source.fail_calls()
     time.sleep(LAPSE_S)
     source.write("t1")
     source.failing = 0.0
--- a/tests/upload_path.py
+++ b/tests/upload_path.py
@@ -97,11 +97,11 @@
 class RawTarget:
     """A target that handles each connection in a thread, as the test has set."""
 
-    def __init__(self) -> None:
+    def __init__(self, address: tuple[str, int] = (ADDRESS, 0)) -> None:
         self.handle: Handler = answer_all
         self.connections: list[Received] = []
         self.bodies: list[bytes] = []
-        self._listener = socket.create_server((ADDRESS, 0))
+        self._listener = socket.create_server(address, backlog=64)
         self.port: int = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
