--- a/review/stage2.py
+++ b/review/stage2.py
@@ -234,11 +234,9 @@
         record: Record,
         *,
         pause_s: float = 0.0,
-        long_body: bytes = b"",
     ) -> None:
         self._instance = instance
         self._pause_s = pause_s
-        self._long_body = long_body
         self._body = body
         self._record = record
         self._lock = threading.Lock()
@@ -275,7 +273,7 @@
             self.ran[request] = time.monotonic()
         self._record.write(f"{self._instance} ran {request}")
         headers += f"Server-Signature: {self._instance}.{request}\r\n"
-        body = self._long_body if "/long " in head[""] else self._body
+        body = self._body
         sock.sendall(f"HTTP/1.1 200 OK\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode())
         rest = memoryview(body)
         sock.settimeout(self.CUT_S)
