Review cases 4 to 7: exit with 2 if a case cannot run

Now all of these end with 2, a run that is ended by SIGTERM too, and every way out ends all processes.

Command: sh review/N/run.sh without the libraries (4 to 7), review/5/run.sh ended by SIGTERM after 4 s Result: 1 before for each case without the libraries, 2 after; ended early 2, no process left.

--- a/review/stage2.py
+++ b/review/stage2.py
@@ -19,9 +19,10 @@
 import termios
 import threading
 import time
+import traceback
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 from stand_ins.store import StoreState, config, entry, store_server
 
@@ -44,10 +45,12 @@
                 for port in (CALLERS, STREAM, ADMIN, TARGET):
                     with socket.socket() as sock:
                         sock.bind((f"{network}.{host}", port))
+            with socket.socket() as sock:
+                sock.bind((f"{network}.250", STORE))
             return network
         except OSError:
             continue
-    raise SystemExit(NOT_RUN)
+    raise RuntimeError("no loopback network has its ports free")
 
 
 class Record:
@@ -73,6 +76,8 @@
     def __init__(self, ip: str, path: Path, settings: dict[str, Any]) -> None:
         self.ip = ip
         self._path = path
+        self._lock = threading.Lock()
+        self._closed = False
         self.settings = settings
         self.write_settings()
         self._log = path.with_suffix(".log").open("ab")
@@ -86,7 +91,18 @@
         written.replace(self._path)
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless the case is over."""
+        with self._lock:
+            if not self._closed:
+                self._start()
+
+    def close(self) -> None:
+        """End the process for good."""
+        with self._lock:
+            self._closed = True
+            self.kill()
+
+    def _start(self) -> None:
         path = f"{ROOT / 'target' / 'deps'}"
         keep = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env = {**keep, "PYTHONPATH": path, "ROADPASS_SETTINGS": str(self._path)}
@@ -152,6 +168,8 @@
         self._server = store_server((f"{self.network}.250", STORE), self.store)
         self._server.start_thread()
         self.nodes: list[Node] = []
+        self._closed = False
+        _stages.append(self)
 
     def publish(self, number: int, instance: str, slots: int) -> None:
         """Write the entry of the target beside a machine."""
@@ -166,13 +184,15 @@
             self.nodes.append(Node(ip, path, self._settings(ip)))
         if not wait_until(lambda: all(node.is_ready() for node in self.nodes), 20.0):
             self.close()
-            print("the nodes did not get ready")
-            raise SystemExit(NOT_RUN)
+            raise RuntimeError("the nodes did not get ready")
 
     def close(self) -> None:
-        """End all processes."""
+        """End all processes; may be called again."""
+        if self._closed:
+            return
+        self._closed = True
         for node in self.nodes:
-            node.kill()
+            node.close()
         self._server.stop()
         self._folder.cleanup()
 
@@ -208,6 +228,23 @@
         return value
 
 
+_stages: list[Stage] = []
+
+
+def run_case(case: Callable[[], int]) -> NoReturn:
+    """Run a case, end all that it started, and exit: with 2 if it could not run to its end."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    status = NOT_RUN
+    try:
+        status = case()
+    except Exception:
+        traceback.print_exc()
+    finally:
+        for stage in _stages:
+            stage.close()
+    raise SystemExit(status)
+
+
 def wait_until(holds: Callable[[], bool], limit_s: float) -> bool:
     """Wait until `holds` returns true; return whether it did within some seconds."""
     until = time.monotonic() + limit_s
